Lay out the workspace with core decisions, messages and program basics

Cause: nothing existed. The core crate holds every decision without input or output (ownership, placement, book of a target, cold start, fair queue, fence of request ids, ledger decisions, membership, configuration); wire holds the messages; host holds settings, HTTP server and clients without the defaults that cut or repeat requests. Ruled out: deficit round-robin in the queue; start-time fair queueing gives the same shares with one rule at three levels and needs no quantum. No process runs yet.

--- /dev/null
+++ b/crates/core/src/book.rs
@@ -0,0 +1,120 @@
+//! The owner's book of one target: what runs on it, what waits for it and how much it may carry.
+//!
+//! Three limits hold at once: what the target bears (its slots, less while it is cold), the load
+//! bound over the pool's mean, and what an earlier owner may still have in flight.
+
+pub mod command;
+pub mod query;
+
+use indexmap::IndexMap;
+
+use crate::chats::Chats;
+use crate::fairness::{Flow, Queue, Ticket};
+use crate::heat::{self, Heat};
+
+/// Limits of one target.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// The load bound, as a multiple of the mean.
+    pub load_multiple: f64,
+    /// The cold start.
+    pub heat: heat::Settings,
+    /// The most requests that wait.
+    pub queue_max: usize,
+    /// How long a new owner that got no answer keeps to a part of the limit, in milliseconds.
+    pub takeover_ms: u64,
+    /// The recent chats that are remembered.
+    pub chats_max: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            load_multiple: 1.25,
+            heat: heat::Settings::default(),
+            queue_max: 64,
+            takeover_ms: 6_000,
+            chats_max: 4_096,
+        }
+    }
+}
+
+/// What a request asks of a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// Whose work it is.
+    pub flow: Flow,
+    /// The estimated tokens, prompt and answer.
+    pub tokens: u64,
+}
+
+/// What a target says of itself, late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The requests that run on it, whoever sent them.
+    pub running: u32,
+    /// Which incarnation speaks.
+    pub incarnation: u64,
+}
+
+/// What is known of the work that an earlier owner has in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Former {
+    /// There is no earlier owner, or all its work has ended.
+    None,
+    /// It has not answered; until then the last known figure counts as still there.
+    Silent { last_known: u32, since_ms: u64 },
+    /// It has answered and sends no more.
+    Answered { running: u32 },
+}
+
+/// The owner's book of one target.
+#[derive(Clone, Debug)]
+pub struct Book {
+    pub(crate) settings: Settings,
+    pub(crate) slots: u32,
+    pub(crate) heat: Heat,
+    pub(crate) running: IndexMap<Ticket, u64>,
+    pub(crate) tokens: u64,
+    pub(crate) waiting: IndexMap<Ticket, Demand>,
+    pub(crate) queue: Queue,
+    pub(crate) chats: Chats,
+    pub(crate) former: Former,
+    pub(crate) report: Option<Report>,
+    pub(crate) peak: u32,
+    pub(crate) earlier_peak: u32,
+    pub(crate) is_closed: bool,
+    pub(crate) next_ticket: u64,
+}
+
+impl Book {
+    /// Opens the book of a target of which nothing is known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::book::{query, Book, Settings};
+    /// use sardinemux_core::load::Mean;
+    ///
+    /// let book = Book::new(Settings::default(), 8);
+    /// assert_eq!(query::limit(&book, Mean { requests: 9.0, tokens: 0.0 }, 0), 2);
+    /// ```
+    pub fn new(settings: Settings, slots: u32) -> Self {
+        Self {
+            heat: Heat::new(settings.heat, slots),
+            chats: Chats::new(settings.chats_max),
+            settings,
+            slots,
+            running: IndexMap::new(),
+            tokens: 0,
+            waiting: IndexMap::new(),
+            queue: Queue::default(),
+            former: Former::None,
+            report: None,
+            peak: 0,
+            earlier_peak: 0,
+            is_closed: false,
+            next_ticket: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,25 @@
+//! The decisions of sardinemux: no input or output, no clock and no thread.
+//!
+//! Time, randomness and messages come in as arguments, so that a router, a test or a benchmark
+//! drives the same code.
+
+pub mod book;
+pub mod budget;
+pub mod chats;
+pub mod class;
+pub mod config;
+pub mod errors;
+pub mod fairness;
+pub mod fence;
+pub mod hash;
+pub mod heat;
+pub mod ledger;
+pub mod load;
+pub mod membership;
+pub mod outcome;
+pub mod ownership;
+pub mod placement;
+pub mod prelude;
+pub mod retry;
+pub mod stream;
+pub mod target;
--- /dev/null
+++ b/crates/core/src/load.rs
@@ -0,0 +1,147 @@
+//! The mean load of a pool, from samples that routers exchange, and the bound that follows from it.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// A sample older than this no longer counts, in milliseconds.
+pub const SAMPLE_MAX_AGE_MS: u64 = 5_000;
+
+/// What one router owns of one pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sample {
+    /// The eligible targets that it owns.
+    pub targets: u32,
+    /// The requests in flight on them.
+    pub requests: u32,
+    /// The estimated tokens in flight on them.
+    pub tokens: u64,
+}
+
+impl Sample {
+    /// Returns the sum of two samples.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            targets: self.targets + other.targets,
+            requests: self.requests + other.requests,
+            tokens: self.tokens + other.tokens,
+        }
+    }
+
+    /// Returns the load of one target on average; zero where there is no target.
+    pub fn mean(self) -> Mean {
+        let targets = f64::from(self.targets.max(1));
+        Mean {
+            requests: f64::from(self.requests) / targets,
+            tokens: self.tokens as f64 / targets,
+        }
+    }
+}
+
+/// The mean load of one target of a pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Mean {
+    /// Requests in flight a target.
+    pub requests: f64,
+    /// Estimated tokens in flight a target.
+    pub tokens: f64,
+}
+
+/// Names a sample: a router and a pool.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Source {
+    /// The router.
+    pub router: SmolStr,
+    /// The pool.
+    pub pool: SmolStr,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Dated {
+    sample: Sample,
+    at_ms: u64,
+}
+
+/// The freshest sample of each router and pool that was heard.
+#[derive(Clone, Debug, Default)]
+pub struct Samples {
+    samples: IndexMap<Source, Dated>,
+}
+
+impl Samples {
+    /// Takes in a sample of the given time unless a fresher one is held; an empty one is kept too,
+    /// as it says that the router owns nothing now.
+    pub fn put(&mut self, source: Source, sample: Sample, at_ms: u64) {
+        let held = self.samples.get(&source);
+        if held.is_some_and(|dated| dated.at_ms > at_ms) {
+            return;
+        }
+        self.samples.insert(source, Dated { sample, at_ms });
+    }
+
+    /// Forgets samples that are too old to count.
+    pub fn age(&mut self, now_ms: u64) {
+        self.samples
+            .retain(|_, dated| now_ms.saturating_sub(dated.at_ms) < SAMPLE_MAX_AGE_MS);
+    }
+
+    /// Returns the sum of a pool's fresh samples.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::load::{Sample, Samples, Source};
+    ///
+    /// let mut samples = Samples::default();
+    /// let source = |router: &str| Source { router: router.into(), pool: "m".into() };
+    /// samples.put(source("r1"), Sample { targets: 1, requests: 4, tokens: 0 }, 0);
+    /// samples.put(source("r2"), Sample { targets: 3, requests: 0, tokens: 0 }, 0);
+    /// assert_eq!(samples.sum("m", 10).mean().requests, 1.0);
+    /// assert_eq!(samples.sum("m", 60_000).mean().requests, 0.0);
+    /// ```
+    pub fn sum(&self, pool: &str, now_ms: u64) -> Sample {
+        self.fresh(now_ms)
+            .filter(|(source, _, _)| source.pool == pool)
+            .fold(Sample::default(), |sum, (_, sample, _)| sum.plus(sample))
+    }
+
+    /// Returns the fresh samples with their ages in milliseconds.
+    pub fn fresh(&self, now_ms: u64) -> impl Iterator<Item = (&Source, Sample, u64)> {
+        self.samples
+            .iter()
+            .map(move |(source, dated)| (source, dated.sample, now_ms.saturating_sub(dated.at_ms)))
+            .filter(|(_, _, age_ms)| *age_ms < SAMPLE_MAX_AGE_MS)
+    }
+
+    /// Returns the load of a router's targets of a pool, relative to their number.
+    pub fn of_router(&self, router: &str, pool: &str) -> Option<f64> {
+        let source = Source {
+            router: router.into(),
+            pool: pool.into(),
+        };
+        let sample = self.samples.get(&source)?.sample;
+        (sample.targets > 0).then(|| f64::from(sample.requests) / f64::from(sample.targets))
+    }
+}
+
+/// Returns the most requests that one target may have in flight: `ceil(multiple * mean) + 1`.
+///
+/// The one request lets a pool that stands idle start; see Mirrokni, Thorup and Zadimoghaddam,
+/// "Consistent hashing with bounded loads", SODA 2018.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::load::{self, Mean};
+///
+/// let mean = Mean { requests: 4.0, tokens: 0.0 };
+/// assert_eq!(load::request_bound(1.25, mean), 6);
+/// ```
+pub fn request_bound(multiple: f64, mean: Mean) -> u32 {
+    (multiple * mean.requests).ceil() as u32 + 1
+}
+
+/// Returns whether a target with this many tokens in flight may take one more request.
+pub fn allows_tokens(multiple: f64, mean: Mean, tokens: u64) -> bool {
+    tokens == 0 || tokens as f64 <= multiple * mean.tokens
+}
--- /dev/null
+++ b/crates/core/src/ownership.rs
@@ -0,0 +1,65 @@
+//! Which router owns a target: all work for the target passes through it.
+//!
+//! Rendezvous hashing over the live routers of the target's availability zone; if there are none,
+//! over those of its region; if there are none, over all.
+
+use crate::hash;
+use crate::membership::Member;
+use crate::target::Target;
+
+/// How near a router is to a target; a larger variant is preferred.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Nearness {
+    Elsewhere,
+    SameRegion,
+    SameZone,
+}
+
+fn nearness(member: &Member, target: &Target) -> Nearness {
+    if member.zone == target.zone {
+        return Nearness::SameZone;
+    }
+    if member.region == target.region {
+        return Nearness::SameRegion;
+    }
+    Nearness::Elsewhere
+}
+
+/// Returns the owner of a target among the given routers.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::membership::{Member, State};
+/// use sardinemux_core::ownership;
+/// use sardinemux_core::target::{Kind, Target};
+///
+/// let router = |id: &str, zone: &str| Member {
+///     id: id.into(),
+///     address: "127.0.0.1:1".into(),
+///     zone: zone.into(),
+///     region: "north".into(),
+///     boot: 1,
+///     epoch: 0,
+///     state: State::Alive,
+/// };
+/// let target = Target {
+///     id: "e1".into(),
+///     kind: Kind::Engine,
+///     pool: "model".into(),
+///     address: "127.0.0.1:2".into(),
+///     zone: "z2".into(),
+///     region: "north".into(),
+///     slots: 8,
+///     leaving: false,
+/// };
+/// let routers = [router("r1", "z1"), router("r2", "z2")];
+/// let owner = ownership::owner(routers.iter(), &target);
+/// assert_eq!(owner.map(|router| router.id.as_str()), Some("r2"));
+/// ```
+pub fn owner<'a>(routers: impl Iterator<Item = &'a Member>, target: &Target) -> Option<&'a Member> {
+    routers.max_by_key(|member| {
+        let score = hash::of(&[b"owner", target.id.as_bytes(), member.id.as_bytes()]);
+        (nearness(member, target), score)
+    })
+}
--- /dev/null
+++ b/crates/core/src/target.rs
@@ -0,0 +1,118 @@
+//! Targets: the engines and plain services that the fleet routes to, in an arena.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Names one target within one process. A key is never used again for another target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(pub u32);
+
+/// What a target is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A model engine that batches continuously and caches prompt prefixes.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// One engine or service instance.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    /// The name in the platform's instance list.
+    pub id: SmolStr,
+    /// What it is.
+    pub kind: Kind,
+    /// The model or the service that it offers; targets of one pool are interchangeable.
+    pub pool: SmolStr,
+    /// The address, as `ip:port`.
+    pub address: SmolStr,
+    /// The availability zone.
+    pub zone: SmolStr,
+    /// The region.
+    pub region: SmolStr,
+    /// The number of requests that it bears at once when warm.
+    pub slots: u32,
+    /// Whether the platform says that it is leaving.
+    pub leaving: bool,
+}
+
+/// All known targets.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    keys: IndexMap<SmolStr, Key>,
+    targets: IndexMap<Key, Target>,
+    next: u32,
+}
+
+impl Table {
+    /// Adds a target or replaces what is known of it, and returns its key.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::target::{Kind, Table, Target};
+    ///
+    /// let mut table = Table::default();
+    /// let engine = Target {
+    ///     id: "e1".into(),
+    ///     kind: Kind::Engine,
+    ///     pool: "model".into(),
+    ///     address: "127.0.0.1:1".into(),
+    ///     zone: "z1".into(),
+    ///     region: "r1".into(),
+    ///     slots: 8,
+    ///     leaving: false,
+    /// };
+    /// let key = table.put(engine.clone());
+    /// assert_eq!(table.put(engine), key);
+    /// assert_eq!(table.of_pool("model").count(), 1);
+    /// ```
+    pub fn put(&mut self, target: Target) -> Key {
+        let next = Key(self.next);
+        let key = *self.keys.entry(target.id.clone()).or_insert(next);
+        if key == next {
+            self.next += 1;
+        }
+        self.targets.insert(key, target);
+        key
+    }
+
+    /// Forgets a target.
+    pub fn remove(&mut self, id: &str) -> Option<Target> {
+        let key = self.keys.swap_remove(id)?;
+        self.targets.swap_remove(&key)
+    }
+
+    /// Returns the key of a target by its name.
+    pub fn key(&self, id: &str) -> Option<Key> {
+        self.keys.get(id).copied()
+    }
+
+    /// Returns a target.
+    pub fn get(&self, key: Key) -> Option<&Target> {
+        self.targets.get(&key)
+    }
+
+    /// Returns the targets of a pool.
+    pub fn of_pool<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = (Key, &'a Target)> + 'a {
+        self.iter().filter(move |(_, target)| target.pool == pool)
+    }
+
+    /// Returns all targets.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Target)> {
+        self.targets.iter().map(|(key, target)| (*key, target))
+    }
+
+    /// Returns the number of targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Returns whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/host/src/errors.rs
@@ -0,0 +1,143 @@
+//! The common error type of this crate.
+
+use smol_str::SmolStr;
+use snafu::Snafu;
+
+/// The result of an operation that may fail with an [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Every way in which a program can fail to start, or to reach another one.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    /// The settings file cannot be read as INI.
+    #[snafu(display("{file}: cannot be read: {source}"))]
+    File {
+        /// The file.
+        file: String,
+        /// The cause.
+        source: ini::Error,
+    },
+    /// The settings file names a section that does not exist.
+    #[snafu(display("{file}: there is no section [{section}]; allowed are {allowed}"))]
+    Section {
+        /// The file.
+        file: String,
+        /// The section.
+        section: String,
+        /// The sections that exist.
+        allowed: String,
+    },
+    /// The settings file names a key that does not exist.
+    #[snafu(display(
+        "{file}: [{section}] has no key {key} (value {value}); allowed are {allowed}"
+    ))]
+    Key {
+        /// The file.
+        file: String,
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+        /// The keys of the section.
+        allowed: String,
+    },
+    /// A value has the wrong form, unit or range.
+    #[snafu(display("{file}: [{section}] {key} = {value}; allowed is {allowed}"))]
+    Value {
+        /// The file.
+        file: String,
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+        /// What is allowed.
+        allowed: String,
+    },
+    /// A key without a default is missing.
+    #[snafu(display("{file}: [{section}] {key} is missing; allowed is {allowed}"))]
+    Missing {
+        /// The file.
+        file: String,
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+        /// What is allowed.
+        allowed: String,
+    },
+    /// An HTTP client cannot be built.
+    #[snafu(display("an HTTP client cannot be built: {source}"))]
+    Client {
+        /// The cause.
+        source: reqwest::Error,
+    },
+    /// The HTTP server cannot listen or has failed.
+    #[snafu(display("the HTTP server failed: {message}"))]
+    Server {
+        /// What the server says.
+        message: String,
+    },
+    /// The asynchronous runtime cannot be built.
+    #[snafu(display("the runtime cannot be built: {source}"))]
+    Runtime {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A metric cannot be registered.
+    #[snafu(display("a metric cannot be registered: {source}"))]
+    Metric {
+        /// The cause.
+        source: prometheus::Error,
+    },
+    /// A service of the platform did not answer.
+    #[snafu(display("{url} did not answer: {source}"))]
+    Silent {
+        /// The address.
+        url: String,
+        /// The cause.
+        source: reqwest::Error,
+    },
+    /// A service of the platform answered with an error.
+    #[snafu(display("{url} answered {status}"))]
+    Status {
+        /// The address.
+        url: String,
+        /// The HTTP status.
+        status: u16,
+    },
+    /// A message cannot be read or written.
+    #[snafu(display("{source}"))]
+    Wire {
+        /// The cause.
+        source: sardinemux_wire::errors::Error,
+    },
+    /// A value of the platform cannot be read.
+    #[snafu(display("the value of {key} is malformed: {source}"))]
+    Stored {
+        /// The key.
+        key: SmolStr,
+        /// The cause.
+        source: serde_json::Error,
+    },
+}
+
+impl Error {
+    /// Returns whether nothing can have happened, as the connection was never made.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_host::errors::Error;
+    ///
+    /// let error = Error::Status { url: "http://127.0.0.1:1/".to_owned(), status: 500 };
+    /// assert!(!error.is_unsent());
+    /// ```
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Silent { source, .. } if source.is_connect())
+    }
+}
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,12 @@
+//! What each program of sardinemux needs to run: checked settings, logs, an HTTP server that never
+//! cuts a request off, HTTP clients that never repeat one, and the platform's services.
+
+pub mod client;
+pub mod clock;
+pub mod errors;
+pub mod observe;
+pub mod platform;
+pub mod prelude;
+pub mod program;
+pub mod server;
+pub mod settings;
--- /dev/null
+++ b/crates/host/src/observe.rs
@@ -0,0 +1,41 @@
+//! What every program shows of itself: `/metrics`, `/health/live` and `/health/ready`.
+
+use prometheus::{Encoder, Registry, TextEncoder};
+use rocket::http::Status;
+use rocket::{get, routes, Route, State};
+
+/// What the health and metrics routes show.
+pub struct Observed {
+    /// The metrics.
+    pub registry: Registry,
+    /// Says whether the program takes work.
+    pub is_ready: Box<dyn Fn() -> bool + Send + Sync>,
+}
+
+/// Returns the routes; the server must manage an [`Observed`].
+pub fn routes() -> Vec<Route> {
+    routes![live, ready, metrics]
+}
+
+#[get("/health/live")]
+fn live() -> &'static str {
+    "live\n"
+}
+
+#[get("/health/ready")]
+fn ready(observed: &State<Observed>) -> (Status, &'static str) {
+    match (observed.is_ready)() {
+        true => (Status::Ok, "ready\n"),
+        false => (Status::ServiceUnavailable, "not ready\n"),
+    }
+}
+
+#[get("/metrics")]
+fn metrics(observed: &State<Observed>) -> (Status, Vec<u8>) {
+    let mut text = Vec::new();
+    let families = observed.registry.gather();
+    match TextEncoder::new().encode(&families, &mut text) {
+        Ok(()) => (Status::Ok, text),
+        Err(_) => (Status::InternalServerError, Vec::new()),
+    }
+}
--- /dev/null
+++ b/crates/host/src/program.rs
@@ -0,0 +1,139 @@
+//! How every program starts: command line, checked settings, logs, runtime.
+
+use std::future::Future;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command};
+use snafu::ResultExt;
+
+use crate::errors::{Result, RuntimeSnafu};
+use crate::settings::{Key, Kind, Values};
+
+/// The exit status for settings that are not valid.
+const EXIT_SETTINGS: u8 = 2;
+
+/// The keys that every program has.
+pub const COMMON_KEYS: [Key; 2] = [
+    Key {
+        section: "program",
+        name: "log",
+        kind: Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
+        default: Some("info"),
+        about: "The least severe level that is logged.",
+    },
+    Key {
+        section: "program",
+        name: "threads",
+        kind: Kind::Count { least: 1, most: 64 },
+        default: Some("2"),
+        about: "The worker threads; set, not taken from the machine, as it decides the memory.",
+    },
+];
+
+/// What a program is.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// The name of the binary.
+    pub name: &'static str,
+    /// What it does, in a line.
+    pub about: &'static str,
+    /// Its own keys, besides [`COMMON_KEYS`].
+    pub keys: &'static [Key],
+}
+
+fn command(program: &Program) -> Command {
+    let keys: Vec<String> = all_keys(program)
+        .iter()
+        .map(|key| {
+            let default = key
+                .default
+                .map_or("required".to_owned(), |value| format!("default {value:?}"));
+            let allowed = key.kind.allowed();
+            format!(
+                "[{}] {}: {} ({allowed}; {default})",
+                key.section, key.name, key.about
+            )
+        })
+        .collect();
+    Command::new(program.name)
+        .version(env!("CARGO_PKG_VERSION"))
+        .about(program.about)
+        .after_help(format!("Settings:\n{}", keys.join("\n")))
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .help("The INI file with the settings"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        )
+}
+
+fn all_keys(program: &Program) -> Vec<Key> {
+    COMMON_KEYS.iter().chain(program.keys).copied().collect()
+}
+
+/// Reads the command line and the settings, and runs the program.
+///
+/// The exit status is 2 for settings that are not valid, 1 for a program that failed.
+pub fn run<F, E>(program: &Program, main: impl FnOnce(Values) -> F) -> ExitCode
+where
+    F: Future<Output = std::result::Result<(), E>>,
+    E: std::error::Error,
+{
+    let matches = command(program).get_matches();
+    let file = matches
+        .get_one::<String>("settings")
+        .map(String::as_str)
+        .unwrap_or_default();
+    let values = match Values::load(file, &all_keys(program)) {
+        Ok(values) => values,
+        Err(error) => {
+            eprintln!("{}: {error}", program.name);
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.get_flag("check") {
+        println!("{file}: the settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    init_logs(&values);
+    match runtime(&values) {
+        Ok(runtime) => report(program, runtime.block_on(main(values))),
+        Err(error) => report(program, Err(error)),
+    }
+}
+
+fn report<E: std::error::Error>(program: &Program, result: std::result::Result<(), E>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("{} failed: {error}", program.name);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Starts the log; the environment variable `RUST_LOG` outweighs the settings.
+fn init_logs(values: &Values) {
+    let level = values.text("program", "log").unwrap_or_default();
+    let environment = env_logger::Env::default().default_filter_or(format!(
+        "{level},rocket=off,hyper=off,_=off,rocket::server=off"
+    ));
+    env_logger::Builder::from_env(environment).init();
+}
+
+fn runtime(values: &Values) -> Result<tokio::runtime::Runtime> {
+    let threads = values.number("program", "threads")? as usize;
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .max_blocking_threads(4)
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)
+}
--- /dev/null
+++ b/crates/host/src/settings.rs
@@ -0,0 +1,323 @@
+//! Settings in INI, checked whole before a program starts.
+//!
+//! Every program lists its keys with the form and the default of each. Unknown sections and keys,
+//! wrong units, values out of range and missing keys are errors that name the file, the key, the
+//! value and what is allowed.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use ini::Ini;
+use smol_str::SmolStr;
+use snafu::{ensure, OptionExt, ResultExt};
+
+use crate::errors::{FileSnafu, KeySnafu, MissingSnafu, Result, SectionSnafu, ValueSnafu};
+
+/// The form of a value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Any text that is not empty.
+    Text,
+    /// An IP number and a port.
+    Address,
+    /// IP numbers and ports, separated by commas; may be empty.
+    Addresses,
+    /// A whole number.
+    Count {
+        /// The smallest allowed number.
+        least: u64,
+        /// The largest allowed number.
+        most: u64,
+    },
+    /// A time with its unit, `ms` or `s`.
+    Time {
+        /// The shortest allowed time, in milliseconds.
+        least_ms: u64,
+        /// The longest allowed time, in milliseconds.
+        most_ms: u64,
+    },
+    /// A size with its unit, `B`, `KiB` or `MiB`.
+    Size {
+        /// The smallest allowed size, in bytes.
+        least: u64,
+        /// The largest allowed size, in bytes.
+        most: u64,
+    },
+    /// One of a list of words.
+    Choice(&'static [&'static str]),
+}
+
+/// One key of a settings file.
+#[derive(Clone, Copy, Debug)]
+pub struct Key {
+    /// The section.
+    pub section: &'static str,
+    /// The name.
+    pub name: &'static str,
+    /// The form of the value.
+    pub kind: Kind,
+    /// The value where the file gives none; a key without one must be given.
+    pub default: Option<&'static str>,
+    /// What it is for, in a line.
+    pub about: &'static str,
+}
+
+/// The units of a time, in milliseconds.
+const TIME_UNITS: [(&str, u64); 2] = [("ms", 1), ("s", 1_000)];
+
+/// The units of a size, in bytes.
+const SIZE_UNITS: [(&str, u64); 3] = [("KiB", 1 << 10), ("MiB", 1 << 20), ("B", 1)];
+
+/// Reads a number with its unit.
+fn measure(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    units.iter().find_map(|(unit, factor)| {
+        let digits = text.strip_suffix(unit)?.trim_end();
+        digits.parse::<u64>().ok()?.checked_mul(*factor)
+    })
+}
+
+impl Kind {
+    /// Returns what is allowed, for a message.
+    pub fn allowed(self) -> String {
+        match self {
+            Self::Text => "a text".to_owned(),
+            Self::Address => "an address as ip:port".to_owned(),
+            Self::Addresses => "addresses as ip:port, separated by commas".to_owned(),
+            Self::Count { least, most } => format!("a whole number from {least} to {most}"),
+            Self::Time { least_ms, most_ms } => {
+                format!("a time in ms or s, from {least_ms}ms to {most_ms}ms")
+            }
+            Self::Size { least, most } => {
+                format!("a size in B, KiB or MiB, from {least}B to {most}B")
+            }
+            Self::Choice(words) => format!("one of {}", words.join(", ")),
+        }
+    }
+
+    /// Returns whether a value has this form.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_host::settings::Kind;
+    ///
+    /// let kind = Kind::Time { least_ms: 1, most_ms: 5_000 };
+    /// assert!(kind.allows("2s"));
+    /// assert!(!kind.allows("2"));
+    /// assert!(!kind.allows("2min"));
+    /// ```
+    pub fn allows(self, text: &str) -> bool {
+        let between = |value: Option<u64>, least: u64, most: u64| {
+            value.is_some_and(|value| value >= least && value <= most)
+        };
+        match self {
+            Self::Text => !text.is_empty(),
+            Self::Address => text.parse::<SocketAddr>().is_ok(),
+            Self::Addresses => parse_addresses(text).is_some(),
+            Self::Count { least, most } => between(text.parse().ok(), least, most),
+            Self::Time { least_ms, most_ms } => {
+                between(measure(text, &TIME_UNITS), least_ms, most_ms)
+            }
+            Self::Size { least, most } => between(measure(text, &SIZE_UNITS), least, most),
+            Self::Choice(words) => words.contains(&text),
+        }
+    }
+}
+
+fn parse_addresses(text: &str) -> Option<Vec<SocketAddr>> {
+    let parts = text.split(',').map(str::trim);
+    parts
+        .filter(|part| !part.is_empty())
+        .map(|part| part.parse().ok())
+        .collect()
+}
+
+/// The checked values of a settings file.
+#[derive(Clone, Debug, Default)]
+pub struct Values {
+    file: String,
+    values: IndexMap<(SmolStr, SmolStr), (Kind, SmolStr)>,
+}
+
+impl Values {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// `Error::File`, `Error::Section`, `Error::Key`, `Error::Value` or `Error::Missing`.
+    pub fn load(file: &str, keys: &[Key]) -> Result<Self> {
+        let ini = Ini::load_from_file(file).context(FileSnafu { file })?;
+        Self::check(file, &ini, keys)
+    }
+
+    /// Reads and checks settings from a text; `file` is used in messages.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Values::load`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_host::settings::{Key, Kind, Values};
+    ///
+    /// let keys = [Key {
+    ///     section: "peer",
+    ///     name: "period",
+    ///     kind: Kind::Time { least_ms: 1, most_ms: 10_000 },
+    ///     default: None,
+    ///     about: "The time between two exchanges.",
+    /// }];
+    /// let values = Values::parse("router.ini", "[peer]\nperiod = 2s\n", &keys)?;
+    /// assert_eq!(values.number("peer", "period")?, 2_000);
+    /// assert!(Values::parse("router.ini", "[peer]\nperiod = 2\n", &keys).is_err());
+    /// # Ok::<(), sardinemux_host::prelude::Error>(())
+    /// ```
+    pub fn parse(file: &str, text: &str, keys: &[Key]) -> Result<Self> {
+        let parsed = Ini::load_from_str(text).map_err(ini::Error::Parse);
+        let ini = parsed.context(FileSnafu { file })?;
+        Self::check(file, &ini, keys)
+    }
+
+    fn check(file: &str, ini: &Ini, keys: &[Key]) -> Result<Self> {
+        for (section, properties) in ini {
+            let section = section.unwrap_or("");
+            if section.is_empty() && properties.is_empty() {
+                continue;
+            }
+            check_section(file, section, keys)?;
+            for (name, value) in properties {
+                check_key(file, section, name, value, keys)?;
+            }
+        }
+        let mut values = IndexMap::new();
+        for key in keys {
+            let given = ini.get_from(Some(key.section), key.name);
+            let value = given.or(key.default).context(MissingSnafu {
+                file,
+                section: key.section,
+                key: key.name,
+                allowed: key.kind.allowed(),
+            })?;
+            values.insert(
+                (key.section.into(), key.name.into()),
+                (key.kind, value.into()),
+            );
+        }
+        let file = file.to_owned();
+        Ok(Self { file, values })
+    }
+
+    fn value(&self, section: &str, name: &str) -> Result<&(Kind, SmolStr)> {
+        let key = (SmolStr::from(section), SmolStr::from(name));
+        self.values.get(&key).context(MissingSnafu {
+            file: self.file.clone(),
+            section,
+            key: name,
+            allowed: "a key that the program lists",
+        })
+    }
+
+    /// Returns a text, a choice or an address.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Missing` for a key that the program does not list.
+    pub fn text(&self, section: &str, name: &str) -> Result<SmolStr> {
+        Ok(self.value(section, name)?.1.clone())
+    }
+
+    /// Returns an address.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Missing` for a key that the program does not list, `Error::Value` for one that is
+    /// not an address.
+    pub fn address(&self, section: &str, name: &str) -> Result<SocketAddr> {
+        let (kind, value) = self.value(section, name)?;
+        value.parse().ok().context(ValueSnafu {
+            file: self.file.clone(),
+            section,
+            key: name,
+            value: value.to_string(),
+            allowed: kind.allowed(),
+        })
+    }
+
+    /// Returns a list of addresses.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Values::address`].
+    pub fn addresses(&self, section: &str, name: &str) -> Result<Vec<SocketAddr>> {
+        let (kind, value) = self.value(section, name)?;
+        parse_addresses(value).context(ValueSnafu {
+            file: self.file.clone(),
+            section,
+            key: name,
+            value: value.to_string(),
+            allowed: kind.allowed(),
+        })
+    }
+
+    /// Returns a count, a time in milliseconds or a size in bytes.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Values::address`].
+    pub fn number(&self, section: &str, name: &str) -> Result<u64> {
+        let (kind, value) = self.value(section, name)?;
+        let number = match kind {
+            Kind::Time { .. } => measure(value, &TIME_UNITS),
+            Kind::Size { .. } => measure(value, &SIZE_UNITS),
+            _ => value.parse().ok(),
+        };
+        number.context(ValueSnafu {
+            file: self.file.clone(),
+            section,
+            key: name,
+            value: value.to_string(),
+            allowed: kind.allowed(),
+        })
+    }
+}
+
+fn check_section(file: &str, section: &str, keys: &[Key]) -> Result<()> {
+    let mut sections: Vec<&str> = keys.iter().map(|key| key.section).collect();
+    sections.dedup();
+    ensure!(
+        sections.contains(&section),
+        SectionSnafu {
+            file,
+            section,
+            allowed: sections.join(", ")
+        }
+    );
+    Ok(())
+}
+
+fn check_key(file: &str, section: &str, name: &str, value: &str, keys: &[Key]) -> Result<()> {
+    let of_section = keys.iter().filter(|key| key.section == section);
+    let names: Vec<&str> = of_section.map(|key| key.name).collect();
+    let key = keys
+        .iter()
+        .find(|key| key.section == section && key.name == name)
+        .context(KeySnafu {
+            file,
+            section,
+            key: name,
+            value,
+            allowed: names.join(", "),
+        })?;
+    ensure!(
+        key.kind.allows(value),
+        ValueSnafu {
+            file,
+            section,
+            key: name,
+            value,
+            allowed: key.kind.allowed()
+        }
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,2 @@
+//! Empty.
+fn main() {}
