--- /dev/null
+++ b/crates/admin/src/errors.rs
@@ -0,0 +1,87 @@
+//! The common error type of this crate, and how an operator is told.
+
+use sardinemux_core::outcome::Outcome;
+use sardinemux_host::reply::Reply;
+use sardinemux_wire::caller::{ErrorBody, ErrorDetail, Kind};
+use snafu::Snafu;
+
+/// The result of an operation that may fail with an [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Every way in which an operator's request can fail; nothing was changed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum Error {
+    /// A basic service of the program failed.
+    #[snafu(display("{source}"), context(false))]
+    Host {
+        /// The cause.
+        source: sardinemux_host::errors::Error,
+    },
+    /// A change is not valid or not allowed.
+    #[snafu(display("{source}"), context(false))]
+    Change {
+        /// The cause.
+        source: sardinemux_core::errors::Error,
+    },
+    /// The token is missing or not known.
+    #[snafu(display("the operator's token is missing or not known"))]
+    Token,
+    /// The body is malformed.
+    #[snafu(display("the body is malformed: {source}"))]
+    Body {
+        /// The cause.
+        source: serde_json::Error,
+    },
+    /// The body did not arrive whole.
+    #[snafu(display("the body did not arrive whole, or is over {limit} bytes"))]
+    Unread {
+        /// The limit.
+        limit: u64,
+    },
+    /// There is no such path.
+    #[snafu(display("there is nothing at {path}"))]
+    Path {
+        /// The path.
+        path: String,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("signals cannot be received: {source}"))]
+    Signal {
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+impl Error {
+    fn kind(&self) -> (u16, Kind) {
+        use sardinemux_core::errors::Error as Core;
+        match self {
+            Self::Host { .. } | Self::Signal { .. } => (503, Kind::Unavailable),
+            Self::Token => (401, Kind::Unauthorized),
+            Self::Body { .. } | Self::Unread { .. } => (400, Kind::Malformed),
+            Self::Path { .. } => (404, Kind::NotFound),
+            Self::Change { source } => match source {
+                Core::Forbidden { .. } => (403, Kind::Forbidden),
+                Core::Conflict { .. } => (409, Kind::Conflict),
+                Core::Unknown { .. } => (404, Kind::NotFound),
+                _ => (422, Kind::Invalid),
+            },
+        }
+    }
+
+    /// Returns what the operator is told.
+    pub fn reply(&self) -> Reply {
+        let (status, kind) = self.kind();
+        let body = ErrorBody {
+            error: ErrorDetail {
+                kind,
+                message: self.to_string(),
+                outcome: Outcome::NotRun,
+                reason: None,
+                retry_after_ms: None,
+            },
+        };
+        Reply::json(status, &body)
+    }
+}
--- a/crates/admin/src/main.rs
+++ b/crates/admin/src/main.rs
@@ -1,2 +1,15 @@
-//! Empty.
-fn main() {}
+//! The administration API binary.
+
+use std::process::ExitCode;
+
+use sardinemux_admin::{run, settings};
+use sardinemux_host::program::{self, Program};
+
+fn main() -> ExitCode {
+    let program = Program {
+        name: "sardinemux-admin",
+        about: "Serves the administration API of the fleet",
+        keys: &settings::KEYS,
+    };
+    program::run(&program, run::run)
+}
--- a/crates/core/src/book/query.rs
+++ b/crates/core/src/book/query.rs
@@ -96,3 +96,8 @@
 pub fn is_closed(book: &Book) -> bool {
     book.is_closed
 }
+
+/// Returns the chats that the target has served lately, newest first, at most `limit` of them.
+pub fn recent_chats(book: &Book, limit: usize) -> Vec<u64> {
+    book.chats.iter().rev().take(limit).collect()
+}
--- a/crates/core/src/chats.rs
+++ b/crates/core/src/chats.rs
@@ -61,6 +61,11 @@
         self.young.contains(&chat) || self.old.contains(&chat)
     }
 
+    /// Returns the chats, from the oldest generation to the youngest.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = u64> + '_ {
+        self.old.iter().chain(&self.young).copied()
+    }
+
     /// Returns the number of chats in the table.
     pub fn len(&self) -> usize {
         self.young.len() + self.old.len()
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -19,6 +19,9 @@
 /// The most exceptions that may stand at once.
 pub const EXCEPTIONS_MAX: usize = 64;
 
+/// The change sets that are remembered by name.
+pub const RECENT_MAX: usize = 1_024;
+
 /// What an exception applies to; an earlier variant outweighs a later one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -238,4 +241,6 @@
     pub revisions: IndexMap<SmolStr, Version>,
     /// The organisation of each key digest; follows from the organisations.
     pub digests: IndexMap<SmolStr, SmolStr>,
+    /// The newest change sets by name, so that a lost answer can be resolved.
+    pub recent: IndexMap<ChangeId, Version>,
 }
--- a/crates/core/src/config/command.rs
+++ b/crates/core/src/config/command.rs
@@ -4,7 +4,7 @@
 
 use super::{
     exception_key, stop_key, Change, Entry, Exception, Operator, Parameter, State, Version,
-    EXCEPTIONS_MAX,
+    EXCEPTIONS_MAX, RECENT_MAX,
 };
 use crate::errors::{
     ConflictSnafu, EmptySnafu, ForbiddenSnafu, OrderSnafu, RangeSnafu, Result, TooManySnafu,
@@ -57,6 +57,10 @@
         apply_change(state, change);
         state.revisions.insert(change.key(), entry.version);
     }
+    state.recent.insert(entry.id, entry.version);
+    if state.recent.len() > RECENT_MAX {
+        state.recent.shift_remove_index(0);
+    }
     state.version = entry.version;
     Ok(())
 }
--- a/crates/core/src/membership/command.rs
+++ b/crates/core/src/membership/command.rs
@@ -44,7 +44,8 @@
     if known.is_some_and(|entry| entry.member.precedence() >= member.precedence()) {
         return Merge::Old;
     }
-    let changed = known.is_none_or(|entry| entry.member.state != member.state);
+    let changed = known
+        .is_none_or(|entry| entry.member.state != member.state || entry.member.boot != member.boot);
     let entry = Entry {
         member: member.clone(),
         changed_ms: now_ms,
--- a/crates/core/src/stream.rs
+++ b/crates/core/src/stream.rs
@@ -41,6 +41,11 @@
         Self { id, offset: 0 }
     }
 
+    /// Starts to follow an answer of which the first `offset` units are there already.
+    pub fn at(id: RequestId, offset: u64) -> Self {
+        Self { id, offset }
+    }
+
     /// Returns the offset at which the next part must begin.
     pub fn offset(&self) -> u64 {
         self.offset
--- a/crates/host/src/errors.rs
+++ b/crates/host/src/errors.rs
@@ -14,7 +14,7 @@
     #[snafu(display("{file}: cannot be read: {source}"))]
     File {
         /// The file.
-        file: String,
+        file: Box<str>,
         /// The cause.
         source: ini::Error,
     },
@@ -22,11 +22,11 @@
     #[snafu(display("{file}: there is no section [{section}]; allowed are {allowed}"))]
     Section {
         /// The file.
-        file: String,
+        file: Box<str>,
         /// The section.
-        section: String,
+        section: Box<str>,
         /// The sections that exist.
-        allowed: String,
+        allowed: Box<str>,
     },
     /// The settings file names a key that does not exist.
     #[snafu(display(
@@ -34,41 +34,41 @@
     ))]
     Key {
         /// The file.
-        file: String,
+        file: Box<str>,
         /// The section.
-        section: String,
+        section: Box<str>,
         /// The key.
-        key: String,
+        key: Box<str>,
         /// The value.
-        value: String,
+        value: Box<str>,
         /// The keys of the section.
-        allowed: String,
+        allowed: Box<str>,
     },
     /// A value has the wrong form, unit or range.
     #[snafu(display("{file}: [{section}] {key} = {value}; allowed is {allowed}"))]
     Value {
         /// The file.
-        file: String,
+        file: Box<str>,
         /// The section.
-        section: String,
+        section: Box<str>,
         /// The key.
-        key: String,
+        key: Box<str>,
         /// The value.
-        value: String,
+        value: Box<str>,
         /// What is allowed.
-        allowed: String,
+        allowed: Box<str>,
     },
     /// A key without a default is missing.
     #[snafu(display("{file}: [{section}] {key} is missing; allowed is {allowed}"))]
     Missing {
         /// The file.
-        file: String,
+        file: Box<str>,
         /// The section.
-        section: String,
+        section: Box<str>,
         /// The key.
-        key: String,
+        key: Box<str>,
         /// What is allowed.
-        allowed: String,
+        allowed: Box<str>,
     },
     /// An HTTP client cannot be built.
     #[snafu(display("an HTTP client cannot be built: {source}"))]
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod platform;
 pub mod prelude;
 pub mod program;
+pub mod reply;
 pub mod server;
 pub mod settings;
--- /dev/null
+++ b/crates/proof/src/chart.rs
@@ -0,0 +1,1 @@
+//! Charts of what was measured.
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -1,1 +1,11 @@
-//! Empty.
+//! Starts a whole fleet on one machine: real processes, stand-ins for what surrounds them, and
+//! fault-injecting proxies between them.
+
+pub mod chart;
+pub mod client;
+pub mod errors;
+pub mod fleet;
+pub mod matrix;
+pub mod ports;
+pub mod process;
+pub mod scenario;
--- /dev/null
+++ b/crates/proof/src/main.rs
@@ -0,0 +1,175 @@
+//! The trial binary: a fleet on one machine, a scenario, a load, and the report.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{value_parser, Arg, ArgMatches, Command};
+use sardinemux_load::report::Report;
+use sardinemux_load::run::Settings as Load;
+use sardinemux_proof::errors::{Error, Result};
+use sardinemux_proof::fleet::Settings;
+use sardinemux_proof::scenario::{self, Scenario};
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+fn text(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default).help(help)
+}
+
+fn command() -> Command {
+    Command::new("sardinemux-trial")
+        .about("Starts a fleet on this machine, loads it, and reports")
+        .arg(text(
+            "scenario",
+            "churn",
+            "churn, zone, surge, flap, cold or rolling",
+        ))
+        .arg(text(
+            "policies",
+            "owner",
+            "The policies, separated by commas, one after the other",
+        ))
+        .arg(text("workload", "couloir", "couloir or lakeshore"))
+        .arg(text("seeds", "1", "The seeds, separated by commas"))
+        .arg(number("seconds", "30", "How long requests are sent"))
+        .arg(number("sessions", "40", "The sessions at once"))
+        .arg(number("routers", "8", "The routers"))
+        .arg(number("zones", "3", "The availability zones"))
+        .arg(number("engines", "10", "The engines"))
+        .arg(number(
+            "engines-per-process",
+            "1",
+            "The engines that one process serves",
+        ))
+        .arg(number("services", "3", "The service instances"))
+        .arg(text("without", "", "Mechanisms that are switched off"))
+        .arg(text(
+            "engine-arguments",
+            "--warm",
+            "Further arguments of the engines",
+        ))
+        .arg(
+            Arg::new("strict")
+                .long("strict")
+                .action(clap::ArgAction::SetTrue)
+                .help("Fail unless every request completes"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .value_name("FILE")
+                .help("Write the reports as JSON lines"),
+        )
+}
+
+fn words(matches: &ArgMatches, name: &str) -> String {
+    matches.get_one::<String>(name).cloned().unwrap_or_default()
+}
+
+fn list(matches: &ArgMatches, name: &str, separator: char) -> Vec<String> {
+    let text = words(matches, name);
+    let parts = text.split(separator).filter(|part| !part.is_empty());
+    parts.map(str::to_owned).collect()
+}
+
+fn get(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one::<u64>(name).copied().unwrap_or_default()
+}
+
+fn settings(matches: &ArgMatches, policy: &str) -> Settings {
+    Settings {
+        workload: words(matches, "workload"),
+        routers: get(matches, "routers") as usize,
+        zones: get(matches, "zones") as usize,
+        engines: get(matches, "engines") as usize,
+        engines_per_process: get(matches, "engines-per-process") as usize,
+        services: get(matches, "services") as usize,
+        policy: policy.to_owned(),
+        without: list(matches, "without", ','),
+        engine_arguments: list(matches, "engine-arguments", ' '),
+        ..Settings::default()
+    }
+}
+
+fn load(matches: &ArgMatches, seed: u64) -> Load {
+    Load {
+        seed,
+        time: Duration::from_secs(get(matches, "seconds")),
+        sessions: get(matches, "sessions"),
+        ..Load::default()
+    }
+}
+
+async fn work(matches: &ArgMatches) -> Result<Vec<Report>> {
+    let scenario = Scenario::parse(&words(matches, "scenario"))?;
+    let mut reports = Vec::new();
+    for seed in list(matches, "seeds", ',') {
+        let seed: u64 = seed.parse().map_err(|_| Error::Argument {
+            name: "seeds",
+            value: seed.clone(),
+            allowed: "whole numbers".to_owned(),
+        })?;
+        // The policies run one after the other with the same seed, so that a slow minute of the
+        // machine does not fall on one of them alone.
+        for policy in list(matches, "policies", ',') {
+            let report =
+                scenario::run(scenario, settings(matches, &policy), load(matches, seed)).await?;
+            println!("{}", report.table());
+            reports.push(report);
+        }
+    }
+    Ok(reports)
+}
+
+fn lines(reports: &[Report]) -> String {
+    let lines = reports
+        .iter()
+        .map(|report| serde_json::to_string(report).unwrap_or_default());
+    lines.collect::<Vec<String>>().join("\n")
+}
+
+fn run(matches: &ArgMatches) -> Result<bool> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(|source| Error::Io {
+            what: "the runtime".to_owned(),
+            source,
+        })?;
+    let reports = runtime.block_on(work(matches))?;
+    let lines = lines(&reports);
+    if let Some(file) = matches.get_one::<String>("json") {
+        std::fs::write(file, format!("{lines}\n")).map_err(|source| Error::Io {
+            what: file.clone(),
+            source,
+        })?;
+    }
+    println!("{lines}");
+    let is_strict = matches.get_flag("strict");
+    Ok(reports.iter().all(|report| match is_strict {
+        true => report.holds(),
+        false => report.policy != "owner" || report.holds_under_faults(),
+    }))
+}
+
+fn main() -> ExitCode {
+    env_logger::init();
+    match run(&command().get_matches()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => {
+            eprintln!("sardinemux-trial: a promise was not kept");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("sardinemux-trial: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/proof/src/matrix.rs
@@ -0,0 +1,1 @@
+//! The fault matrix.
--- /dev/null
+++ b/crates/proof/src/process.rs
@@ -0,0 +1,129 @@
+//! Processes that a trial has started, and the signals that it sends them.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+use snafu::ResultExt;
+
+use crate::errors::{Error, IoSnafu, Result, SignalSnafu, StartSnafu};
+
+/// How long a process that was asked to end may take.
+const END: Duration = Duration::from_secs(60);
+
+/// The pause between two looks at a process.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A process that ends with its owner.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+}
+
+/// Returns the folder of the project's binaries, beside the running one.
+fn binaries() -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    let mut folder = own.parent().unwrap_or(Path::new(".")).to_owned();
+    // Test binaries lie one folder deeper.
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    folder
+}
+
+impl Process {
+    /// Starts one of the project's binaries; its log goes to a file of its name.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Start` if the binary is missing, `Error::Io` if the log cannot be written.
+    pub fn start(name: &str, program: &str, arguments: &[String], logs: &Path) -> Result<Self> {
+        let log = logs.join(format!("{name}.log"));
+        let what = log.display().to_string();
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .context(IoSnafu { what })?;
+        let path = binaries().join(program);
+        let child = Command::new(&path)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .context(StartSnafu {
+                program: path.display().to_string(),
+            })?;
+        let name = name.to_owned();
+        Ok(Self { name, child })
+    }
+
+    fn signal(&self, signal: Signal) -> Result<()> {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        signal::kill(pid, signal).context(SignalSnafu {
+            name: self.name.clone(),
+        })
+    }
+
+    /// Stops the process where it stands.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Signal` if it has ended.
+    pub fn freeze(&self) -> Result<()> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Signal` if it has ended.
+    pub fn thaw(&self) -> Result<()> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Asks the process to end gracefully.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Signal` if it has ended.
+    pub fn terminate(&self) -> Result<()> {
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// Waits until the process has ended of its own accord.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Late` if it goes on.
+    pub async fn ended(&mut self) -> Result<()> {
+        let begin = Instant::now();
+        while !self.has_ended() {
+            if begin.elapsed() > END {
+                let state = format!("the end of {}", self.name);
+                return Err(Error::Late { state });
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A process that has ended by itself needs no signal.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/router/src/entry/reply.rs
@@ -0,0 +1,23 @@
+//! How a caller is told of a failure.
+
+use sardinemux_core::outcome::Outcome;
+use sardinemux_host::reply::Reply;
+use sardinemux_wire::header;
+
+use super::errors::Failure;
+
+/// Creates the reply that tells of a failure.
+pub fn failure(failure: &Failure) -> Reply {
+    let outcome = match failure.outcome() {
+        Outcome::NotRun => "not_run",
+        _ => "unknown",
+    };
+    let reply =
+        Reply::json(failure.status(), &failure.body()).with(header::OUTCOME, outcome.to_owned());
+    let Some(retry_after_ms) = failure.retry_after_ms() else {
+        return reply;
+    };
+    // The header counts whole seconds, RFC 9110 section 10.2.3.
+    let seconds = retry_after_ms.div_ceil(1_000).max(1);
+    reply.with("Retry-After", seconds.to_string())
+}
--- /dev/null
+++ b/crates/router/src/link.rs
@@ -0,0 +1,245 @@
+//! Calls to other routers.
+
+use std::time::Duration;
+
+use reqwest::{Client, RequestBuilder};
+use sardinemux_core::budget::Purpose;
+use sardinemux_core::config::Version;
+use sardinemux_core::fence::RequestId;
+use sardinemux_core::membership::Member;
+use sardinemux_wire::ask::{Claim, ClaimAnswer, Fate, FateAnswer, Handover, HandoverAnswer};
+use sardinemux_wire::codec::{self, Decoder};
+use sardinemux_wire::forward::Request;
+use sardinemux_wire::frame::{Body, Frame};
+use sardinemux_wire::gossip::{Message, Update};
+use sardinemux_wire::header;
+use serde::{de::DeserializeOwned, Serialize};
+use snafu::{ensure, ResultExt};
+use tokio::sync::mpsc;
+use tokio::time;
+
+use crate::errors::{PeerSnafu, StatusSnafu};
+use crate::prelude::*;
+
+/// The bytes of an HTTP request around its body, counted on the socket.
+pub const REQUEST_OVERHEAD: usize = 200;
+
+/// The bytes of an HTTP response around its body, counted on the socket.
+pub const RESPONSE_OVERHEAD: usize = 130;
+
+/// Why a request did not reach a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unreached {
+    /// No connection was made; nothing was sent.
+    Unsent,
+    /// It may have been sent.
+    Sent(Reason),
+}
+
+fn post(router: &Router, client: &Client, member: &Member, path: &str) -> RequestBuilder {
+    client
+        .post(format!("http://{}{path}", member.address))
+        .header(header::PEER_TOKEN, router.settings.peer_token.as_str())
+}
+
+/// Returns what a path is for, as metrics name it.
+pub fn purpose(path: &str) -> &str {
+    path.trim_start_matches("/peer/")
+}
+
+/// Sends a control message and reads the answer; counts both against the budget.
+async fn exchange<Q: Serialize, A: DeserializeOwned>(
+    router: &Router,
+    client: &Client,
+    member: &Member,
+    path: &str,
+    question: &Q,
+) -> Result<A> {
+    let body = codec::encode(question)?;
+    let sent = body.len() + REQUEST_OVERHEAD;
+    let now_ms = router.now_ms();
+    // Answers that correctness needs are sent even when the budget is spent; they count all the same.
+    router.control.lock().spend(Purpose::Config, sent, now_ms);
+    let purpose = purpose(path);
+    router.metrics.note_control(purpose, sent, 0);
+    let request = post(router, client, member, path).body(body);
+    let response = request.send().await.context(PeerSnafu)?;
+    let status = response.status();
+    ensure!(
+        status.is_success(),
+        StatusSnafu {
+            status: status.as_u16()
+        }
+    );
+    let bytes = response.bytes().await.context(PeerSnafu)?;
+    let received = bytes.len() + RESPONSE_OVERHEAD;
+    router.metrics.note_control(purpose, 0, received);
+    Ok(codec::decode(&bytes)?)
+}
+
+/// Exchanges gossip with a peer.
+///
+/// # Errors
+///
+/// `Error::Peer`, `Error::Status` or `Error::Wire`.
+pub async fn gossip(router: &Router, member: &Member, message: &Message) -> Result<Message> {
+    let client = &router.clients.control;
+    exchange(router, client, member, "/peer/gossip", message).await
+}
+
+/// Asks an owner what became of a request, on a fresh connection.
+///
+/// # Errors
+///
+/// As for [`gossip`].
+pub async fn fate(router: &Router, member: &Member, id: RequestId) -> Result<FateAnswer> {
+    let client = &router.clients.fresh;
+    exchange(router, client, member, "/peer/fate", &Fate { id }).await
+}
+
+/// Asks a former owner to hand a target over.
+///
+/// # Errors
+///
+/// As for [`gossip`].
+pub async fn handover(
+    router: &Router,
+    member: &Member,
+    question: &Handover,
+) -> Result<HandoverAnswer> {
+    let client = &router.clients.control;
+    exchange(router, client, member, "/peer/handover", question).await
+}
+
+/// Asks the holder of a claim in the ledger what became of it, on a fresh connection.
+///
+/// # Errors
+///
+/// As for [`gossip`].
+pub async fn claim(router: &Router, member: &Member, question: &Claim) -> Result<ClaimAnswer> {
+    let client = &router.clients.fresh;
+    exchange(router, client, member, "/peer/claim", question).await
+}
+
+/// Asks a peer for the configuration that follows a version.
+///
+/// # Errors
+///
+/// As for [`gossip`].
+pub async fn config_after(router: &Router, member: &Member, version: Version) -> Result<Update> {
+    let client = &router.clients.control;
+    exchange(router, client, member, "/peer/config/after", &version).await
+}
+
+/// The frames of one answer.
+pub struct Frames {
+    source: Source,
+    id: RequestId,
+    next: u32,
+    is_checked: bool,
+    silence: Duration,
+}
+
+enum Source {
+    Local(mpsc::Receiver<Frame>),
+    Remote(Box<Remote>),
+}
+
+struct Remote {
+    response: reqwest::Response,
+    decoder: Decoder,
+}
+
+impl Frames {
+    /// Reads the frames of a request that this router serves itself.
+    pub fn local(router: &Router, id: RequestId, receiver: mpsc::Receiver<Frame>) -> Self {
+        Self::new(router, id, Source::Local(receiver))
+    }
+
+    fn new(router: &Router, id: RequestId, source: Source) -> Self {
+        Self {
+            source,
+            id,
+            next: 0,
+            is_checked: router.settings.has("order"),
+            silence: Duration::from_millis(router.settings.silence_ms),
+        }
+    }
+
+    /// Returns what the next frame says.
+    ///
+    /// # Errors
+    ///
+    /// `Reason::Silence` after the silence deadline, `Reason::Cut` if the stream ends or cannot be
+    /// read, `Reason::Crossed` for a frame of another request or out of order.
+    pub async fn next(&mut self) -> std::result::Result<Body, Reason> {
+        let frame = match time::timeout(self.silence, self.source.next()).await {
+            Ok(frame) => frame?,
+            Err(_) => return Err(Reason::Silence),
+        };
+        let is_next = frame.id == self.id && frame.sequence == self.next;
+        if self.is_checked && !is_next {
+            return Err(Reason::Crossed);
+        }
+        self.next += 1;
+        Ok(frame.body)
+    }
+}
+
+impl Source {
+    async fn next(&mut self) -> std::result::Result<Frame, Reason> {
+        match self {
+            Self::Local(receiver) => receiver.recv().await.ok_or(Reason::Cut),
+            Self::Remote(remote) => remote.next().await,
+        }
+    }
+}
+
+impl Remote {
+    async fn next(&mut self) -> std::result::Result<Frame, Reason> {
+        loop {
+            match self.decoder.take::<Frame>() {
+                Ok(Some(frame)) => return Ok(frame),
+                Ok(None) => {}
+                Err(_) => return Err(Reason::Cut),
+            }
+            match self.response.chunk().await {
+                Ok(Some(bytes)) => self.decoder.put(&bytes),
+                _ => return Err(Reason::Cut),
+            }
+        }
+    }
+}
+
+/// Hands a request to the owner of its target.
+///
+/// # Errors
+///
+/// [`Unreached`], which says whether anything may have been sent.
+pub async fn forward(
+    router: &Router,
+    member: &Member,
+    request: &Request,
+) -> std::result::Result<Frames, Unreached> {
+    let Ok(body) = codec::encode(request) else {
+        return Err(Unreached::Unsent);
+    };
+    let client = &router.clients.forward;
+    let sending = post(router, client, member, "/peer/forward").body(body);
+    let silence = Duration::from_millis(router.settings.silence_ms);
+    let response = match time::timeout(silence, sending.send()).await {
+        Err(_) => return Err(Unreached::Sent(Reason::Silence)),
+        Ok(Err(error)) if error.is_connect() => return Err(Unreached::Unsent),
+        Ok(Err(_)) => return Err(Unreached::Sent(Reason::Cut)),
+        Ok(Ok(response)) => response,
+    };
+    if !response.status().is_success() {
+        return Err(Unreached::Sent(Reason::Cut));
+    }
+    let remote = Remote {
+        response,
+        decoder: Decoder::default(),
+    };
+    let source = Source::Remote(Box::new(remote));
+    Ok(Frames::new(router, request.id, source))
+}
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,179 @@
+//! The metrics of a router.
+//!
+//! Series are bounded: the label `member` has at most [`MEMBERS_MAX`] values and one for the rest,
+//! and there is no label for organisations, of which there may be thousands.
+
+use std::collections::HashSet;
+
+use parking_lot::Mutex;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
+use sardinemux_core::class::Class;
+use smol_str::SmolStr;
+
+use crate::errors::Result;
+
+/// The most members that have series of their own.
+pub const MEMBERS_MAX: usize = 16;
+
+/// The label of the members beyond [`MEMBERS_MAX`].
+const OTHER_MEMBERS: &str = "other";
+
+/// The upper bounds of the first-token histogram, in seconds; 0.98 s is the target.
+const FIRST_TOKEN_S: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 0.98, 2.0, 10.0];
+
+/// The upper bounds of the histogram of the time between tokens, in seconds; 58 ms is the target.
+const BETWEEN_TOKENS_S: [f64; 8] = [0.005, 0.01, 0.02, 0.04, 0.058, 0.1, 0.5, 2.0];
+
+/// The metrics of a router.
+pub struct Metrics {
+    /// Where they are registered.
+    pub registry: Registry,
+    /// Requests at this entry, by class, member and outcome.
+    pub requests: IntCounterVec,
+    /// Time to the first token or to the answer, by class and member.
+    pub first_token: HistogramVec,
+    /// Time between tokens, by class and member.
+    pub between_tokens: HistogramVec,
+    /// Refusals by this owner, by reason.
+    pub refusals: IntCounterVec,
+    /// Prompt tokens, by whether they were cached.
+    pub prompt_tokens: IntCounterVec,
+    /// Control bytes, by direction and purpose.
+    pub control_bytes: IntCounterVec,
+    /// Control messages that were skipped to keep to the budget.
+    pub control_skipped: IntCounter,
+    /// Parts of answers that were dropped as late or crossed.
+    pub dropped_parts: IntCounter,
+    /// Answers that were resumed after a cut.
+    pub resumed: IntCounter,
+    /// Targets that this router owns.
+    pub owned: IntGauge,
+    /// Requests in flight at this router, by part: entry or owner.
+    pub in_flight: IntGaugeVec,
+    /// The version of the configuration in force.
+    pub config_version: IntGauge,
+    members: Mutex<HashSet<SmolStr>>,
+}
+
+impl Metrics {
+    /// Creates and registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Metric` if two have the same name.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec> {
+            let metric = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok(metric)
+        };
+        let counter = |name: &str, help: &str| -> Result<IntCounter> {
+            let metric = IntCounter::new(name, help)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok(metric)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge> {
+            let metric = IntGauge::new(name, help)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok(metric)
+        };
+        let histogram = |name: &str, help: &str, buckets: &[f64]| -> Result<HistogramVec> {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let metric = HistogramVec::new(options, &["class", "member"])?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok(metric)
+        };
+        let process = prometheus::process_collector::ProcessCollector::for_self();
+        registry.register(Box::new(process))?;
+        let in_flight = IntGaugeVec::new(
+            Opts::new("sardinemux_in_flight", "Requests in flight."),
+            &["part"],
+        )?;
+        registry.register(Box::new(in_flight.clone()))?;
+        Ok(Self {
+            requests: counters(
+                "sardinemux_requests_total",
+                "Requests at this entry.",
+                &["class", "member", "outcome"],
+            )?,
+            first_token: histogram(
+                "sardinemux_first_token_seconds",
+                "Time to the first token, or to the answer of a service.",
+                &FIRST_TOKEN_S,
+            )?,
+            between_tokens: histogram(
+                "sardinemux_between_tokens_seconds",
+                "Time between tokens.",
+                &BETWEEN_TOKENS_S,
+            )?,
+            refusals: counters(
+                "sardinemux_refusals_total",
+                "Refusals by this owner.",
+                &["reason"],
+            )?,
+            prompt_tokens: counters(
+                "sardinemux_prompt_tokens_total",
+                "Prompt tokens of completed chats.",
+                &["cached"],
+            )?,
+            control_bytes: counters(
+                "sardinemux_control_bytes_total",
+                "Bytes of control traffic, with the protocol's overhead.",
+                &["direction", "purpose"],
+            )?,
+            control_skipped: counter(
+                "sardinemux_control_skipped_total",
+                "Control messages that were skipped to keep to the budget.",
+            )?,
+            dropped_parts: counter(
+                "sardinemux_dropped_parts_total",
+                "Parts of answers that were dropped as late or crossed.",
+            )?,
+            resumed: counter(
+                "sardinemux_resumed_total",
+                "Answers that were resumed after a cut.",
+            )?,
+            owned: gauge("sardinemux_owned_targets", "Targets that this router owns.")?,
+            config_version: gauge(
+                "sardinemux_config_version",
+                "The version of the configuration in force.",
+            )?,
+            in_flight,
+            registry,
+            members: Mutex::new(HashSet::new()),
+        })
+    }
+
+    /// Returns the label of a member.
+    pub fn member(&self, member: &SmolStr) -> SmolStr {
+        let mut members = self.members.lock();
+        if members.contains(member) {
+            return member.clone();
+        }
+        if members.len() >= MEMBERS_MAX {
+            return OTHER_MEMBERS.into();
+        }
+        members.insert(member.clone());
+        member.clone()
+    }
+
+    /// Notes the end of a request at this entry.
+    pub fn note_request(&self, class: Class, member: &SmolStr, outcome: &str) {
+        let member = self.member(member);
+        self.requests
+            .with_label_values(&[class.name(), member.as_str(), outcome])
+            .inc();
+    }
+
+    /// Notes control bytes that were sent and received.
+    pub fn note_control(&self, purpose: &str, sent: usize, received: usize) {
+        for (direction, bytes) in [("sent", sent), ("received", received)] {
+            self.control_bytes
+                .with_label_values(&[direction, purpose])
+                .inc_by(bytes as u64);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/owner.rs
@@ -0,0 +1,270 @@
+//! The owner's side of a request: admission to a target, the wait, and the dispatch.
+
+pub mod desk;
+pub mod takeover;
+
+use std::time::Duration;
+
+use sardinemux_core::book::{command, query, Demand};
+use sardinemux_core::config::Parameter;
+use sardinemux_core::fairness::{Flow, Ticket};
+use sardinemux_core::heat::Evidence;
+use sardinemux_core::load::{Sample, Source};
+use sardinemux_core::placement::Offer;
+use sardinemux_core::target::Target;
+use sardinemux_wire::forward::{Call, Request};
+use sardinemux_wire::frame::{Body, Frame, Refusal};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time;
+
+use crate::dispatch::{self, Errand, Reply};
+use crate::prelude::*;
+use desk::Start;
+
+/// The frames that wait for a slow reader.
+const FRAMES_MAX: usize = 64;
+
+/// The time between two signs of life while a request waits.
+pub const SIGN_OF_LIFE: Duration = Duration::from_millis(800);
+
+/// When to come back after a refusal that says nothing of the load, in milliseconds.
+const RETRY_SOON_MS: u64 = 500;
+
+/// Keeps a request in a target's book until it is dropped.
+pub struct Permit {
+    router: Arc<Router>,
+    target: SmolStr,
+    ticket: Ticket,
+    begin_ms: u64,
+    /// What the request's end tells of the target.
+    pub evidence: Evidence,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let duration_ms = self.router.now_ms().saturating_sub(self.begin_ms);
+        desk::finish(
+            &self.router,
+            &self.target,
+            self.ticket,
+            self.evidence,
+            duration_ms,
+        );
+    }
+}
+
+/// What became of an offer.
+enum Admission {
+    Runs(Ticket, Target, Sample),
+    Waits(Ticket, oneshot::Receiver<Start>, Target),
+    Refused(Refusal),
+}
+
+/// Takes a request in and returns the frames of its answer. Dropping the receiver tells that the
+/// entry has left.
+pub fn serve(router: Arc<Router>, request: Request) -> mpsc::Receiver<Frame> {
+    let (sender, receiver) = mpsc::channel(FRAMES_MAX);
+    let reply = Reply::new(sender, request.id);
+    let guard = router.drain.guard();
+    tokio::spawn(async move {
+        work(router, request, reply).await;
+        drop(guard);
+    });
+    receiver
+}
+
+async fn work(router: Arc<Router>, request: Request, mut reply: Reply) {
+    if let Err(reason) = take_in(&router, &request) {
+        let refusal = refusal(&router, reason, RETRY_SOON_MS);
+        refuse(&router, &mut reply, refusal).await;
+        return;
+    }
+    let outcome = run(&router, &request, &mut reply).await;
+    let now_ms = router.now_ms();
+    router.fence.lock().end(request.id, outcome, now_ms);
+}
+
+/// Checks that this process may take the request, and notes its id.
+fn take_in(router: &Router, request: &Request) -> std::result::Result<(), Reason> {
+    if request.owner_boot != 0 && request.owner_boot != router.boot {
+        return Err(Reason::OtherBoot);
+    }
+    if !router.is_ready() {
+        return Err(Reason::NotReady);
+    }
+    if !router.settings.has("fence") {
+        return Ok(());
+    }
+    let now_ms = router.now_ms();
+    let begun = router.fence.lock().begin(request.id, now_ms);
+    begun.map_err(|_| Reason::Fenced)
+}
+
+fn refusal(router: &Router, reason: Reason, retry_after_ms: u64) -> Refusal {
+    let owner = matches!(reason, Reason::OtherBoot).then(|| router.me());
+    Refusal {
+        reason,
+        retry_after_ms,
+        owner,
+    }
+}
+
+async fn refuse(router: &Router, reply: &mut Reply, refusal: Refusal) {
+    router
+        .metrics
+        .refusals
+        .with_label_values(&[refusal.reason.name()])
+        .inc();
+    // An entry that has left needs no refusal.
+    let _ = reply.send(Body::Refused(refusal)).await;
+}
+
+async fn run(router: &Arc<Router>, request: &Request, reply: &mut Reply) -> Outcome {
+    let (ticket, target, sample) = match admit(router, request) {
+        Admission::Refused(refusal) => {
+            refuse(router, reply, refusal).await;
+            return Outcome::NotRun;
+        }
+        Admission::Runs(ticket, target, sample) => (ticket, target, sample),
+        Admission::Waits(ticket, start, target) => {
+            match wait(router, request, reply, ticket, start).await {
+                Ok(sample) => (ticket, target, sample),
+                Err(refusal) => {
+                    refuse(router, reply, refusal).await;
+                    return Outcome::NotRun;
+                }
+            }
+        }
+    };
+    let mut permit = Permit {
+        router: router.clone(),
+        target: target.id.clone(),
+        ticket,
+        begin_ms: router.now_ms(),
+        evidence: Evidence::Nothing,
+    };
+    if reply.send(Body::Admitted(sample)).await.is_err() {
+        return Outcome::NotRun;
+    }
+    let errand = Errand {
+        router: router.clone(),
+        target,
+        request: request.clone(),
+    };
+    let ended = dispatch::run(&errand, reply).await;
+    permit.evidence = ended.evidence;
+    ended.outcome
+}
+
+/// Offers the request to its target's book.
+fn admit(router: &Router, request: &Request) -> Admission {
+    let now_ms = router.now_ms();
+    let Some(target) = desk::owned(router, &request.target) else {
+        return Admission::Refused(not_owner(router, &request.target));
+    };
+    note_entry(router, request, &target, now_ms);
+    let others = desk::others(router, &target.pool, now_ms);
+    let mut desks = router.desks.lock();
+    let own = desk::own(&desks, &target.pool);
+    let mean = others.plus(own).mean();
+    let Some(desk) = desks.get_mut(&target.id) else {
+        drop(desks);
+        return Admission::Refused(not_owner(router, &request.target));
+    };
+    if let (Call::Chat { chat, .. }, Offer::IfFamiliar) = (&request.call, request.offer) {
+        let is_known = query::is_familiar(&desk.book, *chat);
+        if !is_known && router.settings.has("familiar") {
+            return Admission::Refused(refusal(router, Reason::Unfamiliar, 0));
+        }
+    }
+    let demand = Demand {
+        flow: Flow {
+            member: request.member.clone(),
+            organisation: request.organisation.clone(),
+            weight: request.weight,
+            class: request.class,
+        },
+        tokens: request.tokens,
+    };
+    let retry_after_ms = desk.retry_after_ms();
+    if request.offer != Offer::OrQueue {
+        return match command::admit(&mut desk.book, &demand, mean, now_ms) {
+            Ok(ticket) => Admission::Runs(ticket, target, own),
+            Err(reason) => Admission::Refused(refusal(router, reason, retry_after_ms)),
+        };
+    }
+    match command::enter(&mut desk.book, demand, mean, now_ms) {
+        Ok(command::Entrance::Runs(ticket)) => Admission::Runs(ticket, target, own),
+        Ok(command::Entrance::Waits(ticket)) => {
+            let start = desk.add_waiter(ticket);
+            Admission::Waits(ticket, start, target)
+        }
+        Ok(command::Entrance::Displaces(ticket, other)) => {
+            desk.release(other, Start::Refused(Reason::Shed));
+            let start = desk.add_waiter(ticket);
+            Admission::Waits(ticket, start, target)
+        }
+        Err(reason) => Admission::Refused(refusal(router, reason, retry_after_ms)),
+    }
+}
+
+fn not_owner(router: &Router, target: &SmolStr) -> Refusal {
+    let owner = router.owners().get(target).cloned();
+    let me = &router.settings.id;
+    let is_known = owner.is_some();
+    let owner = owner.filter(|owner| owner.id != *me);
+    Refusal {
+        reason: match is_known {
+            true => Reason::NotOwner,
+            false => Reason::NoTarget,
+        },
+        retry_after_ms: RETRY_SOON_MS,
+        owner,
+    }
+}
+
+/// The entry's own load came along with the request.
+fn note_entry(router: &Router, request: &Request, target: &Target, now_ms: u64) {
+    if request.entry == router.settings.id {
+        return;
+    }
+    let source = Source {
+        router: request.entry.clone(),
+        pool: target.pool.clone(),
+    };
+    router.samples.lock().put(source, request.sample, now_ms);
+}
+
+/// Waits in the queue, giving signs of life.
+async fn wait(
+    router: &Arc<Router>,
+    request: &Request,
+    reply: &mut Reply,
+    ticket: Ticket,
+    mut start: oneshot::Receiver<Start>,
+) -> std::result::Result<Sample, Refusal> {
+    let longest_ms = desk::owned(router, &request.target).map_or(0.0, |target| {
+        router.parameter(Parameter::QueueWaitMs, &target)
+    }) as u64;
+    let deadline = time::sleep(Duration::from_millis(longest_ms.min(request.deadline_ms)));
+    tokio::pin!(deadline);
+    let mut signs = time::interval(SIGN_OF_LIFE);
+    let verdict = loop {
+        tokio::select! {
+            verdict = &mut start => break verdict.unwrap_or(Start::Refused(Reason::Leaving)),
+            () = &mut deadline => break Start::Refused(Reason::Waited),
+            () = reply.closed() => break Start::Refused(Reason::Cut),
+            _ = signs.tick() => {
+                // A failure to send shows as `closed` in the next round.
+                let _ = reply.send(Body::Waiting).await;
+            }
+        }
+    };
+    let Start::Refused(reason) = verdict else {
+        let desks = router.desks.lock();
+        let pool = desks.get(&request.target).map(|desk| &desk.target.pool);
+        return Ok(pool.map_or_else(Sample::default, |pool| desk::own(&desks, pool)));
+    };
+    let retry_after_ms = desk::withdraw(router, &request.target, ticket, start);
+    Err(refusal(router, reason, retry_after_ms))
+}
--- /dev/null
+++ b/crates/router/src/owner/takeover.rs
@@ -0,0 +1,111 @@
+//! Taking targets over from their earlier owners, and handing them over to new ones.
+
+use std::time::Duration;
+
+use sardinemux_core::book::{command, query};
+use sardinemux_core::membership::{self, Member};
+use sardinemux_wire::ask::{Handover, HandoverAnswer, HANDOVER_CHATS_MAX};
+use tokio::time;
+
+use super::desk;
+use crate::prelude::*;
+use crate::{gossip, link};
+
+/// The time between two questions to a former owner.
+const PERIOD: Duration = Duration::from_millis(200);
+
+/// Asks former owners, and starts waiting requests, until the program ends.
+pub async fn run(router: Arc<Router>) {
+    let mut ticks = time::interval(PERIOD);
+    loop {
+        ticks.tick().await;
+        age(&router);
+        let questions = questions(&router);
+        let asked = questions
+            .into_iter()
+            .map(|(former, question)| ask(&router, former, question));
+        futures_util::future::join_all(asked).await;
+        desk::start_all(&router);
+    }
+}
+
+fn age(router: &Router) {
+    let now_ms = router.now_ms();
+    for desk in router.desks.lock().values_mut() {
+        command::age_former(&mut desk.book, now_ms);
+        if !query::awaits_former(&desk.book) {
+            desk.former = None;
+        }
+    }
+}
+
+fn questions(router: &Router) -> Vec<(Member, Handover)> {
+    let me = router.me();
+    let former: Vec<(SmolStr, Member)> = router
+        .desks
+        .lock()
+        .iter()
+        .filter_map(|(target, desk)| Some((target.clone(), desk.former.clone()?)))
+        .collect();
+    let view = router.view.lock();
+    former
+        .into_iter()
+        .map(|(target, former)| {
+            let believed = membership::query::member(&view, &former.id)
+                .cloned()
+                .unwrap_or_else(|| former.clone());
+            let question = Handover {
+                target,
+                owner: me.clone(),
+                believed,
+            };
+            (former, question)
+        })
+        .collect()
+}
+
+/// Asks one former owner. One that does not answer is left to the take-over time.
+async fn ask(router: &Router, former: Member, question: Handover) {
+    let Ok(answer) = link::handover(router, &former, &question).await else {
+        return;
+    };
+    gossip::note_contact(router, answer.member.clone());
+    if !answer.agrees {
+        return;
+    }
+    let mut desks = router.desks.lock();
+    let Some(desk) = desks.get_mut(&question.target) else {
+        return;
+    };
+    command::note_former(&mut desk.book, answer.running, answer.borne);
+    for chat in answer.chats.into_iter().rev() {
+        command::note_chat(&mut desk.book, chat);
+    }
+}
+
+/// Answers a new owner. Hearing of it makes this router give the target up, unless it disagrees.
+pub fn answer(router: &Router, question: Handover) -> HandoverAnswer {
+    let Handover {
+        target,
+        owner,
+        believed,
+    } = question;
+    gossip::note_contact(router, owner);
+    gossip::note_rumours(router, vec![believed]);
+    let agrees = desk::owned(router, &target).is_none();
+    let desks = router.desks.lock();
+    let book = desks.get(&target).map(|desk| &desk.book);
+    let running = book.map_or(0, query::in_flight);
+    let borne = book.map_or(0, query::borne);
+    let chats = book.map_or_else(Vec::new, |book| {
+        query::recent_chats(book, HANDOVER_CHATS_MAX)
+    });
+    drop(desks);
+    HandoverAnswer {
+        member: router.me(),
+        running,
+        borne,
+        agrees,
+        chats,
+    }
+}
--- /dev/null
+++ b/crates/router/src/peer.rs
@@ -0,0 +1,164 @@
+//! The routes for other routers and for administration programs.
+
+use rocket::data::ToByteUnit;
+use rocket::http::Status;
+use rocket::request::{FromRequest, Outcome as Guarded};
+use rocket::response::stream::ByteStream;
+use rocket::{post, routes, Data, Request, Route, State};
+use sardinemux_core::membership::Member;
+use sardinemux_wire::ask::{
+    Claim, ClaimAnswer, ClaimStatus, Fate, FateAnswer, Handover, HandoverAnswer,
+};
+use sardinemux_wire::gossip::{Message, Update};
+use sardinemux_wire::{codec, forward, header};
+use serde::{de::DeserializeOwned, Serialize};
+
+use crate::link::{REQUEST_OVERHEAD, RESPONSE_OVERHEAD};
+use crate::owner::{self, desk, takeover};
+use crate::prelude::*;
+use crate::{configure, gossip};
+
+/// The largest message of a peer, in bytes.
+const MESSAGE_MAX: u64 = codec::MESSAGE_MAX as u64;
+
+/// Returns the routes; the server must manage an `Arc<Router>`.
+pub fn routes() -> Vec<Route> {
+    routes![
+        answer_gossip,
+        answer_forward,
+        answer_fate,
+        answer_handover,
+        answer_claim,
+        answer_config_after,
+        answer_config_push,
+        answer_version,
+        answer_load
+    ]
+}
+
+/// Shows that the caller knows the fleet's secret.
+pub struct Peer;
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Peer {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Guarded<Self, ()> {
+        let token = request.headers().get_one(header::PEER_TOKEN);
+        let router = request.rocket().state::<Arc<Router>>();
+        let expected = router.map(|router| router.settings.peer_token.as_str());
+        match token.is_some() && token == expected {
+            true => Guarded::Success(Self),
+            false => Guarded::Error((Status::Unauthorized, ())),
+        }
+    }
+}
+
+type Answer = std::result::Result<Vec<u8>, Status>;
+
+async fn read<T: DeserializeOwned>(data: Data<'_>) -> std::result::Result<(T, usize), Status> {
+    let body = data.open(MESSAGE_MAX.bytes()).into_bytes().await;
+    let body = body.map_err(|_| Status::BadRequest)?;
+    if !body.is_complete() {
+        return Err(Status::PayloadTooLarge);
+    }
+    let message = codec::decode(&body).map_err(|_| Status::BadRequest)?;
+    Ok((message, body.len()))
+}
+
+/// Encodes an answer and counts the exchange as control traffic.
+fn answer<T: Serialize>(router: &Router, purpose: &str, received: usize, message: &T) -> Answer {
+    let body = codec::encode(message).map_err(|_| Status::InternalServerError)?;
+    let sent = body.len() + RESPONSE_OVERHEAD;
+    router
+        .metrics
+        .note_control(purpose, sent, received + REQUEST_OVERHEAD);
+    Ok(body)
+}
+
+#[post("/peer/gossip", data = "<data>")]
+async fn answer_gossip(_peer: Peer, router: &State<Arc<Router>>, data: Data<'_>) -> Answer {
+    let (message, received) = read::<Message>(data).await?;
+    let sender: Option<Member> = message.members.first().cloned();
+    gossip::absorb(router, message);
+    let reply = gossip::message(router, sender.as_ref());
+    answer(router, "gossip", received, &reply)
+}
+
+#[post("/peer/forward", data = "<data>")]
+async fn answer_forward(
+    _peer: Peer,
+    router: &State<Arc<Router>>,
+    data: Data<'_>,
+) -> std::result::Result<ByteStream![Vec<u8>], Status> {
+    let (request, _) = read::<forward::Request>(data).await?;
+    let mut frames = owner::serve(router.inner().clone(), request);
+    Ok(ByteStream! {
+        while let Some(frame) = frames.recv().await {
+            match codec::encode_part(&frame) {
+                Ok(bytes) => yield bytes.to_vec(),
+                Err(_) => break,
+            }
+        }
+    })
+}
+
+#[post("/peer/fate", data = "<data>")]
+async fn answer_fate(_peer: Peer, router: &State<Arc<Router>>, data: Data<'_>) -> Answer {
+    let (question, received) = read::<Fate>(data).await?;
+    let now_ms = router.now_ms();
+    let status = router.fence.lock().ask(question.id, now_ms);
+    let kept = router.kept.lock();
+    let kept = kept.get(&question.id).map(|kept| kept.answer.clone());
+    let reply = FateAnswer {
+        boot: router.boot,
+        status,
+        answer: kept,
+    };
+    answer(router, "fate", received, &reply)
+}
+
+#[post("/peer/handover", data = "<data>")]
+async fn answer_handover(_peer: Peer, router: &State<Arc<Router>>, data: Data<'_>) -> Answer {
+    let (question, received) = read::<Handover>(data).await?;
+    let reply: HandoverAnswer = takeover::answer(router, question);
+    answer(router, "handover", received, &reply)
+}
+
+#[post("/peer/claim", data = "<data>")]
+async fn answer_claim(_peer: Peer, router: &State<Arc<Router>>, data: Data<'_>) -> Answer {
+    let (question, received) = read::<Claim>(data).await?;
+    let status = router.claims.lock().get(&question.nonce).copied();
+    let reply = ClaimAnswer {
+        boot: router.boot,
+        status: status.unwrap_or(ClaimStatus::NotDispatched),
+    };
+    answer(router, "claim", received, &reply)
+}
+
+#[post("/peer/config/after", data = "<data>")]
+async fn answer_config_after(_peer: Peer, router: &State<Arc<Router>>, data: Data<'_>) -> Answer {
+    let (version, received) = read(data).await?;
+    let update = configure::update_after(router, version);
+    answer(router, "config/after", received, &update)
+}
+
+#[post("/peer/config/push", data = "<data>")]
+async fn answer_config_push(_peer: Peer, router: &State<Arc<Router>>, data: Data<'_>) -> Answer {
+    let (update, received) = read::<Update>(data).await?;
+    configure::take(router, update);
+    let version = router.config.read().version;
+    answer(router, "config/push", received, &version)
+}
+
+#[post("/peer/version")]
+async fn answer_version(_peer: Peer, router: &State<Arc<Router>>) -> Answer {
+    let version = router.config.read().version;
+    answer(router, "version", 0, &version)
+}
+
+#[post("/peer/load")]
+async fn answer_load(_peer: Peer, router: &State<Arc<Router>>) -> Answer {
+    let load = desk::load(router);
+    answer(router, "load", 0, &load)
+}
--- /dev/null
+++ b/crates/router/src/run.rs
@@ -0,0 +1,126 @@
+//! How a router starts, runs and stops.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rocket::Shutdown;
+use sardinemux_core::membership;
+use sardinemux_host::observe::{self, Observed};
+use sardinemux_host::prelude::Values;
+use sardinemux_host::server;
+use snafu::ResultExt;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time;
+
+use crate::errors::SignalSnafu;
+use crate::owner::takeover;
+use crate::prelude::*;
+use crate::settings::Settings;
+use crate::{configure, entry, gossip, peer, watch};
+
+/// How often a stopping router looks whether anything still runs.
+const DRAIN_TICK: Duration = Duration::from_millis(50);
+
+/// Nothing must have run for this long before the servers stop.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// How long the servers may take to close idle connections.
+const CLOSE: Duration = Duration::from_secs(3);
+
+/// Runs a router until it is told to stop and nothing runs any more.
+///
+/// # Errors
+///
+/// `Error::Host` if the settings are incomplete or a server cannot listen.
+pub async fn run(values: Values) -> Result<()> {
+    let settings = Settings::new(&values)?;
+    let router = Arc::new(Router::new(settings, boot())?);
+    spawn_loops(&router);
+
+    let entry_server = server::ignite(entry::server(router.clone())).await?;
+    let peer_server = server::ignite(peer_server(router.clone())).await?;
+    let shutdowns = [entry_server.shutdown(), peer_server.shutdown()];
+    let stopping = tokio::spawn(stop(router.clone(), shutdowns));
+    log::info!(
+        "router {} serves callers at {} and routers at {}",
+        router.settings.id,
+        router.settings.entry_address,
+        router.settings.peer_address
+    );
+    let served = tokio::try_join!(server::launch(entry_server), server::launch(peer_server));
+    stopping.abort();
+    served?;
+    Ok(())
+}
+
+/// Returns a number that tells this process from the earlier ones of the instance: the wall clock,
+/// which is compared only with other processes of the same name.
+fn boot() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(1, |elapsed| elapsed.as_millis() as u64)
+}
+
+fn spawn_loops(router: &Arc<Router>) {
+    tokio::spawn(watch::run_list(router.clone()));
+    tokio::spawn(watch::run_reports(router.clone()));
+    tokio::spawn(gossip::run(router.clone()));
+    tokio::spawn(configure::run(router.clone()));
+    tokio::spawn(takeover::run(router.clone()));
+}
+
+fn peer_server(router: Arc<Router>) -> rocket::Rocket<rocket::Build> {
+    let settings = server::Settings {
+        address: router.settings.peer_address,
+        ..server::Settings::default()
+    };
+    let ready = router.clone();
+    server::build(settings)
+        .manage(Observed {
+            registry: router.metrics.registry.clone(),
+            is_ready: Box::new(move || ready.is_ready()),
+        })
+        .manage(router)
+        .mount("/", peer::routes())
+        .mount("/", observe::routes())
+}
+
+/// Waits for a reason to stop, and then until nothing runs.
+async fn stop(router: Arc<Router>, shutdowns: [Shutdown; 2]) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
+    let mut ticks = time::interval(DRAIN_TICK);
+    while !router.drain.is_stopping() {
+        tokio::select! {
+            _ = terminate.recv() => { router.drain.begin(); }
+            _ = interrupt.recv() => { router.drain.begin(); }
+            _ = ticks.tick() => {}
+        }
+    }
+    log::info!("stopping: {} requests run", router.drain.running());
+    tokio::select! {
+        () = drain(&router) => {}
+        _ = terminate.recv() => log::warn!("second signal: stopping at once"),
+        _ = interrupt.recv() => log::warn!("second signal: stopping at once"),
+    }
+    for shutdown in shutdowns {
+        shutdown.notify();
+    }
+    time::sleep(CLOSE).await;
+    // Only idle connections are left, which a server may hold open.
+    std::process::exit(0);
+}
+
+/// Gives every target up, tells the peers, and waits until nothing has run for a while.
+async fn drain(router: &Arc<Router>) {
+    let begin = time::Instant::now();
+    membership::command::leave(&mut router.view.lock());
+    router.refresh();
+    gossip::announce(router).await;
+    let least = Duration::from_millis(router.settings.drain_ms);
+    let mut quiet_since = time::Instant::now();
+    while begin.elapsed() < least || quiet_since.elapsed() < QUIET {
+        time::sleep(DRAIN_TICK).await;
+        if router.drain.running() > 0 {
+            quiet_since = time::Instant::now();
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,310 @@
+//! The settings of a router.
+
+use std::net::SocketAddr;
+
+use sardinemux_host::prelude::*;
+use smol_str::SmolStr;
+
+/// How a router chooses targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Through the owner of each target: the product.
+    Owner,
+    /// Plain rendezvous hashing without a bound; a baseline for measurements.
+    Hash,
+    /// The smallest lagging load report; a baseline for measurements.
+    LeastLoaded,
+}
+
+/// The settings of a router.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The name in the platform's instance list.
+    pub id: SmolStr,
+    /// The availability zone.
+    pub zone: SmolStr,
+    /// The region.
+    pub region: SmolStr,
+    /// The address for callers.
+    pub entry_address: SocketAddr,
+    /// The address for other routers, administration, health and metrics.
+    pub peer_address: SocketAddr,
+    /// The address that other routers are told.
+    pub advertised_address: SocketAddr,
+    /// The secret that routers and administration programs share.
+    pub peer_token: SmolStr,
+    /// The platform's services.
+    pub platform: Vec<SocketAddr>,
+    /// How long the platform may take to answer, in milliseconds.
+    pub platform_timeout_ms: u64,
+    /// The time between two reads of the instance list, in milliseconds.
+    pub list_period_ms: u64,
+    /// The time between two reads of the configuration log, in milliseconds.
+    pub config_period_ms: u64,
+    /// How targets are chosen.
+    pub policy: Policy,
+    /// The most requests at this entry.
+    pub requests_max: u32,
+    /// The largest body of a caller, in bytes.
+    pub body_max: u64,
+    /// The longest time for a request, in milliseconds.
+    pub request_ms: u64,
+    /// The time between two exchanges with a random peer, in milliseconds.
+    pub gossip_period_ms: u64,
+    /// A router that says nothing for this long counts as silent, in milliseconds.
+    pub silence_ms: u64,
+    /// How long a suspected router stays an owner, in milliseconds.
+    pub suspect_ms: u64,
+    /// How long a new owner without an answer keeps to a part of the limit, in milliseconds.
+    pub takeover_ms: u64,
+    /// Control bytes a second.
+    pub control_bytes: u32,
+    /// The shortest time between the start of a graceful shutdown and its end, in milliseconds.
+    pub drain_ms: u64,
+    /// Mechanisms that are switched off, for tests that show what they are for.
+    pub without: Vec<SmolStr>,
+}
+
+/// The mechanisms that a test can switch off.
+const MECHANISMS: [&str; 8] = [
+    "nothing", "fence", "ledger", "bound", "cold", "takeover", "familiar", "order",
+];
+
+const POLICIES: [&str; 3] = ["owner", "hash", "least_loaded"];
+
+const fn key(
+    section: &'static str,
+    name: &'static str,
+    kind: Kind,
+    default: Option<&'static str>,
+    about: &'static str,
+) -> Key {
+    Key {
+        section,
+        name,
+        kind,
+        default,
+        about,
+    }
+}
+
+const fn time(least_ms: u64, most_ms: u64) -> Kind {
+    Kind::Time { least_ms, most_ms }
+}
+
+/// Every key of a router's settings file.
+pub const KEYS: [Key; 23] = [
+    key(
+        "instance",
+        "id",
+        Kind::Text,
+        None,
+        "The name in the instance list.",
+    ),
+    key(
+        "instance",
+        "zone",
+        Kind::Text,
+        None,
+        "The availability zone.",
+    ),
+    key("instance", "region", Kind::Text, None, "The region."),
+    key(
+        "entry",
+        "address",
+        Kind::Address,
+        None,
+        "Where callers connect.",
+    ),
+    key(
+        "entry",
+        "requests_max",
+        Kind::Count {
+            least: 1,
+            most: 1_000_000,
+        },
+        Some("2048"),
+        "The most requests at this entry.",
+    ),
+    key(
+        "entry",
+        "body_max",
+        Kind::Size {
+            least: 1_024,
+            most: 8 << 20,
+        },
+        Some("1MiB"),
+        "The largest body of a caller.",
+    ),
+    key(
+        "entry",
+        "request_time",
+        time(100, 3_600_000),
+        Some("120s"),
+        "The longest time for a request.",
+    ),
+    key(
+        "peer",
+        "address",
+        Kind::Address,
+        None,
+        "Where other routers connect.",
+    ),
+    key(
+        "peer",
+        "advertise",
+        Kind::Addresses,
+        Some(""),
+        "The address that other routers are told, if it differs.",
+    ),
+    key(
+        "peer",
+        "token",
+        Kind::Text,
+        None,
+        "The secret that the fleet's programs share.",
+    ),
+    key(
+        "peer",
+        "gossip_period",
+        time(50, 60_000),
+        Some("1s"),
+        "The time between two exchanges with a random peer.",
+    ),
+    key(
+        "peer",
+        "silence",
+        time(100, 60_000),
+        Some("2500ms"),
+        "A router that says nothing for this long counts as silent.",
+    ),
+    key(
+        "peer",
+        "suspect",
+        time(100, 60_000),
+        Some("2s"),
+        "How long a suspected router stays an owner.",
+    ),
+    key(
+        "peer",
+        "takeover",
+        time(100, 60_000),
+        Some("6s"),
+        "How long a new owner without an answer keeps to a part of the limit.",
+    ),
+    key(
+        "peer",
+        "control_bytes",
+        Kind::Count {
+            least: 500,
+            most: 10_000_000,
+        },
+        Some("10000"),
+        "Control bytes a second.",
+    ),
+    key(
+        "platform",
+        "addresses",
+        Kind::Addresses,
+        None,
+        "The platform's services.",
+    ),
+    key(
+        "platform",
+        "timeout",
+        time(50, 60_000),
+        Some("1s"),
+        "How long the platform may take to answer.",
+    ),
+    key(
+        "platform",
+        "list_period",
+        time(100, 600_000),
+        Some("2s"),
+        "The time between two reads of the instance list.",
+    ),
+    key(
+        "platform",
+        "config_period",
+        time(100, 3_600_000),
+        Some("4s"),
+        "The mean time between two reads of the configuration log.",
+    ),
+    key(
+        "routing",
+        "policy",
+        Kind::Choice(&POLICIES),
+        Some("owner"),
+        "How targets are chosen; all but owner are baselines for measurements.",
+    ),
+    key(
+        "shutdown",
+        "drain",
+        time(0, 600_000),
+        Some("3s"),
+        "The shortest time between the start of a graceful shutdown and its end.",
+    ),
+    key(
+        "test",
+        "without_first",
+        Kind::Choice(&MECHANISMS),
+        Some("nothing"),
+        "A mechanism that is switched off, to show what it is for.",
+    ),
+    key(
+        "test",
+        "without_second",
+        Kind::Choice(&MECHANISMS),
+        Some("nothing"),
+        "A second mechanism that is switched off.",
+    ),
+];
+
+impl Settings {
+    /// Takes the settings out of checked values.
+    ///
+    /// # Errors
+    ///
+    /// What [`Values`] returns for a key that is missing or malformed.
+    pub fn new(values: &Values) -> Result<Self> {
+        let policy = match values.text("routing", "policy")?.as_str() {
+            "hash" => Policy::Hash,
+            "least_loaded" => Policy::LeastLoaded,
+            _ => Policy::Owner,
+        };
+        let peer_address = values.address("peer", "address")?;
+        let advertised = values.addresses("peer", "advertise")?;
+        Ok(Self {
+            id: values.text("instance", "id")?,
+            zone: values.text("instance", "zone")?,
+            region: values.text("instance", "region")?,
+            entry_address: values.address("entry", "address")?,
+            peer_address,
+            advertised_address: advertised.first().copied().unwrap_or(peer_address),
+            peer_token: values.text("peer", "token")?,
+            platform: values.addresses("platform", "addresses")?,
+            platform_timeout_ms: values.number("platform", "timeout")?,
+            list_period_ms: values.number("platform", "list_period")?,
+            config_period_ms: values.number("platform", "config_period")?,
+            policy,
+            requests_max: values.number("entry", "requests_max")? as u32,
+            body_max: values.number("entry", "body_max")?,
+            request_ms: values.number("entry", "request_time")?,
+            gossip_period_ms: values.number("peer", "gossip_period")?,
+            silence_ms: values.number("peer", "silence")?,
+            suspect_ms: values.number("peer", "suspect")?,
+            takeover_ms: values.number("peer", "takeover")?,
+            control_bytes: values.number("peer", "control_bytes")? as u32,
+            drain_ms: values.number("shutdown", "drain")?,
+            without: vec![
+                values.text("test", "without_first")?,
+                values.text("test", "without_second")?,
+            ],
+        })
+    }
+
+    /// Returns whether a mechanism is on.
+    pub fn has(&self, mechanism: &str) -> bool {
+        !self.without.iter().any(|name| name == mechanism)
+    }
+}
--- /dev/null
+++ b/crates/router/src/watch.rs
@@ -0,0 +1,195 @@
+//! What a router reads of its surroundings: the instance list, and its targets' reports and events.
+
+use std::time::Duration;
+
+use sardinemux_core::book::{command, Report};
+use sardinemux_core::budget::Purpose;
+use sardinemux_core::membership::{self, Member};
+use sardinemux_core::target::{Kind, Table, Target};
+use sardinemux_wire::platform::{Instance, Part};
+use sardinemux_wire::target::{CacheChange, CacheEvents, Load};
+use tokio::time;
+
+use crate::link::{REQUEST_OVERHEAD, RESPONSE_OVERHEAD};
+use crate::prelude::*;
+use crate::settings::Policy;
+
+/// The shortest time between two rounds of reports.
+const REPORTS_PERIOD_MS: u64 = 500;
+
+/// The time that one target adds to a round of reports, so that many targets cost no more a second.
+const REPORTS_TARGET_MS: u64 = 150;
+
+/// The times that cache events are read after a take-over. Later on the owner knows what its target
+/// has served, and an eviction shows in the usage of the answer.
+const EVENT_READS: u32 = 3;
+
+/// The bytes of a report with its request, for the budget.
+const REPORT_BYTES: usize = REQUEST_OVERHEAD + RESPONSE_OVERHEAD + 64;
+
+/// Reads the instance list, until the program ends.
+pub async fn run_list(router: Arc<Router>) {
+    loop {
+        match router.platform.instances().await {
+            Ok(instances) => take_list(&router, instances),
+            Err(error) => log::warn!("the instance list cannot be read: {error}"),
+        }
+        let period_ms = router.settings.list_period_ms;
+        let pause_ms = rand::random_range(period_ms / 2..=period_ms * 3 / 2);
+        time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Takes the instance list in.
+pub fn take_list(router: &Router, instances: Vec<Instance>) {
+    let now_ms = router.now_ms();
+    let mut routers = Vec::new();
+    let mut table: Table = router.targets().as_ref().clone();
+    let mut listed = Vec::new();
+    for instance in instances {
+        if let Some(target) = instance.target() {
+            listed.push(target.id.clone());
+            table.put(target);
+            continue;
+        }
+        let Part::Router(address) = instance.part else {
+            continue;
+        };
+        routers.push(Member {
+            id: instance.id,
+            address,
+            zone: instance.zone,
+            region: instance.region,
+            boot: 0,
+            epoch: 0,
+            state: match instance.leaving {
+                true => membership::State::Leaving,
+                false => membership::State::Alive,
+            },
+        });
+    }
+    let gone: Vec<SmolStr> = table
+        .iter()
+        .map(|(_, target)| target.id.clone())
+        .filter(|id| !listed.contains(id))
+        .collect();
+    for id in gone {
+        table.remove(&id);
+    }
+    {
+        let mut view = router.view.lock();
+        membership::command::note_platform(&mut view, now_ms);
+        membership::command::merge_list(&mut view, routers, now_ms);
+    }
+    *router.targets.write() = Arc::new(table);
+    router.refresh();
+}
+
+/// Reads the reports and cache events of targets, until the program ends.
+pub async fn run_reports(router: Arc<Router>) {
+    loop {
+        let targets = watched(&router);
+        let reads = targets.iter().map(|target| read_report(&router, target));
+        futures_util::future::join_all(reads).await;
+        let learning = learning(&router);
+        let reads = learning.iter().map(|target| read_events(&router, target));
+        futures_util::future::join_all(reads).await;
+        let pause_ms = REPORTS_PERIOD_MS.max(targets.len() as u64 * REPORTS_TARGET_MS);
+        time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Returns the engines whose reports are read: the owned ones, or all for the baseline.
+fn watched(router: &Router) -> Vec<Target> {
+    if router.settings.policy == Policy::LeastLoaded {
+        let targets = router.targets();
+        let engines = targets
+            .iter()
+            .filter(|(_, target)| target.kind == Kind::Engine);
+        return engines.map(|(_, target)| target.clone()).collect();
+    }
+    router
+        .desks
+        .lock()
+        .values()
+        .filter(|desk| desk.is_owned && desk.target.kind == Kind::Engine)
+        .map(|desk| desk.target.clone())
+        .collect()
+}
+
+/// Returns the engines that this router has taken over and not yet learned about.
+fn learning(router: &Router) -> Vec<Target> {
+    router
+        .desks
+        .lock()
+        .values_mut()
+        .filter(|desk| desk.is_owned && desk.target.kind == Kind::Engine)
+        .filter(|desk| desk.event_reads < EVENT_READS)
+        .map(|desk| {
+            desk.event_reads += 1;
+            desk.target.clone()
+        })
+        .collect()
+}
+
+async fn get<T: serde::de::DeserializeOwned>(router: &Router, url: String) -> Option<T> {
+    let now_ms = router.now_ms();
+    let may_spend = router
+        .control
+        .lock()
+        .spend(Purpose::Load, REPORT_BYTES, now_ms);
+    if !may_spend {
+        router.metrics.control_skipped.inc();
+        return None;
+    }
+    let response = router.clients.report.get(url).send().await.ok()?;
+    let bytes = response.bytes().await.ok()?;
+    router
+        .metrics
+        .note_control("reports", REQUEST_OVERHEAD, RESPONSE_OVERHEAD + bytes.len());
+    serde_json::from_slice(&bytes).ok()
+}
+
+async fn read_report(router: &Router, target: &Target) {
+    let url = format!("http://{}/load", target.address);
+    let Some(load) = get::<Load>(router, url).await else {
+        return;
+    };
+    router.reports.lock().insert(target.id.clone(), load);
+    if let Some(desk) = router.desks.lock().get_mut(&target.id) {
+        let report = Report {
+            running: load.running,
+            incarnation: load.incarnation,
+        };
+        command::note_report(&mut desk.book, report);
+    }
+}
+
+async fn read_events(router: &Router, target: &Target) {
+    let after = {
+        let desks = router.desks.lock();
+        desks.get(&target.id).map_or(0, |desk| desk.events_after)
+    };
+    let url = format!("http://{}/cache/events?after={after}", target.address);
+    let Some(events) = get::<CacheEvents>(router, url).await else {
+        return;
+    };
+    let mut desks = router.desks.lock();
+    let Some(desk) = desks.get_mut(&target.id) else {
+        return;
+    };
+    if desk.events_incarnation != events.incarnation {
+        desk.events_incarnation = events.incarnation;
+        desk.events_after = 0;
+    }
+    for event in events.events {
+        desk.events_after = desk.events_after.max(event.sequence);
+        let Ok(chat) = u64::from_str_radix(&event.prompt_cache_key, 16) else {
+            continue;
+        };
+        match event.change {
+            CacheChange::Stored => command::note_chat(&mut desk.book, chat),
+            CacheChange::Evicted => command::forget_chat(&mut desk.book, chat),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/slots.rs
@@ -0,0 +1,110 @@
+//! The batch of an engine: a few requests run, the rest wait by priority.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+#[derive(Debug)]
+struct Waiter {
+    rank: Reverse<(u8, u64)>,
+    sender: oneshot::Sender<Slot>,
+}
+
+impl PartialEq for Waiter {
+    fn eq(&self, other: &Self) -> bool {
+        self.rank == other.rank
+    }
+}
+
+impl Eq for Waiter {}
+
+impl PartialOrd for Waiter {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Waiter {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.rank.cmp(&other.rank)
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    busy: u32,
+    next: u64,
+    waiting: BinaryHeap<Waiter>,
+}
+
+/// The slots of a batch.
+#[derive(Clone, Debug)]
+pub struct Slots {
+    count: u32,
+    state: Arc<Mutex<State>>,
+}
+
+/// A slot that is held until it is dropped.
+#[derive(Debug)]
+pub struct Slot {
+    state: Arc<Mutex<State>>,
+}
+
+impl Slots {
+    /// Creates empty slots.
+    pub fn new(count: u32) -> Self {
+        Self {
+            count: count.max(1),
+            state: Arc::default(),
+        }
+    }
+
+    /// Waits for a slot; a smaller priority goes first.
+    pub async fn take(&self, priority: u8) -> Slot {
+        let own = || Slot {
+            state: self.state.clone(),
+        };
+        let receiver = {
+            let mut state = self.state.lock();
+            if state.busy < self.count {
+                state.busy += 1;
+                drop(state);
+                return own();
+            }
+            let (sender, receiver) = oneshot::channel();
+            let rank = Reverse((priority, state.next));
+            state.next += 1;
+            state.waiting.push(Waiter { rank, sender });
+            receiver
+        };
+        // The sender is dropped only with the slots themselves.
+        receiver.await.unwrap_or_else(|_| own())
+    }
+
+    /// Returns how full the batch is, from 0 to 1.
+    pub fn fill(&self) -> f64 {
+        f64::from(self.state.lock().busy) / f64::from(self.count)
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let next = {
+            let mut state = self.state.lock();
+            let next = state.waiting.pop();
+            if next.is_none() {
+                state.busy -= 1;
+            }
+            next
+        };
+        if let Some(waiter) = next {
+            // A waiter that has left drops the slot again, which hands it on.
+            let _ = waiter.sender.send(Slot {
+                state: self.state.clone(),
+            });
+        }
+    }
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,2 +1,200 @@
-//! Empty.
-fn main() {}
+//! The stand-in binary: one subcommand for each thing that is stood in for.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
+use sardinemux_standin::errors::{Error, Result};
+use sardinemux_standin::{engine, platform, proxy, service};
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+fn address(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .required(true)
+        .value_parser(value_parser!(SocketAddr))
+        .help(help)
+}
+
+fn text(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).default_value(default).help(help)
+}
+
+fn command() -> Command {
+    let engine = Command::new("engine")
+        .about("Model engines, one a port")
+        .arg(address("address", "Where the first one listens"))
+        .arg(number("count", "1", "How many, on the ports that follow"))
+        .arg(text("id", "engine", "The beginning of their names"))
+        .arg(text("model", "sardine-7b", "The model"))
+        .arg(number(
+            "slots",
+            "8",
+            "The requests that are batched at once",
+        ))
+        .arg(number(
+            "cold-slots",
+            "2",
+            "The requests that are borne while cold",
+        ))
+        .arg(number(
+            "warm-after",
+            "8",
+            "The completions after which one is warm",
+        ))
+        .arg(number(
+            "cache-tokens",
+            "60000",
+            "The tokens that the cache holds",
+        ))
+        .arg(number("prefill-us", "150", "Microseconds a prompt token"))
+        .arg(number("token-us", "4000", "Microseconds a token"))
+        .arg(number("report-lag-ms", "400", "How far load reports lag"))
+        .arg(number("event-lag-ms", "1500", "How far cache events lag"))
+        .arg(number("event-gap", "20", "One event in this many is lost"))
+        .arg(number("restart-ms", "800", "How long a restart takes"))
+        .arg(Arg::new("warm").long("warm").action(ArgAction::SetTrue));
+    let service = Command::new("service")
+        .about("A plain service that counts every run")
+        .arg(address("address", "Where it listens"))
+        .arg(number("work-ms", "10", "The time that a call takes"));
+    let platform = Command::new("platform")
+        .about("Instance list, table and object store")
+        .arg(address("address", "Where it listens"))
+        .arg(number("list-lag-ms", "1000", "How far the list lags"));
+    let proxy = Command::new("proxy")
+        .about("A TCP proxy that injects faults")
+        .arg(address("control", "Where faults are set"))
+        .arg(
+            Arg::new("pair")
+                .long("pair")
+                .action(ArgAction::Append)
+                .required(true)
+                .help("LISTEN=UPSTREAM, both ip:port"),
+        );
+    Command::new("sardinemux-standin")
+        .about("Stands in for what surrounds sardinemux, in tests and trials")
+        .subcommand_required(true)
+        .arg(
+            Arg::new("threads")
+                .long("threads")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Worker threads"),
+        )
+        .subcommands([engine, service, platform, proxy])
+}
+
+fn get(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one::<u64>(name).copied().unwrap_or_default()
+}
+
+fn socket(matches: &ArgMatches, name: &str) -> SocketAddr {
+    let unspecified = SocketAddr::from(([127, 0, 0, 1], 0));
+    let address = matches.get_one::<SocketAddr>(name).copied();
+    address.unwrap_or(unspecified)
+}
+
+fn words(matches: &ArgMatches, name: &str) -> String {
+    matches.get_one::<String>(name).cloned().unwrap_or_default()
+}
+
+async fn run_engines(matches: &ArgMatches) -> Result<()> {
+    let first = socket(matches, "address");
+    let engines = (0..get(matches, "count")).map(|index| {
+        let mut address = first;
+        address.set_port(first.port() + index as u16);
+        engine::run(engine::Settings {
+            id: format!("{}{index}", words(matches, "id")).into(),
+            model: words(matches, "model").into(),
+            address,
+            slots: get(matches, "slots") as u32,
+            cold_slots: get(matches, "cold-slots") as u32,
+            warm_after: get(matches, "warm-after"),
+            cache_tokens: get(matches, "cache-tokens"),
+            prefill_us: get(matches, "prefill-us"),
+            token_us: get(matches, "token-us"),
+            report_lag_ms: get(matches, "report-lag-ms"),
+            event_lag_ms: get(matches, "event-lag-ms"),
+            event_gap: get(matches, "event-gap"),
+            restart_ms: get(matches, "restart-ms"),
+            is_warm: matches.get_flag("warm"),
+        })
+    });
+    futures_util::future::try_join_all(engines).await?;
+    Ok(())
+}
+
+fn pair(value: &str) -> Result<proxy::Pair> {
+    let malformed = || Error::Argument {
+        name: "pair",
+        value: value.to_owned(),
+        allowed: "LISTEN=UPSTREAM, both ip:port",
+    };
+    let (listen, upstream) = value.split_once('=').ok_or_else(malformed)?;
+    Ok(proxy::Pair {
+        listen: listen.parse().map_err(|_| malformed())?,
+        upstream: upstream.parse().map_err(|_| malformed())?,
+    })
+}
+
+async fn run_proxy(matches: &ArgMatches) -> Result<()> {
+    let pairs = matches.get_many::<String>("pair").unwrap_or_default();
+    let settings = proxy::Settings {
+        control: socket(matches, "control"),
+        pairs: pairs.map(|value| pair(value)).collect::<Result<_>>()?,
+    };
+    proxy::run(settings).await
+}
+
+async fn run(matches: &ArgMatches) -> Result<()> {
+    match matches.subcommand() {
+        Some(("engine", matches)) => run_engines(matches).await,
+        Some(("service", matches)) => {
+            let settings = service::Settings {
+                address: socket(matches, "address"),
+                work_ms: get(matches, "work-ms"),
+            };
+            service::run(settings).await
+        }
+        Some(("platform", matches)) => {
+            let settings = platform::Settings {
+                address: socket(matches, "address"),
+                list_lag_ms: get(matches, "list-lag-ms"),
+            };
+            platform::run(settings).await
+        }
+        Some(("proxy", matches)) => run_proxy(matches).await,
+        _ => Ok(()),
+    }
+}
+
+fn main() -> ExitCode {
+    env_logger::init();
+    let matches = command().get_matches();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(get(&matches, "threads").max(1) as usize)
+        .enable_all()
+        .build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(run(&matches)),
+        Err(error) => {
+            eprintln!("sardinemux-standin: the runtime cannot be built: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("sardinemux-standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,308 @@
+//! A TCP proxy that injects faults between two processes.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use rocket::data::ToByteUnit;
+use rocket::http::{ContentType, Status};
+use rocket::{get, post, routes, Data, State};
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch};
+use tokio::time;
+
+use crate::errors::{ListenSnafu, Result};
+use crate::serve;
+
+/// What the proxy does to connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Fault {
+    /// It passes everything on.
+    #[default]
+    None,
+    /// It passes everything on later.
+    Delay {
+        /// How much later, in milliseconds.
+        ms: u64,
+    },
+    /// It closes open connections and refuses new ones.
+    Cut,
+    /// Open connections go silent for good; new ones work.
+    SilenceOpen,
+    /// New connections are accepted and stay silent; open ones work.
+    SilenceNew,
+    /// The next answers are cut off before their first byte, after the request was passed on.
+    LoseAnswer,
+    /// The next answers are cut off after some bytes.
+    Truncate {
+        /// The bytes that are passed on.
+        bytes: u64,
+    },
+    /// Answers of two connections are exchanged.
+    Cross,
+}
+
+/// A port that is passed on to an address.
+#[derive(Clone, Copy, Debug)]
+pub struct Pair {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where it connects.
+    pub upstream: SocketAddr,
+}
+
+/// What a proxy is like.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where faults are set.
+    pub control: SocketAddr,
+    /// The ports.
+    pub pairs: Vec<Pair>,
+}
+
+/// The bytes that crossed a port.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bytes {
+    /// From callers.
+    pub up: u64,
+    /// To callers.
+    pub down: u64,
+    /// The connections that were made.
+    pub connections: u64,
+}
+
+type Exchange = (Vec<u8>, oneshot::Sender<Vec<u8>>);
+
+struct Port {
+    pair: Pair,
+    fault: watch::Sender<Fault>,
+    up: AtomicU64,
+    down: AtomicU64,
+    connections: AtomicU64,
+    crossing: Mutex<Option<Exchange>>,
+}
+
+/// The proxy.
+struct Proxy {
+    ports: IndexMap<u16, Arc<Port>>,
+}
+
+/// How long an answer waits for another one to be exchanged with.
+const CROSS_WAIT: Duration = Duration::from_secs(2);
+
+/// The size of a read, in bytes.
+const READ_BYTES: usize = 16 * 1024;
+
+async fn accept(port: Arc<Port>) -> Result<()> {
+    let address = port.pair.listen;
+    let listener = TcpListener::bind(address).await.context(ListenSnafu {
+        address: address.to_string(),
+    })?;
+    loop {
+        let Ok((client, _)) = listener.accept().await else {
+            continue;
+        };
+        port.connections.fetch_add(1, Ordering::Relaxed);
+        let port = port.clone();
+        tokio::spawn(async move { connect(port, client).await });
+    }
+}
+
+async fn connect(port: Arc<Port>, client: TcpStream) {
+    let fault = *port.fault.borrow();
+    match fault {
+        Fault::Cut => return,
+        Fault::SilenceNew => {
+            // The connection stays open and silent until its other end gives up.
+            time::sleep(Duration::from_secs(600)).await;
+            drop(client);
+            return;
+        }
+        _ => {}
+    }
+    let Ok(server) = TcpStream::connect(port.pair.upstream).await else {
+        return;
+    };
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = server.into_split();
+    let faults = port.fault.subscribe();
+    tokio::select! {
+        () = pump_up(&port, client_read, server_write) => {}
+        () = pump_down(&port, server_read, client_write) => {}
+        () = cut(faults) => {}
+    }
+}
+
+/// Returns once connections are to be cut; never returns once this one is silent.
+async fn cut(mut faults: watch::Receiver<Fault>) {
+    loop {
+        if faults.changed().await.is_err() {
+            return;
+        }
+        if *faults.borrow() == Fault::Cut {
+            return;
+        }
+    }
+}
+
+async fn pump_up(port: &Port, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    let mut faults = port.fault.subscribe();
+    let mut is_silent = false;
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        let count = tokio::select! {
+            count = from.read(&mut buffer) => count.unwrap_or(0),
+            _ = faults.changed() => {
+                is_silent |= *faults.borrow() == Fault::SilenceOpen;
+                continue;
+            }
+        };
+        if count == 0 {
+            return;
+        }
+        if is_silent {
+            continue;
+        }
+        delay(port).await;
+        port.up.fetch_add(count as u64, Ordering::Relaxed);
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn pump_down(port: &Port, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    let mut faults = port.fault.subscribe();
+    let mut is_silent = false;
+    let mut passed = 0;
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        let count = tokio::select! {
+            count = from.read(&mut buffer) => count.unwrap_or(0),
+            _ = faults.changed() => {
+                is_silent |= *faults.borrow() == Fault::SilenceOpen;
+                continue;
+            }
+        };
+        if count == 0 {
+            return;
+        }
+        if is_silent {
+            continue;
+        }
+        delay(port).await;
+        let mut data = buffer[..count].to_vec();
+        let fault = *port.fault.borrow();
+        match fault {
+            Fault::LoseAnswer => return,
+            Fault::Cross => data = exchange(port, data).await,
+            Fault::Truncate { bytes } => {
+                let left = bytes.saturating_sub(passed) as usize;
+                data.truncate(left);
+            }
+            _ => {}
+        }
+        passed += data.len() as u64;
+        port.down.fetch_add(data.len() as u64, Ordering::Relaxed);
+        let is_cut = matches!(fault, Fault::Truncate { bytes } if passed >= bytes);
+        if to.write_all(&data).await.is_err() || is_cut {
+            return;
+        }
+    }
+}
+
+async fn delay(port: &Port) {
+    let fault = *port.fault.borrow();
+    if let Fault::Delay { ms } = fault {
+        time::sleep(Duration::from_millis(ms)).await;
+    }
+}
+
+/// Exchanges data with the next other connection that has some.
+async fn exchange(port: &Port, data: Vec<u8>) -> Vec<u8> {
+    let waiting = port.crossing.lock().take();
+    if let Some((theirs, sender)) = waiting {
+        return match sender.send(data) {
+            Ok(()) => theirs,
+            Err(data) => data,
+        };
+    }
+    let (sender, receiver) = oneshot::channel();
+    let own = data.clone();
+    *port.crossing.lock() = Some((data, sender));
+    match time::timeout(CROSS_WAIT, receiver).await {
+        Ok(Ok(theirs)) => theirs,
+        _ => {
+            port.crossing.lock().take();
+            own
+        }
+    }
+}
+
+#[post("/standin/faults?<port>", data = "<data>")]
+async fn set_fault(proxy: &State<Arc<Proxy>>, port: u16, data: Data<'_>) -> Status {
+    let Ok(body) = data.open(4.kibibytes()).into_bytes().await else {
+        return Status::BadRequest;
+    };
+    let (Some(port), Ok(fault)) = (proxy.ports.get(&port), serde_json::from_slice(&body)) else {
+        return Status::BadRequest;
+    };
+    port.fault.send_replace(fault);
+    Status::Ok
+}
+
+#[get("/standin/bytes?<port>")]
+fn bytes(proxy: &State<Arc<Proxy>>, port: u16) -> Option<(ContentType, String)> {
+    let port = proxy.ports.get(&port)?;
+    let bytes = Bytes {
+        up: port.up.load(Ordering::Relaxed),
+        down: port.down.load(Ordering::Relaxed),
+        connections: port.connections.load(Ordering::Relaxed),
+    };
+    let text = serde_json::to_string(&bytes).ok()?;
+    Some((ContentType::JSON, text))
+}
+
+/// Serves until the process ends.
+///
+/// # Errors
+///
+/// `Error::Listen` or `Error::Host` if a port cannot be listened on.
+pub async fn run(settings: Settings) -> Result<()> {
+    let ports: IndexMap<u16, Arc<Port>> = settings
+        .pairs
+        .iter()
+        .map(|pair| {
+            let port = Port {
+                pair: *pair,
+                fault: watch::Sender::new(Fault::None),
+                up: AtomicU64::new(0),
+                down: AtomicU64::new(0),
+                connections: AtomicU64::new(0),
+                crossing: Mutex::new(None),
+            };
+            (pair.listen.port(), Arc::new(port))
+        })
+        .collect();
+    for port in ports.values() {
+        let port = port.clone();
+        tokio::spawn(async move {
+            if let Err(error) = accept(port).await {
+                log::error!("{error}");
+                std::process::exit(1);
+            }
+        });
+    }
+    let proxy = Arc::new(Proxy { ports });
+    let server = serve::build(settings.control, routes![set_fault, bytes]).manage(proxy);
+    serve::launch(server).await
+}
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -44,9 +44,43 @@
     Unknown {
         /// The id.
         id: ChangeId,
+        /// The version that it was written as; ask with it.
+        attempted: Version,
     },
 }
 
+/// The version and the position of the changes between two versions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Difference {
+    /// The key.
+    pub key: SmolStr,
+    /// The version at which it was changed.
+    pub version: Version,
+    /// The change.
+    pub change: Change,
+}
+
+/// What still runs on a target, as its routers say.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// The target.
+    pub target: SmolStr,
+    /// The requests in flight.
+    pub running: u32,
+    /// The requests that wait.
+    pub waiting: u32,
+}
+
+/// The answer to `GET /v1/load`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetLoad {
+    /// The targets, each with the sum over the routers that answered.
+    pub targets: Vec<TargetLoad>,
+    /// The routers that did not answer; with any of them missing, a target that shows nothing
+    /// may still have work.
+    pub silent_routers: Vec<SmolStr>,
+}
+
 /// What version a router has in force.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouterVersion {
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -6,21 +6,31 @@
 //!   `GET /rows?prefix=&after=&limit=` returns rows in the order of their keys.
 //! - Object store: `GET` and `PUT /objects/<key>`.
 
-use sardinemux_core::target::Target;
+use sardinemux_core::target::{Kind, Target};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+/// What a target offers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Offered {
+    /// What it is.
+    pub kind: Kind,
+    /// The model or the service.
+    pub pool: SmolStr,
+    /// The address, as `ip:port`.
+    pub address: SmolStr,
+    /// The number of requests that it bears at once when warm.
+    pub slots: u32,
+}
+
 /// The part that an instance plays.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "part", rename_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum Part {
-    /// A router of this system.
-    Router {
-        /// The address for other routers, as `ip:port`.
-        address: SmolStr,
-    },
+    /// A router of this system, with its address for other routers.
+    Router(SmolStr),
     /// An engine or a plain service.
-    Target(Target),
+    Target(Offered),
 }
 
 /// One instance of the list.
@@ -35,10 +45,59 @@
     /// Whether it is leaving.
     pub leaving: bool,
     /// The part that it plays.
-    #[serde(flatten)]
     pub part: Part,
 }
 
+impl Instance {
+    /// Lists a target.
+    pub fn of_target(target: Target) -> Self {
+        Self {
+            id: target.id,
+            zone: target.zone,
+            region: target.region,
+            leaving: target.leaving,
+            part: Part::Target(Offered {
+                kind: target.kind,
+                pool: target.pool,
+                address: target.address,
+                slots: target.slots,
+            }),
+        }
+    }
+
+    /// Returns the target that the instance is, if it is one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_wire::platform::{Instance, Part};
+    ///
+    /// let router = Instance {
+    ///     id: "r1".into(),
+    ///     zone: "z1".into(),
+    ///     region: "north".into(),
+    ///     leaving: false,
+    ///     part: Part::Router("127.0.0.1:1".into()),
+    /// };
+    /// assert!(router.target().is_none());
+    /// ```
+    pub fn target(&self) -> Option<Target> {
+        let Part::Target(offered) = &self.part else {
+            return None;
+        };
+        Some(Target {
+            id: self.id.clone(),
+            kind: offered.kind,
+            pool: offered.pool.clone(),
+            address: offered.address.clone(),
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+            slots: offered.slots,
+            leaving: self.leaving,
+        })
+    }
+}
+
 /// One row of the table.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -67,6 +67,8 @@
     pub model: SmolStr,
     /// The offset of the content in tokens.
     pub offset: u64,
+    /// The length of the content in tokens.
+    pub length: u64,
     /// The alternatives; there is one.
     pub choices: Vec<Choice>,
     /// The tokens, in the last chunk.
