Let a new owner wait for the former one, and test the core's decisions

Cause: a new owner that took a quarter of the limit without an answer could overrun a target together with the former one, a cold one above all; the property test of two owners showed it, also after the former one had stopped admitting but still had work on the target. Change: a new owner admits nothing until the former one has answered, its process is known to be gone, or its time is over and the target's reports show what it left. Reports are held against the most and the least that this owner had in flight lately, fixed when the report arrives. Ruled out: a reserve kept free by every owner (costs a quarter of all room). Also found by tests: foreign work in a report vanished as own work began; the token bound was tighter than the request bound; the fence could be taken back.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -21,8 +21,13 @@
     pub heat: heat::Settings,
     /// The most requests that wait.
     pub queue_max: usize,
-    /// How long a new owner that got no answer keeps to a part of the limit, in milliseconds.
+    /// How long a new owner that got no answer admits nothing, in milliseconds. It must be longer than a
+    /// router that is cut off goes on, and than a rumour takes to reach the former owner.
     pub takeover_ms: u64,
+    /// Whether the target reports its load.
+    pub has_reports: bool,
+    /// How far a report lags at most, in milliseconds.
+    pub report_lag_ms: u64,
     /// The recent chats that are remembered.
     pub chats_max: usize,
 }
@@ -33,7 +38,9 @@
             load_multiple: 1.25,
             heat: heat::Settings::default(),
             queue_max: 64,
-            takeover_ms: 6_000,
+            takeover_ms: 4_000,
+            has_reports: true,
+            report_lag_ms: 1_500,
             chats_max: 4_096,
         }
     }
@@ -62,10 +69,12 @@
 pub(crate) enum Former {
     /// There is no earlier owner, or all its work has ended.
     None,
-    /// It has not answered; until then the last known figure counts as still there.
-    Silent { last_known: u32, since_ms: u64 },
+    /// It has not answered; until it has stopped for certain, it may fill the target by itself.
+    Silent { since_ms: u64 },
     /// It has answered and sends no more.
     Answered { running: u32 },
+    /// It has stopped for certain; the target's reports show what it may have left behind.
+    Fading { left: u32, since_ms: u64 },
 }
 
 /// The owner's book of one target.
@@ -81,8 +90,11 @@
     pub(crate) chats: Chats,
     pub(crate) former: Former,
     pub(crate) report: Option<Report>,
+    pub(crate) foreign: u32,
     pub(crate) peak: u32,
     pub(crate) earlier_peak: u32,
+    pub(crate) trough: u32,
+    pub(crate) earlier_trough: u32,
     pub(crate) is_closed: bool,
     pub(crate) next_ticket: u64,
 }
@@ -97,7 +109,7 @@
     /// use sardinemux_core::load::Mean;
     ///
     /// let book = Book::new(Settings::default(), 8);
-    /// assert_eq!(query::limit(&book, Mean { requests: 9.0, tokens: 0.0 }, 0), 2);
+    /// assert_eq!(query::limit(&book, Mean { requests: 9.0, tokens: 0.0 }), 2);
     /// ```
     pub fn new(settings: Settings, slots: u32) -> Self {
         Self {
@@ -111,8 +123,11 @@
             queue: Queue::default(),
             former: Former::None,
             report: None,
+            foreign: 0,
             peak: 0,
             earlier_peak: 0,
+            trough: 0,
+            earlier_trough: 0,
             is_closed: false,
             next_ticket: 0,
         }
--- a/crates/core/src/book/command.rs
+++ b/crates/core/src/book/command.rs
@@ -36,15 +36,15 @@
 /// let flow = Flow { member: "m".into(), organisation: "o".into(), weight: 1.0, class: Class::Chat };
 /// let demand = Demand { flow, tokens: 10 };
 /// let mean = Mean { requests: 4.0, tokens: 100.0 };
-/// assert!(command::admit(&mut book, &demand, mean, 0).is_ok());
-/// assert!(command::admit(&mut book, &demand, mean, 0).is_ok());
-/// assert_eq!(command::admit(&mut book, &demand, mean, 0), Err(Reason::Full));
+/// assert!(command::admit(&mut book, &demand, mean).is_ok());
+/// assert!(command::admit(&mut book, &demand, mean).is_ok());
+/// assert_eq!(command::admit(&mut book, &demand, mean), Err(Reason::Full));
 /// ```
-pub fn admit(book: &mut Book, demand: &Demand, mean: Mean, now_ms: u64) -> Result<Ticket, Reason> {
+pub fn admit(book: &mut Book, demand: &Demand, mean: Mean) -> Result<Ticket, Reason> {
     if book.is_closed {
         return Err(Reason::Leaving);
     }
-    if !query::has_room(book, demand, mean, now_ms) {
+    if !query::has_room(book, demand, mean) {
         return Err(Reason::Full);
     }
     let ticket = next_ticket(book);
@@ -58,8 +58,8 @@
 ///
 /// `Reason::Leaving` if the book is closed, `Reason::Shed` if the queue is full and no other
 /// organisation waits with more work for its weight.
-pub fn enter(book: &mut Book, demand: Demand, mean: Mean, now_ms: u64) -> Result<Entrance, Reason> {
-    match admit(book, &demand, mean, now_ms) {
+pub fn enter(book: &mut Book, demand: Demand, mean: Mean) -> Result<Entrance, Reason> {
+    match admit(book, &demand, mean) {
         Ok(ticket) => return Ok(Entrance::Runs(ticket)),
         Err(Reason::Full) => {}
         Err(reason) => return Err(reason),
@@ -92,8 +92,8 @@
 }
 
 /// Starts the waiting request whose turn it is, if there is room.
-pub fn start_next(book: &mut Book, mean: Mean, now_ms: u64) -> Option<Ticket> {
-    if !query::fits(book, mean, now_ms) {
+pub fn start_next(book: &mut Book, mean: Mean) -> Option<Ticket> {
+    if !query::fits(book, mean) {
         return None;
     }
     let item = book.queue.pop()?;
@@ -113,6 +113,7 @@
     if let Some(tokens) = book.running.swap_remove(&ticket) {
         book.tokens -= tokens;
     }
+    book.trough = book.trough.min(book.running.len() as u32);
     book.heat.observe(evidence);
 }
 
@@ -130,14 +131,35 @@
 ///
 /// The first report also shows what the target bears, so that a new owner of a warm target does not
 /// treat it as cold.
-pub fn note_report(book: &mut Book, report: Report) {
+pub fn note_report(book: &mut Book, report: Report, now_ms: u64) {
     if book.report.is_none() {
         book.heat.raise_to(report.running);
     }
     note_incarnation(book, report.incarnation);
     book.report = Some(report);
-    book.earlier_peak = book.peak;
-    book.peak = book.running.len() as u32;
+    let most = book.peak.max(book.earlier_peak);
+    let least = book.trough.min(book.earlier_trough);
+    book.foreign = report.running.saturating_sub(most);
+    fade(book, report.running.saturating_sub(least), now_ms);
+    let own = book.running.len() as u32;
+    (book.earlier_peak, book.peak) = (book.peak, own);
+    (book.earlier_trough, book.trough) = (book.trough, own);
+}
+
+/// A former owner that has stopped leaves ever less behind; a report bounds it once the report was
+/// measured after the stop.
+fn fade(book: &mut Book, most: u32, now_ms: u64) {
+    let Former::Fading { left, since_ms } = book.former else {
+        return;
+    };
+    if now_ms.saturating_sub(since_ms) < book.settings.report_lag_ms {
+        return;
+    }
+    let left = left.min(most);
+    book.former = match left {
+        0 => Former::None,
+        _ => Former::Fading { left, since_ms },
+    };
 }
 
 /// Notes which incarnation of the target answered; a new one is cold and has no cache.
@@ -155,11 +177,14 @@
 }
 
 /// Takes the target over from an owner that may still have work in flight.
-pub fn take_over(book: &mut Book, last_known: u32, now_ms: u64) {
-    book.former = Former::Silent {
-        last_known,
-        since_ms: now_ms,
-    };
+pub fn take_over(book: &mut Book, now_ms: u64) {
+    book.former = Former::Silent { since_ms: now_ms };
+}
+
+/// Notes that the former owner's process is gone: its connections to the target are closed, and the
+/// target has cancelled their work.
+pub fn note_former_gone(book: &mut Book) {
+    book.former = Former::None;
 }
 
 /// Takes in the former owner's answer: what it still has in flight and what the target bears.
@@ -172,14 +197,22 @@
     };
 }
 
-/// Gives up on a former owner's answer once the take-over time has passed.
+/// Gives up on a former owner's answer once the take-over time has passed: it has stopped by then,
+/// though its work may go on.
 pub fn age_former(book: &mut Book, now_ms: u64) {
-    let Former::Silent { since_ms, .. } = book.former else {
+    let Former::Silent { since_ms } = book.former else {
         return;
     };
-    if now_ms.saturating_sub(since_ms) >= book.settings.takeover_ms {
-        book.former = Former::None;
+    if now_ms.saturating_sub(since_ms) < book.settings.takeover_ms {
+        return;
     }
+    book.former = match book.settings.has_reports {
+        true => Former::Fading {
+            left: book.slots,
+            since_ms: now_ms,
+        },
+        false => Former::None,
+    };
 }
 
 /// Closes the book to new work and returns the waiting requests, which can go elsewhere.
--- a/crates/core/src/book/query.rs
+++ b/crates/core/src/book/query.rs
@@ -3,59 +3,46 @@
 use super::{Book, Demand, Former};
 use crate::load::{self, Mean};
 
-/// A new owner that got no answer takes at most one `TAKEOVER_PART`th of the limit.
-pub const TAKEOVER_PART: u32 = 4;
-
 /// Returns the most requests that this owner may have in flight on the target.
-pub fn limit(book: &Book, mean: Mean, now_ms: u64) -> u32 {
+///
+/// A new owner admits nothing until the former one has answered or has stopped for certain: two
+/// owners who each kept to a part would overrun a cold target.
+pub fn limit(book: &Book, mean: Mean) -> u32 {
+    if is_taking_over(book) {
+        return 0;
+    }
     let bound = load::request_bound(book.settings.load_multiple, mean);
     let whole = book.slots.min(book.heat.limit()).min(bound);
-    let rest = whole.saturating_sub(others(book, now_ms));
-    match is_taking_over(book, now_ms) {
-        true => rest.min((whole / TAKEOVER_PART).max(1)),
-        false => rest,
-    }
+    whole.saturating_sub(others(book))
 }
 
-fn is_taking_over(book: &Book, now_ms: u64) -> bool {
-    match book.former {
-        Former::Silent { since_ms, .. } => {
-            now_ms.saturating_sub(since_ms) < book.settings.takeover_ms
-        }
-        _ => false,
-    }
+fn is_taking_over(book: &Book) -> bool {
+    matches!(book.former, Former::Silent { .. })
 }
 
 /// Returns the requests that others may have in flight on the target: the larger of what the
 /// former owner's figure and the target's own report show.
-pub fn others(book: &Book, now_ms: u64) -> u32 {
+///
+/// The report alone gives two bounds, as it lags: it is held against the most that this owner had in
+/// flight lately to find what cannot be its own, and, while a former owner fades, against the least to
+/// find what may not be.
+pub fn others(book: &Book) -> u32 {
     let former = match book.former {
-        Former::None => 0,
-        Former::Silent { last_known, .. } if is_taking_over(book, now_ms) => last_known,
-        Former::Silent { .. } => 0,
         Former::Answered { running } => running,
+        Former::Fading { left, .. } => left,
+        Former::None | Former::Silent { .. } => 0,
     };
-    former.max(witnessed(book))
-}
-
-/// Returns the requests on the target's report that cannot be this owner's own.
-///
-/// The report lags, so it is held against the most that this owner had in flight since the
-/// report before the last.
-fn witnessed(book: &Book) -> u32 {
-    let own = book.peak.max(book.earlier_peak);
-    book.report
-        .map_or(0, |report| report.running.saturating_sub(own))
+    former.max(book.foreign)
 }
 
 /// Returns whether a request may run at once.
-pub fn has_room(book: &Book, demand: &Demand, mean: Mean, now_ms: u64) -> bool {
-    fits(book, mean, now_ms) && book.queue.is_empty() && demand_fits(book, demand.tokens, mean)
+pub fn has_room(book: &Book, demand: &Demand, mean: Mean) -> bool {
+    fits(book, mean) && book.queue.is_empty() && demand_fits(book, demand.tokens, mean)
 }
 
 /// Returns whether one more request keeps to the limit.
-pub(crate) fn fits(book: &Book, mean: Mean, now_ms: u64) -> bool {
-    !book.is_closed && in_flight(book) < limit(book, mean, now_ms)
+pub(crate) fn fits(book: &Book, mean: Mean) -> bool {
+    !book.is_closed && in_flight(book) < limit(book, mean)
 }
 
 fn demand_fits(book: &Book, tokens: u64, mean: Mean) -> bool {
@@ -89,7 +76,12 @@
 
 /// Returns whether the former owner still has to be asked.
 pub fn awaits_former(book: &Book) -> bool {
-    book.former != Former::None
+    matches!(book.former, Former::Silent { .. } | Former::Answered { .. })
+}
+
+/// Returns whether the former owner has answered.
+pub fn has_answer(book: &Book) -> bool {
+    matches!(book.former, Former::Answered { .. })
 }
 
 /// Returns whether the book takes no new work.
--- a/crates/core/src/fence.rs
+++ b/crates/core/src/fence.rs
@@ -96,8 +96,12 @@
         Ok(())
     }
 
-    /// Notes how a request ended.
+    /// Notes how a request ended; one that was never taken in is left alone.
     pub fn end(&mut self, id: RequestId, outcome: Outcome, now_ms: u64) {
+        let status = self.entries.get(&id).map(|entry| entry.status);
+        if status != Some(Status::Running) {
+            return;
+        }
         let until_ms = now_ms + self.settings.keep_ms;
         self.put(id, Status::Ended(outcome), until_ms);
     }
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -141,7 +141,19 @@
     (multiple * mean.requests).ceil() as u32 + 1
 }
 
-/// Returns whether a target with this many tokens in flight may take one more request.
+/// Returns whether a target with this many tokens in flight may take one more request: as with
+/// [`request_bound`], one mean request more than the multiple of the mean.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::load::{self, Mean};
+///
+/// let mean = Mean { requests: 2.0, tokens: 200.0 };
+/// assert!(load::allows_tokens(1.25, mean, 350));
+/// assert!(!load::allows_tokens(1.25, mean, 351));
+/// ```
 pub fn allows_tokens(multiple: f64, mean: Mean, tokens: u64) -> bool {
-    tokens == 0 || tokens as f64 <= multiple * mean.tokens
+    let one_request = mean.tokens / mean.requests.max(1.0);
+    tokens == 0 || tokens as f64 <= multiple * mean.tokens + one_request
 }
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -69,7 +69,7 @@
         Self {
             suspect_ms: 2_000,
             forget_ms: 60_000,
-            cut_off_ms: 5_000,
+            cut_off_ms: 3_000,
             rumour_factor: 3,
         }
     }
--- /dev/null
+++ b/crates/core/tests/book.rs
@@ -0,0 +1,368 @@
+//! Tests of the owner's book: limits, take-over, cold start and queue, with adversarial orders of
+//! events.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use proptest::prelude::*;
+use rstest::rstest;
+use sardinemux_core::book::command::{self, Entrance};
+use sardinemux_core::book::{query, Book, Demand, Report, Settings};
+use sardinemux_core::class::Class;
+use sardinemux_core::fairness::{Flow, Ticket};
+use sardinemux_core::heat::{self, Evidence};
+use sardinemux_core::load::Mean;
+use sardinemux_core::outcome::Reason;
+
+const SLOTS: u32 = 8;
+
+const HEALTHY: Evidence = Evidence::Completed {
+    first_token_ms: 50.0,
+    computed_tokens: 10,
+};
+
+fn demand(organisation: &str) -> Demand {
+    Demand {
+        flow: Flow {
+            member: "member".into(),
+            organisation: organisation.into(),
+            weight: 1.0,
+            class: Class::Chat,
+        },
+        tokens: 10,
+    }
+}
+
+fn mean(requests: f64) -> Mean {
+    Mean {
+        requests,
+        tokens: requests * 10.0,
+    }
+}
+
+fn settings() -> Settings {
+    Settings {
+        heat: heat::Settings {
+            completions: 1,
+            ..heat::Settings::default()
+        },
+        queue_max: 3,
+        ..Settings::default()
+    }
+}
+
+/// Opens a book and warms its target up.
+fn warm_book() -> Book {
+    let mut book = Book::new(settings(), SLOTS);
+    while query::borne(&book) < SLOTS {
+        let ticket = command::admit(&mut book, &demand("o"), mean(8.0)).unwrap();
+        command::finish(&mut book, ticket, HEALTHY);
+    }
+    book
+}
+
+fn fill(book: &mut Book, mean: Mean) -> u32 {
+    let mut admitted = 0;
+    while command::admit(book, &demand("o"), mean).is_ok() {
+        admitted += 1;
+    }
+    admitted
+}
+
+#[rstest]
+#[case::idle(0.0, 1)]
+#[case::low(1.0, 3)]
+#[case::middle(4.0, 6)]
+#[case::more_than_slots(20.0, SLOTS)]
+fn verify_bound_follows_the_mean(#[case] requests: f64, #[case] expected: u32) {
+    let mut book = warm_book();
+    assert_eq!(fill(&mut book, mean(requests)), expected);
+}
+
+#[test]
+fn verify_tokens_are_bounded_too() {
+    let mut book = warm_book();
+    let large = Demand {
+        tokens: 1_000,
+        ..demand("o")
+    };
+    let low = Mean {
+        requests: 8.0,
+        tokens: 100.0,
+    };
+    assert!(command::admit(&mut book, &large, low).is_ok());
+    assert_eq!(
+        command::admit(&mut book, &demand("o"), low),
+        Err(Reason::Full)
+    );
+}
+
+#[test]
+fn verify_unannounced_coldness_lowers_the_limit() {
+    let mut book = warm_book();
+    let report = |incarnation| Report {
+        running: 0,
+        incarnation,
+    };
+    command::note_report(&mut book, report(1), 0);
+    command::note_chat(&mut book, 7);
+    assert_eq!(query::borne(&book), SLOTS);
+    command::note_incarnation(&mut book, 2);
+    assert_eq!(query::borne(&book), 2);
+    assert!(!query::is_familiar(&book, 7));
+}
+
+#[test]
+fn verify_latency_jump_lowers_the_limit() {
+    let mut book = warm_book();
+    let slow = Evidence::Completed {
+        first_token_ms: 5_000.0,
+        computed_tokens: 10,
+    };
+    for _ in 0..3 {
+        let ticket = command::admit(&mut book, &demand("o"), mean(8.0)).unwrap();
+        command::finish(&mut book, ticket, slow);
+    }
+    assert_eq!(query::borne(&book), 2);
+}
+
+#[test]
+fn verify_report_of_foreign_work_takes_room() {
+    let mut book = warm_book();
+    let report = Report {
+        running: 6,
+        incarnation: 1,
+    };
+    // The warm-up is in the first reports' window.
+    for _ in 0..3 {
+        command::note_report(&mut book, report, 0);
+    }
+    assert_eq!(fill(&mut book, mean(20.0)), SLOTS - 6);
+}
+
+#[test]
+fn verify_own_work_in_a_late_report_is_not_foreign() {
+    let mut book = warm_book();
+    let tickets: Vec<Ticket> = (0..6)
+        .map(|_| command::admit(&mut book, &demand("o"), mean(20.0)).unwrap())
+        .collect();
+    for ticket in tickets {
+        command::finish(&mut book, ticket, HEALTHY);
+    }
+    let report = Report {
+        running: 6,
+        incarnation: 1,
+    };
+    command::note_report(&mut book, report, 0);
+    assert_eq!(fill(&mut book, mean(20.0)), SLOTS);
+}
+
+#[test]
+fn verify_closed_book_gives_its_queue_back() {
+    let mut book = warm_book();
+    fill(&mut book, mean(4.0));
+    let entrance = command::enter(&mut book, demand("o"), mean(4.0));
+    let Ok(Entrance::Waits(ticket)) = entrance else {
+        panic!("{entrance:?}");
+    };
+    assert_eq!(command::close(&mut book), [ticket]);
+    assert_eq!(
+        command::admit(&mut book, &demand("o"), mean(4.0)),
+        Err(Reason::Leaving)
+    );
+    assert_eq!(query::in_flight(&book), 6);
+}
+
+#[test]
+fn verify_surge_is_shed_from_its_own_organisation() {
+    let mut book = warm_book();
+    fill(&mut book, mean(4.0));
+    for _ in 0..3 {
+        assert!(command::enter(&mut book, demand("large"), mean(4.0)).is_ok());
+    }
+    assert_eq!(
+        command::enter(&mut book, demand("large"), mean(4.0)),
+        Err(Reason::Shed)
+    );
+    let entrance = command::enter(&mut book, demand("small"), mean(4.0));
+    assert!(
+        matches!(entrance, Ok(Entrance::Displaces(_, _))),
+        "{entrance:?}"
+    );
+}
+
+#[test]
+fn verify_new_owner_waits_for_the_former_one() {
+    let mut book = warm_book();
+    command::take_over(&mut book, 100);
+    assert_eq!(fill(&mut book, mean(20.0)), 0);
+    command::note_former(&mut book, 5, SLOTS);
+    assert_eq!(fill(&mut book, mean(20.0)), SLOTS - 5);
+    command::note_former(&mut book, 0, SLOTS);
+    assert_eq!(fill(&mut book, mean(20.0)), 5);
+}
+
+/// One event in the life of two routers that both may own a target.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    OldAdmits,
+    NewAdmits,
+    OldFinishes,
+    NewFinishes,
+    QuestionArrives,
+    AnswerArrives,
+    ReportIsMeasured,
+    ReportArrives,
+    Waits,
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        4 => Just(Event::OldAdmits),
+        4 => Just(Event::NewAdmits),
+        2 => Just(Event::OldFinishes),
+        2 => Just(Event::NewFinishes),
+        1 => Just(Event::QuestionArrives),
+        1 => Just(Event::AnswerArrives),
+        2 => Just(Event::ReportIsMeasured),
+        2 => Just(Event::ReportArrives),
+        1 => Just(Event::Waits),
+    ];
+    proptest::collection::vec(event, 1..200)
+}
+
+/// Plays events out on two books of one target and returns the most work that it ever had. The
+/// former owner sends nothing more once the question has arrived, or once the take-over time has
+/// passed, as it is cut off by then.
+fn most_in_flight(events: Vec<Event>, takes_over: bool) -> u32 {
+    let mut old = warm_book();
+    let mut new = Book::new(settings(), SLOTS);
+    let mut old_tickets = Vec::new();
+    let mut new_tickets = Vec::new();
+    let mut answer: Option<u32> = None;
+    let mut measured: Option<u32> = None;
+    let mut measured_ms = 0;
+    let mut is_asked = false;
+    let mut now_ms = 0;
+    let mut most = 0;
+    if takes_over {
+        command::take_over(&mut new, now_ms);
+    }
+    let full = mean(20.0);
+    for event in events {
+        let has_stopped = is_asked || now_ms >= Settings::default().takeover_ms;
+        match event {
+            Event::OldAdmits if !has_stopped => {
+                old_tickets.extend(command::admit(&mut old, &demand("o"), full));
+            }
+            Event::OldAdmits => {}
+            Event::NewAdmits => {
+                new_tickets.extend(command::admit(&mut new, &demand("o"), full));
+            }
+            Event::OldFinishes => {
+                if let Some(ticket) = old_tickets.pop() {
+                    command::finish(&mut old, ticket, HEALTHY);
+                }
+            }
+            Event::NewFinishes => {
+                if let Some(ticket) = new_tickets.pop() {
+                    command::finish(&mut new, ticket, HEALTHY);
+                }
+            }
+            Event::QuestionArrives => {
+                is_asked = true;
+                answer = Some(query::in_flight(&old));
+            }
+            Event::AnswerArrives => {
+                if let Some(running) = answer {
+                    command::note_former(&mut new, running, query::borne(&old));
+                }
+            }
+            Event::ReportIsMeasured => {
+                measured = Some(query::in_flight(&old) + query::in_flight(&new));
+                measured_ms = now_ms;
+            }
+            Event::ReportArrives => {
+                let is_too_late = now_ms - measured_ms > settings().report_lag_ms;
+                if let Some(running) = measured.take().filter(|_| !is_too_late) {
+                    let report = Report {
+                        running,
+                        incarnation: 1,
+                    };
+                    command::note_report(&mut new, report, now_ms);
+                }
+            }
+            Event::Waits => {
+                now_ms += 700;
+                command::age_former(&mut new, now_ms);
+            }
+        }
+        most = most.max(query::in_flight(&old) + query::in_flight(&new));
+    }
+    most
+}
+
+proptest! {
+    #[test]
+    fn verify_two_owners_keep_to_one_limit(events in events()) {
+        prop_assert!(most_in_flight(events, true) <= SLOTS);
+    }
+
+    #[test]
+    fn verify_a_book_never_exceeds_its_limit(
+        operations in proptest::collection::vec((0u8..6, 0.0f64..12.0), 1..300)
+    ) {
+        let mut book = Book::new(settings(), SLOTS);
+        let mut tickets: Vec<Ticket> = Vec::new();
+        for (operation, requests) in operations {
+            let mean = mean(requests);
+            match operation {
+                0 | 1 => {
+                    let room = query::limit(&book, mean);
+                    let before = query::in_flight(&book);
+                    let result = command::admit(&mut book, &demand("o"), mean);
+                    prop_assert!(result.is_err() || before < room);
+                    tickets.extend(result);
+                }
+                2 => {
+                    if let Some(ticket) = tickets.pop() {
+                        command::finish(&mut book, ticket, HEALTHY);
+                    }
+                }
+                3 => {
+                    if let Some(ticket) = tickets.pop() {
+                        command::finish(&mut book, ticket, Evidence::Lost);
+                        prop_assert_eq!(query::borne(&book), 2);
+                    }
+                }
+                4 => {
+                    if let Ok(Entrance::Runs(ticket)) =
+                        command::enter(&mut book, demand("p"), mean)
+                    {
+                        tickets.push(ticket);
+                    }
+                }
+                _ => {
+                    let before = query::in_flight(&book);
+                    let room = query::limit(&book, mean);
+                    let started = command::start_next(&mut book, mean);
+                    prop_assert!(started.is_none() || before < room);
+                    tickets.extend(started);
+                }
+            }
+            prop_assert_eq!(query::in_flight(&book) as usize, tickets.len());
+            prop_assert_eq!(query::tokens(&book), 10 * tickets.len() as u64);
+        }
+    }
+}
+
+/// The property above is not empty: without the take-over rule the same events overrun the target.
+#[test]
+fn verify_two_owners_overrun_the_target_without_the_takeover_rule() {
+    let events: Vec<Event> = [Event::OldAdmits, Event::NewAdmits]
+        .into_iter()
+        .cycle()
+        .take(40)
+        .collect();
+    assert!(most_in_flight(events.clone(), false) > SLOTS);
+    assert!(most_in_flight(events, true) <= SLOTS);
+}
--- a/crates/router/src/errors.rs
+++ b/crates/router/src/errors.rs
@@ -55,3 +55,23 @@
         source: sardinemux_core::errors::Error,
     },
 }
+
+impl Error {
+    /// Returns whether the peer's instance refused the connection, so that nothing was sent.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Peer { source } if is_refused(source))
+    }
+}
+
+/// Returns whether the cause of an error is a refused connection: no process listens there.
+fn is_refused(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        let io = error.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
--- a/crates/router/src/owner.rs
+++ b/crates/router/src/owner.rs
@@ -188,12 +188,12 @@
     };
     let retry_after_ms = desk.retry_after_ms();
     if request.offer != Offer::OrQueue {
-        return match command::admit(&mut desk.book, &demand, mean, now_ms) {
+        return match command::admit(&mut desk.book, &demand, mean) {
             Ok(ticket) => Admission::Runs(ticket, target, own),
             Err(reason) => Admission::Refused(refusal(router, reason, retry_after_ms)),
         };
     }
-    match command::enter(&mut desk.book, demand, mean, now_ms) {
+    match command::enter(&mut desk.book, demand, mean) {
         Ok(command::Entrance::Runs(ticket)) => Admission::Runs(ticket, target, own),
         Ok(command::Entrance::Waits(ticket)) => {
             let start = desk.add_waiter(ticket);
--- a/crates/router/src/owner/desk.rs
+++ b/crates/router/src/owner/desk.rs
@@ -8,7 +8,7 @@
 use sardinemux_core::load::Sample;
 use sardinemux_core::membership::{self, Member};
 use sardinemux_core::ownership;
-use sardinemux_core::target::{Table, Target};
+use sardinemux_core::target::{Kind, Table, Target};
 use sardinemux_wire::admin::TargetLoad;
 use tokio::sync::oneshot;
 
@@ -176,6 +176,7 @@
         },
         queue_max: value(Parameter::QueueLength) as usize,
         takeover_ms: router.settings.takeover_ms,
+        has_reports: target.kind == Kind::Engine,
         ..book::Settings::default()
     }
 }
@@ -199,14 +200,6 @@
         .iter()
         .filter_map(|target| Some((target.id.clone(), earlier_owner(router, target, former)?)))
         .collect();
-    let expected: IndexMap<SmolStr, u32> = mine
-        .iter()
-        .map(|target| {
-            let mean = others(router, &target.pool, now_ms).mean();
-            (target.id.clone(), mean.requests.ceil() as u32)
-        })
-        .collect();
-
     let mut desks = router.desks.lock();
     for desk in desks.values_mut() {
         let is_mine = owners
@@ -227,9 +220,8 @@
             desk.is_owned = true;
             desk.event_reads = 0;
             desk.former = earlier.get(&target.id).cloned();
-            let last_known = expected.get(&target.id).copied().unwrap_or(0);
             if desk.former.is_some() && router.settings.has("takeover") {
-                command::take_over(&mut desk.book, last_known, now_ms);
+                command::take_over(&mut desk.book, now_ms);
             }
         }
         match config::query::is_eligible(&config, &target) {
@@ -295,7 +287,7 @@
         let Some(desk) = desks.get_mut(target) else {
             return;
         };
-        let Some(ticket) = command::start_next(&mut desk.book, mean, now_ms) else {
+        let Some(ticket) = command::start_next(&mut desk.book, mean) else {
             return;
         };
         if !desk.release(ticket, Start::Go) {
--- a/crates/router/src/owner/takeover.rs
+++ b/crates/router/src/owner/takeover.rs
@@ -41,16 +41,19 @@
 
 fn questions(router: &Router) -> Vec<(Member, Handover)> {
     let me = router.me();
-    let former: Vec<(SmolStr, Member)> = router
+    let former: Vec<(SmolStr, Member, bool)> = router
         .desks
         .lock()
         .iter()
-        .filter_map(|(target, desk)| Some((target.clone(), desk.former.clone()?)))
+        .filter_map(|(target, desk)| {
+            let wants_chats = !query::has_answer(&desk.book);
+            Some((target.clone(), desk.former.clone()?, wants_chats))
+        })
         .collect();
     let view = router.view.lock();
     former
         .into_iter()
-        .map(|(target, former)| {
+        .map(|(target, former, wants_chats)| {
             let believed = membership::query::member(&view, &former.id)
                 .cloned()
                 .unwrap_or_else(|| former.clone());
@@ -58,6 +61,7 @@
                 target,
                 owner: me.clone(),
                 believed,
+                wants_chats,
             };
             (former, question)
         })
@@ -66,8 +70,14 @@
 
 /// Asks one former owner. One that does not answer is left to the take-over time.
 async fn ask(router: &Router, former: Member, question: Handover) {
-    let Ok(answer) = link::handover(router, &former, &question).await else {
-        return;
+    let answer = match link::handover(router, &former, &question).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            if error.is_unsent() {
+                note_gone(router, &question.target);
+            }
+            return;
+        }
     };
     gossip::note_contact(router, answer.member.clone());
     if !answer.agrees {
@@ -83,12 +93,20 @@
     }
 }
 
+/// The former owner's instance refuses connections: its process is gone.
+fn note_gone(router: &Router, target: &SmolStr) {
+    if let Some(desk) = router.desks.lock().get_mut(target) {
+        command::note_former_gone(&mut desk.book);
+    }
+}
+
 /// Answers a new owner. Hearing of it makes this router give the target up, unless it disagrees.
 pub fn answer(router: &Router, question: Handover) -> HandoverAnswer {
     let Handover {
         target,
         owner,
         believed,
+        wants_chats,
     } = question;
     gossip::note_contact(router, owner);
     gossip::note_rumours(router, vec![believed]);
@@ -97,9 +115,11 @@
     let book = desks.get(&target).map(|desk| &desk.book);
     let running = book.map_or(0, query::in_flight);
     let borne = book.map_or(0, query::borne);
-    let chats = book.map_or_else(Vec::new, |book| {
-        query::recent_chats(book, HANDOVER_CHATS_MAX)
-    });
+    let limit = match wants_chats {
+        true => HANDOVER_CHATS_MAX,
+        false => 0,
+    };
+    let chats = book.map_or_else(Vec::new, |book| query::recent_chats(book, limit));
     drop(desks);
     HandoverAnswer {
         member: router.me(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -55,7 +55,7 @@
     pub silence_ms: u64,
     /// How long a suspected router stays an owner, in milliseconds.
     pub suspect_ms: u64,
-    /// How long a new owner without an answer keeps to a part of the limit, in milliseconds.
+    /// How long a new owner without an answer from the former one admits nothing, in milliseconds.
     pub takeover_ms: u64,
     /// Control bytes a second.
     pub control_bytes: u32,
@@ -189,8 +189,8 @@
         "peer",
         "takeover",
         time(100, 60_000),
-        Some("6s"),
-        "How long a new owner without an answer keeps to a part of the limit.",
+        Some("4s"),
+        "How long a new owner without an answer from the former one admits nothing.",
     ),
     key(
         "peer",
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -155,13 +155,14 @@
     let Some(load) = get::<Load>(router, url).await else {
         return;
     };
+    let now_ms = router.now_ms();
     router.reports.lock().insert(target.id.clone(), load);
     if let Some(desk) = router.desks.lock().get_mut(&target.id) {
         let report = Report {
             running: load.running,
             incarnation: load.incarnation,
         };
-        command::note_report(&mut desk.book, report);
+        command::note_report(&mut desk.book, report, now_ms);
     }
 }
 
--- a/crates/wire/src/ask.rs
+++ b/crates/wire/src/ask.rs
@@ -74,6 +74,8 @@
     pub owner: Member,
     /// What the new owner believes of the former one, which refutes it if it is wrong.
     pub believed: Member,
+    /// Whether the recent chats are wanted, as in the first question.
+    pub wants_chats: bool,
 }
 
 /// What a former owner has in flight on a target.
