Let a returning chat wait for its cache as long as a miss would cost

Change: a chat waits at the target that knows it for as long as computing its prompt anew would take there, at most 300 ms (ski rental). Also: a renewed promise of the fence now renews its time, which the property test had shown to lapse.

--- a/crates/core/src/book/query.rs
+++ b/crates/core/src/book/query.rs
@@ -3,6 +3,10 @@
 use super::{Book, Demand, Former};
 use crate::load::{self, Mean};
 
+/// A chat waits no longer than this for the target that holds its cache, in milliseconds: a part of
+/// the 980 ms in which the first token is due.
+pub const FAMILIAR_WAIT_MAX_MS: u64 = 300;
+
 /// Returns the most requests that this owner may have in flight on the target.
 ///
 /// A new owner admits nothing until the former one has answered or has stopped for certain: two
@@ -59,6 +63,20 @@
     book.tokens
 }
 
+/// Returns how long a chat should wait for the target that holds its cache, in milliseconds: as long as
+/// another target would need to compute its prompt anew.
+///
+/// Waiting up to the price of giving up costs at most twice the better choice, whatever comes; see
+/// Karlin, Manasse, Rudolph and Sleator, "Competitive snoopy caching", Algorithmica 3, 1988.
+pub fn worthwhile_wait_ms(book: &Book, tokens: u64) -> u64 {
+    (book.heat.compute_ms(tokens) as u64).min(FAMILIAR_WAIT_MAX_MS)
+}
+
+/// Returns whether one more request may wait without another one being shed.
+pub fn has_queue_room(book: &Book) -> bool {
+    !book.is_closed && book.queue.len() < book.settings.queue_max
+}
+
 /// Returns the number of requests that wait.
 pub fn queue_length(book: &Book) -> usize {
     book.queue.len()
--- a/crates/core/src/fence.rs
+++ b/crates/core/src/fence.rs
@@ -110,13 +110,17 @@
     ///
     /// When the table is full, the id counts as running: the asker must not conclude "not run".
     pub fn ask(&mut self, id: RequestId, now_ms: u64) -> Status {
-        if let Some(entry) = self.entries.get(&id) {
+        let keep_until_ms = now_ms + self.settings.keep_ms;
+        if let Some(entry) = self.entries.get_mut(&id) {
+            if entry.status == Status::Fenced {
+                entry.keep_until_ms = keep_until_ms;
+            }
             return entry.status;
         }
         if self.make_room(now_ms).is_err() {
             return Status::Running;
         }
-        self.put(id, Status::Fenced, now_ms + self.settings.keep_ms);
+        self.put(id, Status::Fenced, keep_until_ms);
         Status::Fenced
     }
 
--- a/crates/core/src/heat.rs
+++ b/crates/core/src/heat.rs
@@ -98,6 +98,12 @@
         self.limit >= self.slots
     }
 
+    /// Returns how long the target needs to compute this many prompt tokens, in milliseconds; zero
+    /// where that is not known.
+    pub fn compute_ms(&self, tokens: u64) -> f64 {
+        self.usual_ms.unwrap_or(0.0) * tokens as f64
+    }
+
     /// Falls back to the cold limit.
     pub fn reset(&mut self) {
         self.limit = self.settings.cold_limit.min(self.slots);
--- a/crates/router/src/entry/drive.rs
+++ b/crates/router/src/entry/drive.rs
@@ -29,7 +29,7 @@
 use crate::settings::Policy;
 
 /// The targets that a request is offered to in one pass.
-const RANKS_MAX: usize = 6;
+const RANKS_MAX: usize = 8;
 
 /// The passes after the first.
 const PASSES_MAX: u32 = 8;
--- a/crates/router/src/owner.rs
+++ b/crates/router/src/owner.rs
@@ -56,10 +56,21 @@
 /// What became of an offer.
 enum Admission {
     Runs(Ticket, Target, Sample),
-    Waits(Ticket, oneshot::Receiver<Start>, Target),
+    Waits(Wait),
     Refused(Refusal),
 }
 
+/// A request in the queue.
+struct Wait {
+    ticket: Ticket,
+    start: oneshot::Receiver<Start>,
+    target: Target,
+    /// How long it waits, in milliseconds.
+    longest_ms: u64,
+    /// Why it is refused after that.
+    reason: Reason,
+}
+
 /// Takes a request in and returns the frames of its answer. Dropping the receiver tells that the
 /// entry has left.
 pub fn serve(router: Arc<Router>, request: Request) -> mpsc::Receiver<Frame> {
@@ -126,8 +137,10 @@
             return Outcome::NotRun;
         }
         Admission::Runs(ticket, target, sample) => (ticket, target, sample),
-        Admission::Waits(ticket, start, target) => {
-            match wait(router, request, reply, ticket, start).await {
+        Admission::Waits(waiting) => {
+            let ticket = waiting.ticket;
+            let target = waiting.target.clone();
+            match wait(router, request, reply, waiting).await {
                 Ok(sample) => (ticket, target, sample),
                 Err(refusal) => {
                     refuse(router, reply, refusal).await;
@@ -177,7 +190,47 @@
             return Admission::Refused(refusal(router, Reason::Unfamiliar, 0));
         }
     }
-    let demand = Demand {
+    let demand = demand(request);
+    let retry_after_ms = desk.retry_after_ms();
+    let full = match command::admit(&mut desk.book, &demand, mean) {
+        Ok(ticket) => return Admission::Runs(ticket, target, own),
+        Err(Reason::Full) => refusal(router, Reason::Full, retry_after_ms),
+        Err(reason) => return Admission::Refused(refusal(router, reason, retry_after_ms)),
+    };
+    let (longest_ms, reason) = match request.offer {
+        Offer::IfRoom => return Admission::Refused(full),
+        Offer::IfFamiliar => {
+            let longest_ms = query::worthwhile_wait_ms(&desk.book, request.tokens);
+            if longest_ms == 0 || !query::has_queue_room(&desk.book) {
+                return Admission::Refused(full);
+            }
+            (longest_ms, Reason::Full)
+        }
+        Offer::OrQueue => {
+            let longest_ms = router.parameter(Parameter::QueueWaitMs, &target) as u64;
+            (longest_ms, Reason::Waited)
+        }
+    };
+    let ticket = match command::enter(&mut desk.book, demand, mean) {
+        Ok(command::Entrance::Runs(ticket)) => return Admission::Runs(ticket, target, own),
+        Ok(command::Entrance::Waits(ticket)) => ticket,
+        Ok(command::Entrance::Displaces(ticket, other)) => {
+            desk.release(other, Start::Refused(Reason::Shed));
+            ticket
+        }
+        Err(reason) => return Admission::Refused(refusal(router, reason, retry_after_ms)),
+    };
+    Admission::Waits(Wait {
+        ticket,
+        start: desk.add_waiter(ticket),
+        target,
+        longest_ms: longest_ms.min(request.deadline_ms),
+        reason,
+    })
+}
+
+fn demand(request: &Request) -> Demand {
+    Demand {
         flow: Flow {
             member: request.member.clone(),
             organisation: request.organisation.clone(),
@@ -185,26 +238,6 @@
             class: request.class,
         },
         tokens: request.tokens,
-    };
-    let retry_after_ms = desk.retry_after_ms();
-    if request.offer != Offer::OrQueue {
-        return match command::admit(&mut desk.book, &demand, mean) {
-            Ok(ticket) => Admission::Runs(ticket, target, own),
-            Err(reason) => Admission::Refused(refusal(router, reason, retry_after_ms)),
-        };
-    }
-    match command::enter(&mut desk.book, demand, mean) {
-        Ok(command::Entrance::Runs(ticket)) => Admission::Runs(ticket, target, own),
-        Ok(command::Entrance::Waits(ticket)) => {
-            let start = desk.add_waiter(ticket);
-            Admission::Waits(ticket, start, target)
-        }
-        Ok(command::Entrance::Displaces(ticket, other)) => {
-            desk.release(other, Start::Refused(Reason::Shed));
-            let start = desk.add_waiter(ticket);
-            Admission::Waits(ticket, start, target)
-        }
-        Err(reason) => Admission::Refused(refusal(router, reason, retry_after_ms)),
     }
 }
 
@@ -240,19 +273,22 @@
     router: &Arc<Router>,
     request: &Request,
     reply: &mut Reply,
-    ticket: Ticket,
-    mut start: oneshot::Receiver<Start>,
+    waiting: Wait,
 ) -> std::result::Result<Sample, Refusal> {
-    let longest_ms = desk::owned(router, &request.target).map_or(0.0, |target| {
-        router.parameter(Parameter::QueueWaitMs, &target)
-    }) as u64;
-    let deadline = time::sleep(Duration::from_millis(longest_ms.min(request.deadline_ms)));
+    let Wait {
+        ticket,
+        mut start,
+        longest_ms,
+        reason,
+        target,
+    } = waiting;
+    let deadline = time::sleep(Duration::from_millis(longest_ms));
     tokio::pin!(deadline);
-    let mut signs = time::interval(SIGN_OF_LIFE);
+    let mut signs = time::interval_at(time::Instant::now() + SIGN_OF_LIFE, SIGN_OF_LIFE);
     let verdict = loop {
         tokio::select! {
             verdict = &mut start => break verdict.unwrap_or(Start::Refused(Reason::Leaving)),
-            () = &mut deadline => break Start::Refused(Reason::Waited),
+            () = &mut deadline => break Start::Refused(reason),
             () = reply.closed() => break Start::Refused(Reason::Cut),
             _ = signs.tick() => {
                 // A failure to send shows as `closed` in the next round.
@@ -261,9 +297,7 @@
         }
     };
     let Start::Refused(reason) = verdict else {
-        let desks = router.desks.lock();
-        let pool = desks.get(&request.target).map(|desk| &desk.target.pool);
-        return Ok(pool.map_or_else(Sample::default, |pool| desk::own(&desks, pool)));
+        return Ok(desk::own(&router.desks.lock(), &target.pool));
     };
     let retry_after_ms = desk::withdraw(router, &request.target, ticket, start);
     Err(refusal(router, reason, retry_after_ms))
