Prove answers, configuration and planned stops with real processes and a fault matrix

The frames name their request, but the answers to control questions did not, so the kept answer of another request was delivered. They name it now, and one that names another is dropped.

--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use futures_util::future::join_all;
 use indexmap::IndexMap;
+use parking_lot::Mutex;
 use reqwest::Client;
 use sardinemux_core::config::{query, Change, ChangeId, Organisation, Stop, StopKind};
 use sardinemux_core::target::{Kind, Target};
@@ -132,7 +133,7 @@
     /// The platform.
     pub platform: SocketAddr,
     proxy: Option<SocketAddr>,
-    processes: IndexMap<String, Process>,
+    processes: Mutex<IndexMap<String, Process>>,
     folder: PathBuf,
 }
 
@@ -150,7 +151,7 @@
     ///
     /// What went wrong at the start.
     pub async fn start(settings: Settings) -> Result<Self> {
-        let mut fleet = Self::lay_out(settings)?;
+        let fleet = Self::lay_out(settings)?;
         fleet.start_standins()?;
         let platform = fleet.platform;
         fleet.wait_for(platform).await?;
@@ -247,25 +248,25 @@
             services,
             platform,
             proxy,
-            processes: IndexMap::new(),
+            processes: Mutex::default(),
             folder,
             settings,
         })
     }
 
-    fn start_process(&mut self, name: &str, program: &str, arguments: Vec<String>) -> Result<()> {
+    fn start_process(&self, name: &str, program: &str, arguments: Vec<String>) -> Result<()> {
         let process = Process::start(name, program, &arguments, &self.folder)?;
-        self.processes.insert(name.to_owned(), process);
+        self.processes.lock().insert(name.to_owned(), process);
         Ok(())
     }
 
-    fn start_standin(&mut self, name: &str, arguments: &[&str], more: &[String]) -> Result<()> {
+    fn start_standin(&self, name: &str, arguments: &[&str], more: &[String]) -> Result<()> {
         let mut all: Vec<String> = arguments.iter().map(|part| (*part).to_owned()).collect();
         all.extend_from_slice(more);
         self.start_process(name, "sardinemux-standin", all)
     }
 
-    fn start_standins(&mut self) -> Result<()> {
+    fn start_standins(&self) -> Result<()> {
         let platform = self.platform.to_string();
         let lag = self.settings.list_lag_ms.to_string();
         let arguments = ["platform", "--address", &platform, "--list-lag-ms", &lag];
@@ -305,7 +306,7 @@
     /// # Errors
     ///
     /// `Error::Start` if the binary is missing.
-    pub fn start_engine(&mut self, index: usize) -> Result<()> {
+    pub fn start_engine(&self, index: usize) -> Result<()> {
         let per_process = self.settings.engines_per_process.max(1);
         let count = per_process.min(self.engines.len() - index).to_string();
         let address = self.engines[index].address.to_string();
@@ -319,7 +320,7 @@
     /// # Errors
     ///
     /// `Error::Start` if the binary is missing.
-    pub fn start_service(&mut self, index: usize) -> Result<()> {
+    pub fn start_service(&self, index: usize) -> Result<()> {
         let address = self.services[index].address.to_string();
         let more = self.settings.service_arguments.clone();
         let name = format!("service{index}");
@@ -342,7 +343,7 @@
         Ok(what)
     }
 
-    fn start_admin(&mut self, index: usize) -> Result<()> {
+    fn start_admin(&self, index: usize) -> Result<()> {
         let name = format!("admin{index}");
         let lines = [
             ("admin", "address", self.admins[index].to_string()),
@@ -360,7 +361,7 @@
     /// # Errors
     ///
     /// `Error::Start` if the binary is missing, `Error::Io` if its settings cannot be written.
-    pub fn start_router(&mut self, index: usize) -> Result<()> {
+    pub fn start_router(&self, index: usize) -> Result<()> {
         let place = self.routers[index].clone();
         let mut lines = vec![
             ("instance", "id", place.id.clone()),
@@ -400,7 +401,8 @@
     /// `Error::Late` if one is not.
     pub async fn wait_ready(&self) -> Result<()> {
         for router in &self.routers {
-            if self.processes.contains_key(&router.id) {
+            let is_running = self.processes.lock().contains_key(&router.id);
+            if is_running {
                 self.wait_router_ready(router).await?;
             }
         }
@@ -596,19 +598,52 @@
         Ok(())
     }
 
-    /// Returns a process by its name.
+    fn signal(&self, name: &str, send: impl Fn(&Process) -> Result<()>) -> Result<()> {
+        let processes = self.processes.lock();
+        send(processes.get(name).context(NoProcessSnafu { name })?)
+    }
+
+    /// Stops a process where it stands.
+    ///
+    /// # Errors
+    ///
+    /// `Error::NoProcess` if there is none, `Error::Signal` if it has ended.
+    pub fn freeze(&self, name: &str) -> Result<()> {
+        self.signal(name, Process::freeze)
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Fleet::freeze`].
+    pub fn thaw(&self, name: &str) -> Result<()> {
+        self.signal(name, Process::thaw)
+    }
+
+    /// Asks a process to end gracefully, and waits until it has.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Fleet::freeze`], and `Error::Late` if it goes on.
+    pub async fn terminate(&self, name: &str) -> Result<()> {
+        self.signal(name, Process::terminate)?;
+        self.ended(name).await
+    }
+
+    /// Waits until a process has ended of its own accord.
     ///
     /// # Errors
     ///
-    /// `Error::NoProcess` if there is none.
-    pub fn process(&mut self, name: &str) -> Result<&mut Process> {
-        let process = self.processes.get_mut(name);
-        process.context(NoProcessSnafu { name })
+    /// `Error::NoProcess` if there is none, `Error::Late` if it goes on.
+    pub async fn ended(&self, name: &str) -> Result<()> {
+        let process = self.processes.lock().shift_remove(name);
+        process.context(NoProcessSnafu { name })?.ended().await
     }
 
     /// Kills a process.
-    pub fn kill(&mut self, name: &str) {
-        self.processes.shift_remove(name);
+    pub fn kill(&self, name: &str) {
+        self.processes.lock().shift_remove(name);
     }
 
     /// Sets the fault of the proxy before an address.
@@ -697,7 +732,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        self.processes.clear();
+        self.processes.lock().clear();
         // Logs are kept only for a run that failed.
         if !std::thread::panicking() && std::env::var_os("SARDINEMUX_KEEP_LOGS").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
--- a/crates/proof/src/scenario.rs
+++ b/crates/proof/src/scenario.rs
@@ -75,7 +75,7 @@
 ///
 /// What went wrong at the start of the fleet or the load.
 pub async fn run(scenario: Scenario, settings: Settings, load: Load) -> Result<Report> {
-    let mut fleet = Fleet::start(settings).await?;
+    let fleet = Fleet::start(settings).await?;
     let places = fleet.load();
     let load = Load {
         surge: match scenario {
@@ -93,12 +93,12 @@
     };
     let length = load.time;
     let loading = tokio::spawn(run::run(load));
-    happen(scenario, &mut fleet, length).await?;
+    happen(scenario, &fleet, length).await?;
     let report = loading.await.unwrap_or_else(|_| Ok(Report::default()))?;
     Ok(report)
 }
 
-async fn happen(scenario: Scenario, fleet: &mut Fleet, length: Duration) -> Result<()> {
+async fn happen(scenario: Scenario, fleet: &Fleet, length: Duration) -> Result<()> {
     let third = length / 3;
     match scenario {
         Scenario::Churn | Scenario::Surge => {}
@@ -130,12 +130,10 @@
 }
 
 /// Replaces every router gracefully, one after the other.
-pub async fn rolling(fleet: &mut Fleet) -> Result<()> {
+pub async fn rolling(fleet: &Fleet) -> Result<()> {
     for index in 0..fleet.routers.len() {
         let place = fleet.routers[index].clone();
-        let process = fleet.process(&place.id)?;
-        process.terminate()?;
-        process.ended().await?;
+        fleet.terminate(&place.id).await?;
         fleet.start_router(index)?;
         fleet.wait_router_ready(&place).await?;
     }
--- /dev/null
+++ b/crates/proof/tests/path.rs
@@ -0,0 +1,166 @@
+//! The whole path with real processes: callers' input, answers and errors.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use reqwest::StatusCode;
+use rstest::rstest;
+use sardinemux_proof::fleet::{Fleet, Settings};
+use sardinemux_proof::matrix::{self, Told};
+use sardinemux_wire::caller::{ErrorBody, Kind};
+use serde_json::{json, Value};
+
+fn small() -> Settings {
+    Settings {
+        routers: 3,
+        engines: 3,
+        services: 2,
+        ..Settings::default()
+    }
+}
+
+async fn refusal(request: reqwest::RequestBuilder) -> (StatusCode, Kind) {
+    let response = request.send().await.unwrap();
+    let status = response.status();
+    let body: ErrorBody = response.json().await.unwrap();
+    (status, body.error.kind)
+}
+
+/// One fleet serves all the cases of this file's first test, as starting one takes seconds.
+#[tokio::test]
+async fn verify_requests_and_errors_of_callers() {
+    let fleet = Fleet::start(small()).await.unwrap();
+    for entry in 0..3 {
+        assert_eq!(
+            matrix::send_chat(&fleet, entry, true, 20).await,
+            Told::Completed
+        );
+        assert_eq!(
+            matrix::send_chat(&fleet, entry, false, 20).await,
+            Told::Completed
+        );
+        let attempt = matrix::attempt(&fleet, entry, true).await;
+        assert_eq!(attempt.told, [Told::Completed]);
+        let attempt = matrix::attempt(&fleet, entry, false).await;
+        assert_eq!(attempt.told, [Told::Completed]);
+    }
+
+    let entry = fleet.routers[0].entry;
+    let chats = format!("http://{entry}/v1/chat/completions");
+    let post = |body: Value| {
+        fleet
+            .client
+            .post(&chats)
+            .bearer_auth(fleet.key(0))
+            .json(&body)
+    };
+    let message = json!([{"role": "user", "content": "hello"}]);
+    let cases = [
+        (
+            fleet
+                .client
+                .post(&chats)
+                .bearer_auth("wrong")
+                .json(&json!({})),
+            (StatusCode::UNAUTHORIZED, Kind::Unauthorized),
+        ),
+        (
+            fleet.client.post(&chats).json(&json!({})),
+            (StatusCode::UNAUTHORIZED, Kind::Unauthorized),
+        ),
+        (
+            post(json!({"model": "none", "messages": message})),
+            (StatusCode::NOT_FOUND, Kind::NotFound),
+        ),
+        (
+            post(json!({"model": "sardine-7b"})),
+            (StatusCode::BAD_REQUEST, Kind::Malformed),
+        ),
+        (
+            post(json!({"model": "sardine-7b", "messages": []})),
+            (StatusCode::BAD_REQUEST, Kind::Malformed),
+        ),
+        (
+            post(json!({"model": "sardine-7b", "messages": message})).header("X-Class", "urgent"),
+            (StatusCode::BAD_REQUEST, Kind::Malformed),
+        ),
+        (
+            post(json!({"model": "sardine-7b", "messages": message}))
+                .header("Idempotency-Key", "k"),
+            (StatusCode::BAD_REQUEST, Kind::Malformed),
+        ),
+        (
+            post(json!({"model": "sardine-7b", "messages": "x".repeat(2 << 20)})),
+            (StatusCode::PAYLOAD_TOO_LARGE, Kind::TooLarge),
+        ),
+        (
+            fleet
+                .client
+                .post(format!("http://{entry}/services/none/x"))
+                .bearer_auth(fleet.key(0)),
+            (StatusCode::NOT_FOUND, Kind::NotFound),
+        ),
+        (
+            fleet.client.get(format!("http://{entry}/elsewhere")),
+            (StatusCode::NOT_FOUND, Kind::NotFound),
+        ),
+    ];
+    for (request, expected) in cases {
+        assert_eq!(refusal(request).await, expected);
+    }
+    // Nothing of the refused requests reached a target.
+    let mut accepted = 0;
+    for index in 0..fleet.engines.len() {
+        accepted += fleet.engine_stats(index).await.unwrap().accepted;
+    }
+    assert_eq!(accepted, 6);
+}
+
+/// A key names one operation: a repeat gets the recorded answer on any router, another request with
+/// the same key is refused.
+#[tokio::test]
+async fn verify_idempotency_key_is_replayed_anywhere() {
+    let fleet = Fleet::start(small()).await.unwrap();
+    let send = |entry: usize, operation: &str| {
+        let address = fleet.routers[entry].entry;
+        fleet
+            .client
+            .post(format!("http://{address}/services/booking/items"))
+            .bearer_auth(fleet.key(0))
+            .header("Idempotency-Key", "one key")
+            .json(&json!({"operation": operation}))
+            .send()
+    };
+    let first = send(0, "one").await.unwrap().text().await.unwrap();
+    for entry in 0..3 {
+        let repeat = send(entry, "one").await.unwrap();
+        assert_eq!(repeat.headers()["X-Replayed"], "true");
+        assert_eq!(repeat.text().await.unwrap(), first);
+    }
+    let other = send(1, "two").await.unwrap();
+    assert_eq!(other.status(), StatusCode::UNPROCESSABLE_ENTITY);
+    let runs = matrix::runs(&fleet).await.unwrap();
+    assert_eq!(runs.get("one"), Some(&1));
+    assert_eq!(runs.get("two"), None);
+}
+
+/// An entry that answers "not run" says when to come back, at once.
+#[rstest]
+#[case::chat(true)]
+#[case::service(false)]
+#[tokio::test]
+async fn verify_refusal_says_when_to_come_back(#[case] is_chat: bool) {
+    let fleet = Fleet::start(small()).await.unwrap();
+    for zone in ["z1", "z2", "z3"] {
+        fleet.set_zone(zone, true).await.unwrap();
+    }
+    fleet.wait_in_force().await.unwrap();
+    let told = match is_chat {
+        true => matrix::send_chat(&fleet, 0, true, 4).await,
+        false => matrix::send_operation(&fleet, 0, "one", false).await,
+    };
+    let expected = Told::Refused {
+        outcome: sardinemux_core::outcome::Outcome::NotRun,
+        has_retry_after: true,
+    };
+    assert_eq!(told, expected);
+}
--- a/crates/router/src/errors.rs
+++ b/crates/router/src/errors.rs
@@ -45,6 +45,9 @@
         /// The HTTP status.
         status: u16,
     },
+    /// A peer's answer belongs to another question.
+    #[snafu(display("the answer belongs to another question"))]
+    Crossed,
     /// An entry of the configuration log cannot be applied.
     #[snafu(
         display("the configuration cannot be applied: {source}"),
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time;
 
-use crate::errors::{PeerSnafu, StatusSnafu};
+use crate::errors::{CrossedSnafu, PeerSnafu, StatusSnafu};
 use crate::prelude::*;
 
 /// The bytes of an HTTP request around its body, counted on the socket.
@@ -81,10 +81,14 @@
 ///
 /// # Errors
 ///
-/// `Error::Peer`, `Error::Status` or `Error::Wire`.
+/// `Error::Peer`, `Error::Status` or `Error::Wire`; `Error::Crossed` for an answer to another
+/// question.
 pub async fn gossip(router: &Router, member: &Member, message: &Message) -> Result<Message> {
     let client = &router.clients.control;
-    exchange(router, client, member, "/peer/gossip", message).await
+    let answer: Message = exchange(router, client, member, "/peer/gossip", message).await?;
+    let sender = answer.members.first().map(|sender| &sender.id);
+    ensure!(sender == Some(&member.id), CrossedSnafu);
+    Ok(answer)
 }
 
 /// Asks an owner what became of a request, on a fresh connection.
@@ -94,7 +98,10 @@
 /// As for [`gossip`].
 pub async fn fate(router: &Router, member: &Member, id: RequestId) -> Result<FateAnswer> {
     let client = &router.clients.fresh;
-    exchange(router, client, member, "/peer/fate", &Fate { id }).await
+    let question = Fate { id };
+    let answer: FateAnswer = exchange(router, client, member, "/peer/fate", &question).await?;
+    ensure!(answer.id == id, CrossedSnafu);
+    Ok(answer)
 }
 
 /// Asks a former owner to hand a target over.
@@ -108,7 +115,11 @@
     question: &Handover,
 ) -> Result<HandoverAnswer> {
     let client = &router.clients.control;
-    exchange(router, client, member, "/peer/handover", question).await
+    let answer: HandoverAnswer =
+        exchange(router, client, member, "/peer/handover", question).await?;
+    let is_own = answer.target == question.target && answer.member.id == member.id;
+    ensure!(is_own, CrossedSnafu);
+    Ok(answer)
 }
 
 /// Asks the holder of a claim in the ledger what became of it, on a fresh connection.
@@ -118,7 +129,9 @@
 /// As for [`gossip`].
 pub async fn claim(router: &Router, member: &Member, question: &Claim) -> Result<ClaimAnswer> {
     let client = &router.clients.fresh;
-    exchange(router, client, member, "/peer/claim", question).await
+    let answer: ClaimAnswer = exchange(router, client, member, "/peer/claim", question).await?;
+    ensure!(answer.nonce == question.nonce, CrossedSnafu);
+    Ok(answer)
 }
 
 /// Asks a peer for the configuration that follows a version.
--- a/crates/router/src/owner/takeover.rs
+++ b/crates/router/src/owner/takeover.rs
@@ -122,6 +122,7 @@
     let chats = book.map_or_else(Vec::new, |book| query::recent_chats(book, limit));
     drop(desks);
     HandoverAnswer {
+        target,
         member: router.me(),
         running,
         borne,
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -111,6 +111,7 @@
     let kept = router.kept.lock();
     let kept = kept.get(&question.id).map(|kept| kept.answer.clone());
     let reply = FateAnswer {
+        id: question.id,
         boot: router.boot,
         status,
         answer: kept,
@@ -130,6 +131,7 @@
     let (question, received) = read::<Claim>(data).await?;
     let status = router.claims.lock().get(&question.nonce).copied();
     let reply = ClaimAnswer {
+        nonce: question.nonce,
         boot: router.boot,
         status: status.unwrap_or(ClaimStatus::NotDispatched),
     };
--- a/crates/wire/src/ask.rs
+++ b/crates/wire/src/ask.rs
@@ -16,6 +16,8 @@
 /// What an owner says of a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FateAnswer {
+    /// The request; an answer that was crossed names another one.
+    pub id: RequestId,
     /// The process that answers; it cannot speak for an earlier one.
     pub boot: u64,
     /// What it knows.
@@ -58,6 +60,8 @@
 /// What the holder of a claim says.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ClaimAnswer {
+    /// The claim; an answer that was crossed names another one.
+    pub nonce: Nonce,
     /// The process that answers; it cannot speak for an earlier one.
     pub boot: u64,
     /// How the claim stands.
@@ -81,6 +85,8 @@
 /// What a former owner has in flight on a target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HandoverAnswer {
+    /// The target; an answer that was crossed names another one.
+    pub target: SmolStr,
     /// The router that answers.
     pub member: Member,
     /// The requests in flight.
