--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use futures_util::future::join_all;
 use indexmap::IndexMap;
@@ -22,7 +22,7 @@
 use crate::client::{self, until};
 use crate::errors::{IoSnafu, NoProcessSnafu, Result};
 use crate::ports;
-use crate::process::Process;
+use crate::process::{Process, Usage};
 
 /// The token of the consortium's first operator.
 pub const FIRST_TOKEN: &str = "first-operator";
@@ -134,6 +134,7 @@
     pub platform: SocketAddr,
     proxy: Option<SocketAddr>,
     processes: Mutex<IndexMap<String, Process>>,
+    version: AtomicU64,
     folder: PathBuf,
 }
 
@@ -249,6 +250,7 @@
             platform,
             proxy,
             processes: Mutex::default(),
+            version: AtomicU64::new(0),
             folder,
             settings,
         })
@@ -547,7 +549,16 @@
     ) -> Result<Verdict> {
         let url = format!("http://{}/v1/changes", self.admins[admin]);
         let request = self.client.post(&url).bearer_auth(token).json(submission);
-        client::json(&url, request).await
+        let verdict = client::json(&url, request).await?;
+        if let Verdict::Accepted { entry } = &verdict {
+            self.version.fetch_max(entry.version, Ordering::SeqCst);
+        }
+        Ok(verdict)
+    }
+
+    /// Returns the newest version that was accepted through this fleet's handle.
+    pub fn newest_version(&self) -> u64 {
+        self.version.load(Ordering::SeqCst)
     }
 
     /// Reads something of the administration API as the first operator.
@@ -603,6 +614,11 @@
         send(processes.get(name).context(NoProcessSnafu { name })?)
     }
 
+    /// Returns what a process has used, if it runs.
+    pub fn usage(&self, name: &str) -> Option<Usage> {
+        self.processes.lock().get(name)?.usage()
+    }
+
     /// Stops a process where it stands.
     ///
     /// # Errors
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -1,6 +1,7 @@
 //! Starts a whole fleet on one machine: real processes, stand-ins for what surrounds them, and
 //! fault-injecting proxies between them.
 
+pub mod capacity;
 pub mod chart;
 pub mod client;
 pub mod errors;
@@ -9,3 +10,4 @@
 pub mod ports;
 pub mod process;
 pub mod scenario;
+pub mod slope;
--- a/crates/proof/src/main.rs
+++ b/crates/proof/src/main.rs
@@ -1,11 +1,13 @@
 //! The trial binary: a fleet on one machine, a scenario, a load, and the report.
 
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::{value_parser, Arg, ArgMatches, Command};
 use sardinemux_load::report::Report;
 use sardinemux_load::run::Settings as Load;
+use sardinemux_proof::capacity;
 use sardinemux_proof::errors::{Error, Result};
 use sardinemux_proof::fleet::Settings;
 use sardinemux_proof::scenario::{self, Scenario};
@@ -60,6 +62,12 @@
                 .action(clap::ArgAction::SetTrue)
                 .help("Fail unless every request completes"),
         )
+        .arg(
+            Arg::new("capacity")
+                .long("capacity")
+                .value_name("PAGE")
+                .help("Measure slopes instead, and write them into the capacity page"),
+        )
         .arg(
             Arg::new("json")
                 .long("json")
@@ -143,6 +151,12 @@
             what: "the runtime".to_owned(),
             source,
         })?;
+    if let Some(page) = matches.get_one::<String>("capacity") {
+        let measured = runtime.block_on(capacity::measure())?;
+        println!("{}", capacity::tables(&measured));
+        capacity::write(&measured, Path::new(page))?;
+        return Ok(true);
+    }
     let reports = runtime.block_on(work(matches))?;
     let lines = lines(&reports);
     if let Some(file) = matches.get_one::<String>("json") {
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -17,6 +17,35 @@
 /// The pause between two looks at a process.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Processor time in seconds.
+    pub cpu_s: f64,
+    /// Resident memory in bytes.
+    pub rss_bytes: f64,
+}
+
+/// Returns what a process has used, if it runs.
+///
+/// # Examples
+///
+/// ```
+/// let usage = sardinemux_proof::process::usage_of(std::process::id());
+/// assert!(usage.is_some_and(|usage| usage.rss_bytes > 0.0));
+/// ```
+pub fn usage_of(pid: u32) -> Option<Usage> {
+    let stat = procfs::process::Process::new(pid as i32)
+        .ok()?
+        .stat()
+        .ok()?;
+    let ticks = (stat.utime + stat.stime) as f64;
+    Some(Usage {
+        cpu_s: ticks / procfs::ticks_per_second() as f64,
+        rss_bytes: stat.rss as f64 * procfs::page_size() as f64,
+    })
+}
+
 /// A process that ends with its owner.
 #[derive(Debug)]
 pub struct Process {
@@ -70,6 +99,11 @@
         })
     }
 
+    /// Returns what the process has used, if it runs.
+    pub fn usage(&self) -> Option<Usage> {
+        usage_of(self.child.id())
+    }
+
     /// Stops the process where it stands.
     ///
     /// # Errors
