Give orders to engines by one lease holder; split large files; read the list on change

Change: a lease in one row of the table, counted on each process's own clock and taken over after it was seen unchanged for longer than the lease; duties in the configuration; the state of each engine is read again every round, so that an engine that ignores fencing numbers is put right. The list is read with its ETag, and traffic with the platform is counted. Ruled out: an expiry time in the row, which compares two instances' clocks.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod log;
 pub mod openapi;
+pub mod orders;
 pub mod routes;
 pub mod run;
 pub mod settings;
--- a/crates/admin/src/openapi.rs
+++ b/crates/admin/src/openapi.rs
@@ -29,7 +29,7 @@
 }
 
 /// Every route of the API.
-pub const OPERATIONS: [Operation; 12] = [
+pub const OPERATIONS: [Operation; 13] = [
     Operation {
         path: "/v1/changes",
         method: "post",
@@ -56,6 +56,7 @@
         &[],
         "List planned stops; a stop of a zone takes it out.",
     ),
+    get("/v1/duties", &[], "List what engines are ordered to serve."),
     get(
         "/v1/organisations",
         &[],
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -47,6 +47,7 @@
         defaults,
         exceptions,
         stops,
+        duties,
         organisations,
         operators,
         history,
@@ -184,6 +185,12 @@
     answer(state.map(|state| state.stops.into_values().collect::<Vec<_>>()))
 }
 
+#[get("/v1/duties")]
+async fn duties(admin: &Shared, token: Token) -> Reply {
+    let state = state(admin, &token).await;
+    answer(state.map(|state| state.duties))
+}
+
 /// Lists organisations; a member's operator sees that member's, and nobody sees key digests.
 #[get("/v1/organisations")]
 async fn organisations(admin: &Shared, token: Token) -> Reply {
--- a/crates/admin/src/run.rs
+++ b/crates/admin/src/run.rs
@@ -13,6 +13,7 @@
 use crate::errors::{Result, SignalSnafu};
 use crate::fleet::Fleet;
 use crate::log::Log;
+use crate::orders;
 use crate::routes::{self, Admin};
 use crate::settings::Settings;
 
@@ -32,6 +33,7 @@
         },
         settings,
     });
+    tokio::spawn(orders::run(admin.clone()));
     let server_settings = server::Settings {
         address: admin.settings.address,
         ..server::Settings::default()
--- a/crates/core/src/book/query.rs
+++ b/crates/core/src/book/query.rs
@@ -5,7 +5,10 @@
 
 /// A chat waits no longer than this for the target that holds its cache, in milliseconds: a part of
 /// the 980 ms in which the first token is due.
-pub const FAMILIAR_WAIT_MAX_MS: u64 = 300;
+pub const FAMILIAR_WAIT_MAX_MS: u64 = 400;
+
+/// The price of a move, against the time in which a prompt is computed anew.
+const WAIT_FACTOR: f64 = 2.0;
 
 /// Returns the most requests that this owner may have in flight on the target.
 ///
@@ -63,13 +66,14 @@
     book.tokens
 }
 
-/// Returns how long a chat should wait for the target that holds its cache, in milliseconds: as long as
-/// another target would need to compute its prompt anew.
+/// Returns how long a chat should wait for the target that holds its cache, in milliseconds: a multiple
+/// of the time in which another target would compute its prompt anew.
 ///
 /// Waiting up to the price of giving up costs at most twice the better choice, whatever comes; see
-/// Karlin, Manasse, Rudolph and Sleator, "Competitive snoopy caching", Algorithmica 3, 1988.
+/// Karlin, Manasse, Rudolph and Sleator, "Competitive snoopy caching", Algorithmica 3, 1988. The price
+/// is counted twice, as a move also takes the other target's time from its other chats.
 pub fn worthwhile_wait_ms(book: &Book, tokens: u64) -> u64 {
-    (book.heat.compute_ms(tokens) as u64).min(FAMILIAR_WAIT_MAX_MS)
+    (WAIT_FACTOR * book.heat.compute_ms(tokens)).min(FAMILIAR_WAIT_MAX_MS as f64) as u64
 }
 
 /// Returns whether one more request may wait without another one being shed.
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -100,6 +100,21 @@
     pub token_digest: SmolStr,
 }
 
+/// What an engine is to serve, and in which role.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Duty {
+    /// The model.
+    pub model: SmolStr,
+    /// The version of its weights.
+    pub version: SmolStr,
+    /// The adapters.
+    #[serde(default)]
+    pub adapters: Vec<SmolStr>,
+    /// The role, such as prefill or decode; empty for both.
+    #[serde(default)]
+    pub role: SmolStr,
+}
+
 /// One change of one key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -138,6 +153,18 @@
         /// Its name.
         name: SmolStr,
     },
+    /// Orders an engine to take up a duty.
+    SetDuty {
+        /// The engine.
+        engine: SmolStr,
+        /// The duty.
+        duty: Duty,
+    },
+    /// Orders nothing of an engine any more; it stays as it is.
+    RemoveDuty {
+        /// The engine.
+        engine: SmolStr,
+    },
     /// Creates or replaces an operator.
     SetOperator(Operator),
     /// Removes an operator.
@@ -179,6 +206,7 @@
             Self::EndStop { kind, name } => return stop_key(*kind, name),
             Self::SetOrganisation(organisation) => format!("organisation/{}", organisation.name),
             Self::RemoveOrganisation { name } => format!("organisation/{name}"),
+            Self::SetDuty { engine, .. } | Self::RemoveDuty { engine } => format!("duty/{engine}"),
             Self::SetOperator(operator) => format!("operator/{}", operator.name),
             Self::RemoveOperator { name } => format!("operator/{name}"),
         }
@@ -235,6 +263,9 @@
     pub stops: IndexMap<SmolStr, Stop>,
     /// Organisations by name.
     pub organisations: IndexMap<SmolStr, Organisation>,
+    /// The duties of engines by name.
+    #[serde(default)]
+    pub duties: IndexMap<SmolStr, Duty>,
     /// Operators by name.
     pub operators: IndexMap<SmolStr, Operator>,
     /// The version at which each key was last changed.
--- a/crates/core/src/config/command.rs
+++ b/crates/core/src/config/command.rs
@@ -102,6 +102,12 @@
             remove_digests(state, name);
             state.organisations.swap_remove(name);
         }
+        Change::SetDuty { engine, duty } => {
+            state.duties.insert(engine.clone(), duty.clone());
+        }
+        Change::RemoveDuty { engine } => {
+            state.duties.swap_remove(engine);
+        }
         Change::SetOperator(operator) => {
             state
                 .operators
@@ -176,6 +182,18 @@
                 name: name.clone(),
             })
         }
+        Change::SetDuty { engine, duty } => {
+            check_text("engine", engine)?;
+            check_text("model", &duty.model)?;
+            check_text("version", &duty.version)
+        }
+        Change::RemoveDuty { engine } => {
+            let is_known = state.duties.contains_key(engine);
+            is_known.then_some(()).context(UnknownSnafu {
+                kind: "duty of engine",
+                name: engine.clone(),
+            })
+        }
         Change::SetOperator(operator) => {
             check_text("name", &operator.name)?;
             check_text("token digest", &operator.token_digest)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fence;
 pub mod hash;
 pub mod heat;
+pub mod lease;
 pub mod ledger;
 pub mod load;
 pub mod membership;
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -1,15 +1,16 @@
-//! The commands, and what each submits or reads.
+//! What each command submits or reads.
 
 use std::time::{Duration, Instant};
 
-use clap::{Arg, ArgAction, ArgMatches, Command};
+use clap::ArgMatches;
 use sardinemux_core::config::command::Expected;
 use sardinemux_core::config::{
-    query, Change, ChangeId, Entry, Exception, Operator, Organisation, Parameter, Scope, Stop,
-    StopKind, Version,
+    query, Change, ChangeId, Duty, Entry, Exception, Operator, Organisation, Parameter, Scope,
+    Stop, StopKind, Version,
 };
 use sardinemux_wire::admin::{Force, Submission, Verdict};
 use serde_json::Value;
+use smol_str::SmolStr;
 use snafu::{OptionExt, ResultExt};
 
 use crate::api::Api;
@@ -32,153 +33,6 @@
     ("zone", StopKind::Zone),
 ];
 
-fn option(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name).long(name).help(help)
-}
-
-fn word(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name).required(true).help(help)
-}
-
-fn flag(name: &'static str, help: &'static str) -> Arg {
-    option(name, help).action(ArgAction::SetTrue)
-}
-
-/// Describes the command line.
-pub fn command() -> Command {
-    let reason = || option("reason", "Why; every member can read it").required(true);
-    let scope = || option("scope", "engine, organisation, model or zone").required(true);
-    let list = || Command::new("list").about("List them");
-    let defaults = Command::new("default")
-        .about("Fleet-wide defaults")
-        .subcommand_required(true)
-        .subcommands([
-            list(),
-            Command::new("set")
-                .about("Set a default")
-                .arg(word("parameter", "The parameter"))
-                .arg(word("value", "The value")),
-        ]);
-    let exceptions = Command::new("exception")
-        .about("Exceptions from the defaults, each with a reason")
-        .subcommand_required(true)
-        .subcommands([
-            list(),
-            Command::new("set")
-                .about("Set an exception")
-                .arg(scope())
-                .arg(option("name", "The name in the scope").required(true))
-                .arg(reason())
-                .arg(word("parameter", "The parameter"))
-                .arg(word("value", "The value")),
-            Command::new("remove")
-                .about("Remove an exception")
-                .arg(scope())
-                .arg(option("name", "The name in the scope").required(true))
-                .arg(word("parameter", "The parameter")),
-        ]);
-    let zones = Command::new("zone")
-        .about("Availability zones")
-        .subcommand_required(true)
-        .subcommands([
-            Command::new("out")
-                .about("Take a zone out: no new work within seconds")
-                .arg(word("name", "The zone"))
-                .arg(reason()),
-            Command::new("in")
-                .about("Bring a zone back")
-                .arg(word("name", "The zone")),
-        ]);
-    let stops = Command::new("stop")
-        .about("Planned stops of targets, routers and zones")
-        .subcommand_required(true)
-        .subcommands([
-            list(),
-            Command::new("begin")
-                .about("Begin a planned stop")
-                .arg(word("kind", "target, router or zone"))
-                .arg(word("name", "Its name"))
-                .arg(reason()),
-            Command::new("end")
-                .about("End a planned stop")
-                .arg(word("kind", "target, router or zone"))
-                .arg(word("name", "Its name")),
-        ]);
-    let organisations = Command::new("organisation")
-        .about("Organisations and their keys")
-        .subcommand_required(true)
-        .subcommands([
-            list(),
-            Command::new("set")
-                .about("Create or replace an organisation")
-                .arg(word("name", "The organisation"))
-                .arg(option("member", "The member whose customer it is").required(true))
-                .arg(option("weight", "Its weight").default_value("1"))
-                .arg(
-                    option("key", "A bearer key; only its digest is sent")
-                        .action(ArgAction::Append),
-                ),
-            Command::new("remove")
-                .about("Remove an organisation")
-                .arg(word("name", "The organisation")),
-        ]);
-    let operators = Command::new("operator")
-        .about("Operators and their tokens")
-        .subcommand_required(true)
-        .subcommands([
-            list(),
-            Command::new("set")
-                .about("Create or replace an operator")
-                .arg(word("name", "The operator"))
-                .arg(option(
-                    "member",
-                    "The member; none for the consortium's own",
-                ))
-                .arg(option("operator-token", "The token; only its digest is sent").required(true)),
-            Command::new("remove")
-                .about("Remove an operator")
-                .arg(word("name", "The operator")),
-        ]);
-    Command::new("sardinemux-ctl")
-        .version(env!("CARGO_PKG_VERSION"))
-        .about("Steers the fleet through its administration API")
-        .subcommand_required(true)
-        .arg(
-            option("admin", "The address of the administration API, as ip:port")
-                .required(true)
-                .global(false),
-        )
-        .arg(option("token", "The operator's token").required(true))
-        .arg(flag("json", "Print JSON").global(true))
-        .arg(flag("dry-run", "Check only, and change nothing").global(true))
-        .arg(option("id", "The id of the change, to submit it again").global(true))
-        .arg(
-            option("expect", "KEY=VERSION: refuse if the key was changed since")
-                .action(ArgAction::Append)
-                .global(true),
-        )
-        .arg(option("wait", "Wait this many seconds until it is in force").global(true))
-        .subcommands([defaults, exceptions, zones, stops, organisations, operators])
-        .subcommands([
-            Command::new("apply")
-                .about("Submit a JSON list of changes, which take effect together")
-                .arg(word("file", "The file")),
-            Command::new("change")
-                .about("Say what became of a change")
-                .arg(word("id-of-change", "The id"))
-                .arg(option("attempted", "The version that it was written as")),
-            Command::new("history")
-                .about("List accepted changes")
-                .arg(option("after", "Only after this version").default_value("0")),
-            Command::new("diff")
-                .about("List what changed between two versions")
-                .arg(word("from", "The earlier version"))
-                .arg(word("to", "The later version")),
-            Command::new("force").about("Say which version each router has in force"),
-            Command::new("load").about("Say what still runs on each target"),
-        ])
-}
-
 fn text(matches: &ArgMatches, name: &str) -> String {
     matches.get_one::<String>(name).cloned().unwrap_or_default()
 }
@@ -250,6 +104,7 @@
         return Ok(());
     };
     match action {
+        "list" if name == "duty" => list(&api, arguments, "/v1/duties").await,
         "list" => list(&api, arguments, &format!("/v1/{name}s")).await,
         _ => {
             let change = change(name, action, arguments)?;
@@ -309,6 +164,20 @@
                 .collect(),
         }),
         ("organisation", _) => Change::RemoveOrganisation { name: named() },
+        ("duty", "set") => Change::SetDuty {
+            engine: named(),
+            duty: Duty {
+                model: text(matches, "model").into(),
+                version: text(matches, "weights").into(),
+                adapters: matches
+                    .get_many::<String>("adapter")
+                    .unwrap_or_default()
+                    .map(SmolStr::from)
+                    .collect(),
+                role: text(matches, "role").into(),
+            },
+        },
+        ("duty", _) => Change::RemoveDuty { engine: named() },
         ("operator", "set") => Change::SetOperator(Operator {
             name: named(),
             member: matches
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command line: a client of the administration API.
 
 mod api;
+mod cli;
 mod command;
 mod errors;
 mod show;
@@ -9,7 +10,7 @@
 
 fn main() -> ExitCode {
     env_logger::init();
-    let matches = command::command().get_matches();
+    let matches = cli::command().get_matches();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
--- a/crates/host/src/platform.rs
+++ b/crates/host/src/platform.rs
@@ -1,8 +1,10 @@
 //! The platform's services: instance list, transactional table and object store.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
+use parking_lot::Mutex;
+use reqwest::header::HeaderValue;
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 use sardinemux_wire::platform::{Instance, Row};
 use serde::de::DeserializeOwned;
@@ -10,7 +12,7 @@
 use snafu::ResultExt;
 
 use crate::client;
-use crate::errors::{Error, Result, SilentSnafu};
+use crate::errors::{Error, Result, SilentSnafu, StoredSnafu};
 
 /// The platform's services at one or more addresses; when one does not answer, the next is used.
 #[derive(Debug)]
@@ -18,8 +20,23 @@
     client: Client,
     addresses: Vec<SocketAddr>,
     current: AtomicUsize,
+    list_tag: Mutex<Option<HeaderValue>>,
+    sent: AtomicU64,
+    received: AtomicU64,
 }
 
+/// The bytes that crossed the sockets, HTTP included.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// To the platform.
+    pub sent: u64,
+    /// From the platform.
+    pub received: u64,
+}
+
+/// The bytes of an HTTP request around its body, and of an HTTP response around its own.
+const OVERHEAD: u64 = 180;
+
 /// The condition of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Condition {
@@ -65,6 +82,9 @@
             client: client::build(settings)?,
             addresses,
             current: AtomicUsize::new(0),
+            list_tag: Mutex::new(None),
+            sent: AtomicU64::new(0),
+            received: AtomicU64::new(0),
         })
     }
 
@@ -78,6 +98,7 @@
     }
 
     async fn send(&self, url: String, request: RequestBuilder) -> Result<Response> {
+        self.sent.fetch_add(OVERHEAD, Ordering::Relaxed);
         let result = request.send().await;
         if result.is_err() {
             self.current.fetch_add(1, Ordering::Relaxed);
@@ -90,7 +111,49 @@
         let response = self.send(url.clone(), request).await?;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
-            StatusCode::OK => response.json().await.map(Some).context(SilentSnafu { url }),
+            StatusCode::OK => self.read(url, response).await.map(Some),
+            status => Err(refused(url, status)),
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(&self, url: String, response: Response) -> Result<T> {
+        let body = response.bytes().await;
+        let body = body.context(SilentSnafu { url: url.clone() })?;
+        let received = OVERHEAD + body.len() as u64;
+        self.received.fetch_add(received, Ordering::Relaxed);
+        serde_json::from_slice(&body).context(StoredSnafu { key: url })
+    }
+
+    /// Returns the bytes that crossed the sockets so far.
+    pub fn traffic(&self) -> Traffic {
+        Traffic {
+            sent: self.sent.load(Ordering::Relaxed),
+            received: self.received.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Returns the instance list if it has changed since this was called last.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Silent` or `Error::Status` if the platform fails.
+    pub async fn changed_instances(&self) -> Result<Option<Vec<Instance>>> {
+        let (url, mut request) = self.request(Method::GET, "/instances");
+        if let Some(tag) = self.list_tag.lock().clone() {
+            request = request.header("If-None-Match", tag);
+        }
+        let response = self.send(url.clone(), request).await?;
+        let tag = response.headers().get("ETag").cloned();
+        match response.status() {
+            StatusCode::NOT_MODIFIED => {
+                self.received.fetch_add(OVERHEAD, Ordering::Relaxed);
+                Ok(None)
+            }
+            StatusCode::OK => {
+                let instances = self.read(url, response).await?;
+                *self.list_tag.lock() = tag;
+                Ok(Some(instances))
+            }
             status => Err(refused(url, status)),
         }
     }
--- a/crates/load/src/probe.rs
+++ b/crates/load/src/probe.rs
@@ -1,7 +1,6 @@
 //! What is read from the stand-ins and routers while a run goes on.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use indexmap::IndexMap;
@@ -13,12 +12,10 @@
 /// The load bound that samples are held against: a multiple of the mean, and one request.
 pub const LOAD_MULTIPLE: f64 = 1.25;
 
-/// An engine that has taken nothing for this long is not in service.
-const IN_SERVICE: Duration = Duration::from_secs(2);
-
-/// The samples over which a bound is judged: a mean that has just fallen is not held against
-/// requests that were admitted under an earlier one.
-const RECENT: usize = 40;
+/// The samples in which a mean is remembered, and in which an engine must take something to count as in
+/// service: two seconds. A mean that has just fallen is not held against requests that were admitted
+/// under an earlier one.
+const WINDOW: usize = 40;
 
 /// What the samples of the engines' load show.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -33,21 +30,18 @@
     pub mean_skew: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// One engine at one moment.
+#[derive(Clone, Copy, Debug, Default)]
 struct Seen {
+    running: u32,
     accepted: u64,
-    at: Instant,
 }
 
 /// Samples the engines' load.
 pub struct Sampler {
     client: Client,
     engines: Vec<String>,
-    seen: IndexMap<String, Seen>,
-    means: VecDeque<f64>,
-    skew_sum: f64,
-    /// What was found so far.
-    pub load: Load,
+    samples: Vec<Vec<Seen>>,
 }
 
 async fn get<T: DeserializeOwned>(client: &Client, address: &str, path: &str) -> Option<T> {
@@ -61,56 +55,56 @@
         Self {
             client,
             engines,
-            seen: IndexMap::new(),
-            means: VecDeque::new(),
-            skew_sum: 0.0,
-            load: Load::default(),
+            samples: Vec::new(),
         }
     }
 
     /// Takes one sample of all engines at once.
     pub async fn sample(&mut self) {
         let stats = stats(&self.client, &self.engines).await;
-        let now = Instant::now();
-        let mut running = Vec::new();
-        for (address, stats) in self.engines.iter().zip(stats) {
-            let Some(stats) = stats else { continue };
-            let seen = self.seen.entry(address.clone()).or_insert(Seen {
+        let sample = stats.into_iter().map(|stats| {
+            let stats = stats.unwrap_or_default();
+            Seen {
+                running: stats.running,
                 accepted: stats.accepted,
-                at: now,
-            });
-            if stats.accepted != seen.accepted {
-                seen.accepted = stats.accepted;
-                seen.at = now;
-            }
-            if stats.running > 0 || now.duration_since(seen.at) < IN_SERVICE {
-                running.push(f64::from(stats.running));
             }
-        }
-        self.note(&running);
+        });
+        self.samples.push(sample.collect());
     }
 
-    fn note(&mut self, running: &[f64]) {
-        if running.is_empty() {
-            return;
-        }
-        let mean = running.iter().sum::<f64>() / running.len() as f64;
-        let largest = running.iter().copied().fold(0.0, f64::max);
-        self.means.push_back(mean);
-        if self.means.len() > RECENT {
-            self.means.pop_front();
-        }
-        if mean < 1.0 {
-            return;
+    /// Judges the samples. An engine counts in those after which it takes something within the
+    /// window: one that has been taken out and ends its work does not.
+    pub fn judge(&self) -> Load {
+        let mut load = Load::default();
+        let mut means: VecDeque<f64> = VecDeque::new();
+        let mut skews = 0.0;
+        for (now, later) in self.samples.iter().zip(self.samples.iter().skip(WINDOW)) {
+            let in_service = now.iter().zip(later);
+            let running: Vec<f64> = in_service
+                .filter(|(now, later)| later.accepted > now.accepted)
+                .map(|(now, _)| f64::from(now.running))
+                .collect();
+            if running.is_empty() {
+                continue;
+            }
+            let mean = running.iter().sum::<f64>() / running.len() as f64;
+            let largest = running.iter().copied().fold(0.0, f64::max);
+            means.push_back(mean);
+            if means.len() > WINDOW {
+                means.pop_front();
+            }
+            if mean < 1.0 {
+                continue;
+            }
+            let recent = means.iter().copied().fold(0.0, f64::max);
+            let bound = (LOAD_MULTIPLE * recent).ceil() + 1.0;
+            load.samples += 1;
+            load.over_bound += u64::from(largest > bound);
+            load.max_over_mean = load.max_over_mean.max((largest - 1.0) / recent);
+            skews += largest / mean;
         }
-        let recent = self.means.iter().copied().fold(0.0, f64::max);
-        let bound = (LOAD_MULTIPLE * recent).ceil() + 1.0;
-        self.load.samples += 1;
-        self.load.over_bound += u64::from(largest > bound);
-        let skew = (largest - 1.0) / recent;
-        self.load.max_over_mean = self.load.max_over_mean.max(skew);
-        self.skew_sum += largest / mean;
-        self.load.mean_skew = self.skew_sum / self.load.samples as f64;
+        load.mean_skew = skews / load.samples.max(1) as f64;
+        load
     }
 }
 
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -192,7 +192,7 @@
         ticks.tick().await;
         sampler.sample().await;
     }
-    sampler.load
+    sampler.judge()
 }
 
 async fn show_progress(shared: Arc<Shared>) {
--- a/crates/proof/src/scenario.rs
+++ b/crates/proof/src/scenario.rs
@@ -14,7 +14,8 @@
 pub enum Scenario {
     /// Nothing: chats come, go quiet and come back.
     Churn,
-    /// An availability zone is taken out at one third, and brought back at two thirds.
+    /// An availability zone is taken out at one third and brought back at two thirds, with its engines
+    /// restarted meanwhile.
     Zone,
     /// The largest organisation grows to five times its size for a while.
     Surge,
@@ -39,6 +40,12 @@
 /// How much the largest organisation grows in a surge.
 const SURGE: u64 = 5;
 
+/// How long a fleet is loaded before the run that counts.
+const WARM_UP: Duration = Duration::from_secs(8);
+
+/// Keeps the warm-up's chats apart from the run's.
+const WARM_UP_SEED: u64 = 0x5a5a_0000;
+
 impl Scenario {
     /// Returns the scenario of a name.
     ///
@@ -92,6 +99,14 @@
         ..load
     };
     let length = load.time;
+    // The routers learn what the engines bear, and the processes reach their working size, first.
+    let warming = Load {
+        time: WARM_UP,
+        seed: load.seed ^ WARM_UP_SEED,
+        surge: 1,
+        ..load.clone()
+    };
+    run::run(warming).await?;
     let loading = tokio::spawn(run::run(load));
     happen(scenario, &fleet, length).await?;
     let report = loading.await.unwrap_or_else(|_| Ok(Report::default()))?;
@@ -105,7 +120,9 @@
         Scenario::Zone => {
             time::sleep(third).await;
             fleet.set_zone("z1", true).await?;
-            time::sleep(third).await;
+            time::sleep(third * 3 / 4).await;
+            restart_zone(fleet, "z1").await?;
+            time::sleep(third / 4).await;
             fleet.set_zone("z1", false).await?;
         }
         Scenario::Flap => {
@@ -129,6 +146,14 @@
     Ok(())
 }
 
+async fn restart_zone(fleet: &Fleet, zone: &str) -> Result<()> {
+    let engines = fleet.engines.iter();
+    for engine in engines.filter(|engine| engine.target.zone == zone) {
+        fleet.tell(engine.address, "/standin/restart").await?;
+    }
+    Ok(())
+}
+
 /// Replaces every router gracefully, one after the other.
 pub async fn rolling(fleet: &Fleet) -> Result<()> {
     for index in 0..fleet.routers.len() {
--- a/crates/router/src/dispatch/service.rs
+++ b/crates/router/src/dispatch/service.rs
@@ -25,7 +25,11 @@
 const KEEP_MS: u64 = 30_000;
 
 /// The most answers that are kept.
-const KEPT_MAX: usize = 512;
+const KEPT_MAX: usize = 256;
+
+/// The largest answer that is kept, in bytes; the outcome of a larger one whose delivery is cut is
+/// unknown to its caller.
+const KEPT_BYTES: usize = 32 * 1024;
 
 fn builder(errand: &Errand) -> Option<reqwest::RequestBuilder> {
     let Call::Service {
@@ -84,7 +88,7 @@
         content_type: content_type.into(),
         body: read(errand, reply, response).await?,
     };
-    if !repeatable {
+    if !repeatable && answer.body.len() <= KEPT_BYTES {
         keep(errand, &answer);
     }
     // The call has completed, whether or not the entry is still there.
--- a/crates/router/src/entry/drive.rs
+++ b/crates/router/src/entry/drive.rs
@@ -3,28 +3,29 @@
 //! A refused request goes on to the next step, since nothing of it ran. An answer that breaks off
 //! is resumed elsewhere if the request may be repeated; else the owner is asked what became of it.
 
+mod fate;
+mod open;
+mod plan;
+
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use sardinemux_core::class::Class;
-use sardinemux_core::config::{query, Organisation};
-use sardinemux_core::fence::{RequestId, Status};
+use sardinemux_core::config::Organisation;
+use sardinemux_core::fence::RequestId;
 use sardinemux_core::load::{Sample, Source};
-use sardinemux_core::membership::{self, Member};
-use sardinemux_core::placement::{self, Offer, Rank, Step};
+use sardinemux_core::membership::Member;
+use sardinemux_core::placement::Step;
 use sardinemux_core::stream::{Order, Part as PartKind};
-use sardinemux_core::target::{Key, Kind, Target};
-use sardinemux_wire::ask::Kept;
-use sardinemux_wire::forward::{Call, Request};
+use sardinemux_core::target::{Key, Kind};
+use sardinemux_wire::forward::Call;
 use sardinemux_wire::frame::{Body, End, Head, Part, Refusal};
-use tokio::sync::mpsc;
 use tokio::time;
 
+use self::fate::Fate;
 use super::errors::Failure;
-use crate::dispatch::{self, Errand};
 use crate::gossip;
-use crate::link::{self, Frames, Unreached};
-use crate::owner::{self, desk};
+use crate::link::Frames;
 use crate::prelude::*;
 use crate::settings::Policy;
 
@@ -37,12 +38,6 @@
 /// When to come back if nobody said, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
-/// The pause between two questions after a request's fate.
-const FATE_PAUSE: Duration = Duration::from_millis(150);
-
-/// The questions that may go unanswered before the fate counts as unknown.
-const FATE_TRIES: u32 = 3;
-
 /// What a request asks for.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -86,13 +81,6 @@
     id: RequestId,
 }
 
-/// What became of a request whose owner fell silent.
-enum Fate {
-    NotRun,
-    Completed(Kept),
-    Unknown,
-}
-
 /// A request on its way.
 pub struct Drive {
     router: Arc<Router>,
@@ -254,52 +242,6 @@
         }
     }
 
-    /// Asks the owner what became of a request until that is known.
-    async fn fate(&self, owner: &Member, id: RequestId) -> Fate {
-        let mut unanswered = 0;
-        while unanswered < FATE_TRIES && Instant::now() < self.deadline {
-            match link::fate(&self.router, owner, id).await {
-                Ok(answer) if answer.boot != owner.boot => return Fate::Unknown,
-                Ok(answer) => match (answer.status, answer.answer) {
-                    (Status::Fenced | Status::Ended(Outcome::NotRun), _) => return Fate::NotRun,
-                    (Status::Ended(Outcome::Completed), Some(kept)) => {
-                        return Fate::Completed(kept)
-                    }
-                    (Status::Ended(_), _) => return Fate::Unknown,
-                    (Status::Running, _) => {}
-                },
-                Err(_) => unanswered += 1,
-            }
-            time::sleep(FATE_PAUSE).await;
-        }
-        Fate::Unknown
-    }
-
-    /// Takes an answer over whole that the owner had kept.
-    fn deliver(&mut self, kept: Kept) {
-        let total = kept.body.len() as u64;
-        let offset = self.order.offset() as usize;
-        if !self.has_head {
-            self.has_head = true;
-            self.pending.push_back(Event::Head(Head {
-                status: kept.status,
-                content_type: kept.content_type,
-            }));
-        }
-        let data = kept.body.get(offset..).unwrap_or_default().to_vec();
-        self.pending.push_back(Event::Part(Part {
-            offset: offset as u64,
-            length: data.len() as u64,
-            data,
-        }));
-        self.pending.push_back(Event::End(End {
-            total,
-            prompt_tokens: 0,
-            cached_tokens: 0,
-            finish_reason: "".into(),
-        }));
-    }
-
     fn note_outcome(&mut self, outcome: Outcome) {
         self.may_have_run |= outcome != Outcome::NotRun;
     }
@@ -408,180 +350,4 @@
         self.open_through_owner(target, step.offer).await;
         Ok(())
     }
-
-    fn request(&mut self, target: &Target, owner_boot: u64, offer: Offer) -> Request {
-        let id = RequestId::new_v4();
-        self.order.resume(id);
-        self.served_by = Some(target.id.clone());
-        let mut call = self.job.call.clone();
-        if let Call::Chat { resume_offset, .. } = &mut call {
-            *resume_offset = self.order.offset();
-        }
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let desks = self.router.desks.lock();
-        let sample = desk::own(&desks, &target.pool);
-        drop(desks);
-        Request {
-            entry: self.router.settings.id.clone(),
-            sample,
-            id,
-            owner_boot,
-            target: target.id.clone(),
-            member: self.job.organisation.member.clone(),
-            organisation: self.job.organisation.name.clone(),
-            weight: self.job.organisation.weight,
-            class: self.job.class,
-            tokens: self.job.tokens,
-            offer,
-            repeatable: self.job.repeatable,
-            deadline_ms: left.as_millis() as u64,
-            call,
-        }
-    }
-
-    async fn open_through_owner(&mut self, target: Target, offer: Offer) {
-        let Some(owner) = self.router.owners().get(&target.id).cloned() else {
-            self.note_unplaced(Reason::NoTarget);
-            return;
-        };
-        let is_me = owner.id == self.router.settings.id;
-        if owner.boot == 0 && !is_me && !self.job.repeatable {
-            // Nobody could vouch for a process that was never met.
-            gossip::exchange(&self.router, &owner).await;
-            self.note_unplaced(Reason::OtherBoot);
-            return;
-        }
-        let request = self.request(&target, owner.boot, offer);
-        let id = request.id;
-        if is_me {
-            let receiver = owner::serve(self.router.clone(), request);
-            let frames = Frames::local(&self.router, id, receiver);
-            self.open = Some(Open { frames, owner, id });
-            return;
-        }
-        match link::forward(&self.router, &owner, &request).await {
-            Ok(frames) => self.open = Some(Open { frames, owner, id }),
-            Err(Unreached::Unsent) => {
-                self.note_unplaced(Reason::Refused);
-                self.suspect(&owner);
-            }
-            Err(Unreached::Sent(reason)) => self.unreached(owner, id, reason).await,
-        }
-    }
-
-    /// The request may have reached the owner, which did not begin to answer.
-    async fn unreached(&mut self, owner: Member, id: RequestId, reason: Reason) {
-        self.suspect(&owner);
-        if self.job.repeatable {
-            self.note_outcome(Outcome::Unknown);
-            self.note_unplaced(Reason::Refused);
-            return;
-        }
-        match self.fate(&owner, id).await {
-            Fate::NotRun => self.note_unplaced(Reason::Refused),
-            Fate::Completed(kept) => self.deliver(kept),
-            Fate::Unknown => {
-                self.note_outcome(Outcome::Unknown);
-                self.last_reason = reason;
-                self.steps.clear();
-                self.may_pass = false;
-            }
-        }
-    }
-
-    fn suspect(&self, owner: &Member) {
-        let now_ms = self.router.now_ms();
-        let merge = membership::command::suspect(&mut self.router.view.lock(), &owner.id, now_ms);
-        if merge != membership::command::Merge::Old {
-            self.router.refresh();
-        }
-    }
-
-    /// Dispatches without an owner, as the baselines do.
-    fn open_directly(&mut self, target: Target) {
-        let request = self.request(&target, 0, Offer::OrQueue);
-        let id = request.id;
-        let (sender, receiver) = mpsc::channel(64);
-        let router = self.router.clone();
-        let mut reply = dispatch::Reply::new(sender, id);
-        let errand = Errand {
-            router: router.clone(),
-            target,
-            request,
-        };
-        tokio::spawn(async move { dispatch::run(&errand, &mut reply).await });
-        let frames = Frames::local(&router, id, receiver);
-        let owner = router.me();
-        self.open = Some(Open { frames, owner, id });
-    }
-
-    /// Ranks the targets and lays out the steps.
-    fn plan(&mut self) {
-        let targets = self.router.targets();
-        let config = self.router.config();
-        let eligible = targets.of_pool(&self.job.pool).filter(|(_, target)| {
-            target.kind == self.job.kind && query::is_eligible(&config, target)
-        });
-        let mut ranks = match self.router.settings.policy {
-            Policy::LeastLoaded => placement::rank(self.job.chat, eligible, usize::MAX),
-            _ => placement::rank(self.job.chat, eligible, RANKS_MAX),
-        };
-        self.steps = match self.router.settings.policy {
-            Policy::Owner => self.owner_steps(&mut ranks, &targets),
-            Policy::Hash => direct_steps(&ranks),
-            Policy::LeastLoaded => {
-                let reports = self.router.reports.lock();
-                ranks.sort_by_key(|rank| {
-                    let target = targets.get(rank.key);
-                    let report = target.and_then(|target| reports.get(&target.id));
-                    report.map_or(0, |report| report.running)
-                });
-                direct_steps(&ranks)
-            }
-        };
-        // A target that has just failed comes last.
-        if let Some(avoided) = self.avoided {
-            let (last, first) = self.steps.iter().partition(|step| step.key == avoided);
-            self.steps = first;
-            self.steps.extend::<VecDeque<Step>>(last);
-        }
-    }
-
-    fn owner_steps(
-        &self,
-        ranks: &mut Vec<Rank>,
-        targets: &sardinemux_core::target::Table,
-    ) -> VecDeque<Step> {
-        let is_returning = self.job.is_returning && self.job.kind == Kind::Engine;
-        if is_returning {
-            let hint = self.job.hint.as_ref().and_then(|id| targets.key(id));
-            let config = self.router.config();
-            let hint = hint.filter(|key| {
-                targets.get(*key).is_some_and(|target| {
-                    target.pool == self.job.pool
-                        && target.kind == self.job.kind
-                        && query::is_eligible(&config, target)
-                })
-            });
-            placement::prefer_hint(ranks, hint);
-        } else {
-            let owners = self.router.owners();
-            placement::prefer_idle(ranks, |key| {
-                let Some(target) = targets.get(key) else {
-                    return f64::INFINITY;
-                };
-                let owner = owners.get(&target.id).map_or("", |owner| owner.id.as_str());
-                desk::relative_load(&self.router, target, owner)
-            });
-        }
-        placement::plan(ranks, is_returning).into()
-    }
-}
-
-fn direct_steps(ranks: &[Rank]) -> VecDeque<Step> {
-    let steps = ranks.iter().map(|rank| Step {
-        key: rank.key,
-        offer: Offer::OrQueue,
-    });
-    steps.collect()
 }
--- /dev/null
+++ b/crates/router/src/entry/drive/plan.rs
@@ -0,0 +1,79 @@
+//! In which order a request is offered to which targets.
+
+use std::collections::VecDeque;
+
+use sardinemux_core::config::query;
+use sardinemux_core::placement::{self, Offer, Rank, Step};
+use sardinemux_core::target::{Kind, Table};
+
+use super::{Drive, RANKS_MAX};
+use crate::owner::desk;
+use crate::settings::Policy;
+
+impl Drive {
+    /// Ranks the targets and lays out the steps.
+    pub(super) fn plan(&mut self) {
+        let targets = self.router.targets();
+        let config = self.router.config();
+        let eligible = targets.of_pool(&self.job.pool).filter(|(_, target)| {
+            target.kind == self.job.kind && query::is_eligible(&config, target)
+        });
+        let mut ranks = match self.router.settings.policy {
+            Policy::LeastLoaded => placement::rank(self.job.chat, eligible, usize::MAX),
+            _ => placement::rank(self.job.chat, eligible, RANKS_MAX),
+        };
+        self.steps = match self.router.settings.policy {
+            Policy::Owner => self.owner_steps(&mut ranks, &targets),
+            Policy::Hash => direct_steps(&ranks),
+            Policy::LeastLoaded => {
+                let reports = self.router.reports.lock();
+                ranks.sort_by_key(|rank| {
+                    let target = targets.get(rank.key);
+                    let report = target.and_then(|target| reports.get(&target.id));
+                    report.map_or(0, |report| report.running)
+                });
+                direct_steps(&ranks)
+            }
+        };
+        // A target that has just failed comes last.
+        if let Some(avoided) = self.avoided {
+            let (last, first) = self.steps.iter().partition(|step| step.key == avoided);
+            self.steps = first;
+            self.steps.extend::<VecDeque<Step>>(last);
+        }
+    }
+
+    pub(super) fn owner_steps(&self, ranks: &mut Vec<Rank>, targets: &Table) -> VecDeque<Step> {
+        let is_returning = self.job.is_returning && self.job.kind == Kind::Engine;
+        if is_returning {
+            let hint = self.job.hint.as_ref().and_then(|id| targets.key(id));
+            let config = self.router.config();
+            let hint = hint.filter(|key| {
+                targets.get(*key).is_some_and(|target| {
+                    target.pool == self.job.pool
+                        && target.kind == self.job.kind
+                        && query::is_eligible(&config, target)
+                })
+            });
+            placement::prefer_hint(ranks, hint);
+        } else {
+            let owners = self.router.owners();
+            placement::prefer_idle(ranks, |key| {
+                let Some(target) = targets.get(key) else {
+                    return f64::INFINITY;
+                };
+                let owner = owners.get(&target.id).map_or("", |owner| owner.id.as_str());
+                desk::relative_load(&self.router, target, owner)
+            });
+        }
+        placement::plan(ranks, is_returning).into()
+    }
+}
+
+fn direct_steps(ranks: &[Rank]) -> VecDeque<Step> {
+    let steps = ranks.iter().map(|rank| Step {
+        key: rank.key,
+        offer: Offer::OrQueue,
+    });
+    steps.collect()
+}
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -6,6 +6,7 @@
 use sardinemux_core::budget::Purpose;
 use sardinemux_core::membership::{self, Member};
 use sardinemux_core::target::{Kind, Table, Target};
+use sardinemux_host::platform::Traffic;
 use sardinemux_wire::platform::{Instance, Part};
 use sardinemux_wire::target::{CacheChange, CacheEvents, Load};
 use tokio::time;
@@ -29,17 +30,36 @@
 
 /// Reads the instance list, until the program ends.
 pub async fn run_list(router: Arc<Router>) {
+    let mut counted = Traffic::default();
     loop {
-        match router.platform.instances().await {
-            Ok(instances) => take_list(&router, instances),
+        match router.platform.changed_instances().await {
+            Ok(Some(instances)) => take_list(&router, instances),
+            Ok(None) => note_platform(&router),
             Err(error) => log::warn!("the instance list cannot be read: {error}"),
         }
+        count_traffic(&router, &mut counted);
         let period_ms = router.settings.list_period_ms;
         let pause_ms = rand::random_range(period_ms / 2..=period_ms * 3 / 2);
         time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
+/// Counts what crossed the sockets to the platform as control traffic.
+fn count_traffic(router: &Router, counted: &mut Traffic) {
+    let now = router.platform.traffic();
+    let sent = now.sent - counted.sent;
+    let received = now.received - counted.received;
+    router
+        .metrics
+        .note_control("platform", sent as usize, received as usize);
+    *counted = now;
+}
+
+fn note_platform(router: &Router) {
+    let now_ms = router.now_ms();
+    membership::command::note_platform(&mut router.view.lock(), now_ms);
+}
+
 /// Takes the instance list in.
 pub fn take_list(router: &Router, instances: Vec<Instance>) {
     let now_ms = router.now_ms();
@@ -76,11 +96,8 @@
     for id in gone {
         table.remove(&id);
     }
-    {
-        let mut view = router.view.lock();
-        membership::command::note_platform(&mut view, now_ms);
-        membership::command::merge_list(&mut view, routers, now_ms);
-    }
+    note_platform(router);
+    membership::command::merge_list(&mut router.view.lock(), routers, now_ms);
     *router.targets.write() = Arc::new(table);
     router.refresh();
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
-use sardinemux_wire::target::Load;
+use sardinemux_wire::target::{DutyState, Load, Order};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::sync::watch;
@@ -54,6 +54,10 @@
     pub restart_ms: u64,
     /// Whether it starts warm.
     pub is_warm: bool,
+    /// How long it loads a duty, in milliseconds.
+    pub load_ms: u64,
+    /// Whether it ignores the fencing numbers of orders.
+    pub ignores_numbers: bool,
 }
 
 /// What an engine has counted.
@@ -97,6 +101,10 @@
     pub warmth: AtomicU64,
     /// Until when it refuses requests.
     pub refuses_until: Mutex<Option<Instant>>,
+    /// What it was ordered to do.
+    pub duty: Mutex<DutyState>,
+    /// The orders that it took.
+    pub orders: Mutex<Vec<Order>>,
     /// Whether it keeps accepted requests without answering.
     pub is_hung: AtomicBool,
 }
@@ -123,6 +131,8 @@
             generation: watch::Sender::new(0),
             warmth: AtomicU64::new(warmth),
             refuses_until: Mutex::new(None),
+            duty: Mutex::default(),
+            orders: Mutex::default(),
             is_hung: AtomicBool::new(false),
             settings,
         }
@@ -154,6 +164,31 @@
         self.cache.lock().clear();
     }
 
+    /// Takes an order; returns whether it did. One that is carried out already changes nothing.
+    pub fn take_order(self: &Arc<Self>, order: Order) -> bool {
+        {
+            let mut state = self.duty.lock();
+            if order.number < state.number && !self.settings.ignores_numbers {
+                return false;
+            }
+            if !self.settings.ignores_numbers {
+                state.number = order.number;
+            }
+            self.orders.lock().push(order.clone());
+            if state.duty == order.duty {
+                return true;
+            }
+            state.duty = order.duty;
+            state.is_loading = true;
+        }
+        let engine = self.clone();
+        tokio::spawn(async move {
+            time::sleep(Duration::from_millis(engine.settings.load_ms)).await;
+            engine.duty.lock().is_loading = false;
+        });
+        true
+    }
+
     /// Returns what it has counted.
     pub fn stats(&self) -> Stats {
         let mut stats = self.stats.lock().clone();
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -12,7 +12,7 @@
 use sardinemux_host::reply::{event, Reply, DONE};
 use sardinemux_wire::caller::ChatRequest;
 use sardinemux_wire::header;
-use sardinemux_wire::target::{CacheEvents, Choice, Chunk, Delta, Load, Usage};
+use sardinemux_wire::target::{CacheEvents, Choice, Chunk, Delta, Load, Order, Usage};
 use serde::Serialize;
 use smol_str::SmolStr;
 use tokio::time;
@@ -26,7 +26,7 @@
 
 /// Returns the routes; the server must manage an `Arc<Engine>`.
 pub fn routes() -> Vec<Route> {
-    routes![complete, load, events, stats, restart, turn_cold, hang]
+    routes![complete, load, events, take_order, duty, orders, stats, restart, turn_cold, hang]
 }
 
 /// The id that the router gave to a request.
@@ -166,7 +166,9 @@
             stats.cached_tokens += u64::from(cached_tokens);
         }
         engine.warmth.fetch_add(1, Ordering::SeqCst);
+        // The work has ended; what is left is only to be sent.
         progress.complete();
+        drop(progress);
         yield event(&chunk(&id, &chat.model, total, 0, Delta::default(), Some(usage)));
         yield DONE.to_vec();
     }
@@ -218,6 +220,30 @@
     })
 }
 
+#[post("/orders", data = "<data>")]
+async fn take_order(engine: &State<Arc<Engine>>, data: Data<'_>) -> Status {
+    let Ok(body) = data.open(BODY_MAX.bytes()).into_bytes().await else {
+        return Status::BadRequest;
+    };
+    let Ok(order) = serde_json::from_slice::<Order>(&body) else {
+        return Status::BadRequest;
+    };
+    match engine.take_order(order) {
+        true => Status::Ok,
+        false => Status::Conflict,
+    }
+}
+
+#[get("/duty")]
+fn duty(engine: &State<Arc<Engine>>) -> Json {
+    json(&*engine.duty.lock())
+}
+
+#[get("/standin/orders")]
+fn orders(engine: &State<Arc<Engine>>) -> Json {
+    json(&*engine.orders.lock())
+}
+
 #[get("/standin/stats")]
 fn stats(engine: &State<Arc<Engine>>) -> Json {
     let stats: Stats = engine.stats();
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -60,6 +60,12 @@
         .arg(number("event-lag-ms", "1500", "How far cache events lag"))
         .arg(number("event-gap", "20", "One event in this many is lost"))
         .arg(number("restart-ms", "800", "How long a restart takes"))
+        .arg(number("load-ms", "500", "How long a duty is loaded"))
+        .arg(
+            Arg::new("ignores-numbers")
+                .long("ignores-numbers")
+                .action(ArgAction::SetTrue),
+        )
         .arg(Arg::new("warm").long("warm").action(ArgAction::SetTrue));
     let service = Command::new("service")
         .about("A plain service that counts every run")
@@ -126,6 +132,8 @@
             event_gap: get(matches, "event-gap"),
             restart_ms: get(matches, "restart-ms"),
             is_warm: matches.get_flag("warm"),
+            load_ms: get(matches, "load-ms"),
+            ignores_numbers: matches.get_flag("ignores-numbers"),
         })
     });
     futures_util::future::try_join_all(engines).await?;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -13,6 +13,7 @@
 use rocket::http::{ContentType, Status};
 use rocket::request::{FromRequest, Outcome};
 use rocket::{delete, get, post, put, routes, Data, Request, State};
+use sardinemux_host::reply::Reply;
 use sardinemux_wire::platform::{Instance, Row};
 use serde::{Deserialize, Serialize};
 use tokio::time;
@@ -54,7 +55,16 @@
 #[derive(Debug, Default)]
 struct List {
     now: IndexMap<String, Instance>,
-    published: Vec<(Instant, IndexMap<String, Instance>)>,
+    version: u64,
+    published: Vec<Published>,
+}
+
+/// The list as it was at a moment.
+#[derive(Debug)]
+struct Published {
+    at: Instant,
+    version: u64,
+    instances: Vec<Instance>,
 }
 
 /// The platform.
@@ -257,28 +267,50 @@
     empty(Status::Ok)
 }
 
+/// The version of the list that a reader has.
+struct Known(Option<u64>);
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Known {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let tag = request.headers().get_one("If-None-Match");
+        Outcome::Success(Self(tag.and_then(|tag| tag.trim_matches('"').parse().ok())))
+    }
+}
+
 #[get("/instances")]
-async fn instances(platform: &State<Arc<Platform>>) -> Json {
+async fn instances(platform: &State<Arc<Platform>>, known: Known) -> Reply {
     if platform.faults.lock().is_list_down {
-        return empty(Status::ServiceUnavailable);
+        return Reply::whole(503, "text/plain", Vec::new());
     }
     let lag = Duration::from_millis(platform.settings.list_lag_ms);
     let mut list = platform.list.lock();
     let due = list
         .published
         .iter()
-        .rposition(|(at, _)| at.elapsed() >= lag);
+        .rposition(|list| list.at.elapsed() >= lag);
     let Some(index) = due else {
-        return json(&Vec::<Instance>::new());
+        return Reply::json(200, &Vec::<Instance>::new());
     };
     list.published.drain(..index);
-    let instances: Vec<&Instance> = list.published[0].1.values().collect();
-    json(&instances)
+    let published = &list.published[0];
+    let reply = match known.0 == Some(published.version) {
+        true => Reply::whole(304, "application/json", Vec::new()),
+        false => Reply::json(200, &published.instances),
+    };
+    reply.with("ETag", format!("\"{}\"", published.version))
 }
 
 fn publish(list: &mut List) {
-    let now = list.now.clone();
-    list.published.push((Instant::now(), now));
+    list.version += 1;
+    let published = Published {
+        at: Instant::now(),
+        version: list.version,
+        instances: list.now.values().cloned().collect(),
+    };
+    list.published.push(published);
 }
 
 #[put("/standin/instances", data = "<data>")]
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -1,6 +1,7 @@
 //! The published protocol of the platform's services, as far as sardinemux uses it.
 //!
-//! - Instance list: `GET /instances` returns a JSON array of [`Instance`]; it lags.
+//! - Instance list: `GET /instances` returns a JSON array of [`Instance`]; it lags. The answer carries an
+//!   `ETag`, and a read with `If-None-Match` is answered 304 while the list is unchanged.
 //! - Table: `GET /table/<key>` returns a [`Row`]; `PUT /table/<key>` writes the body on a condition,
 //!   `If-None-Match: *` or `If-Match: <version>`, and answers 412 if it does not hold;
 //!   `GET /rows?prefix=&after=&limit=` returns rows in the order of their keys.
@@ -128,3 +129,6 @@
 
 /// The beginning of the table keys of the idempotency ledger.
 pub const LEDGER_PREFIX: &str = "ledger/";
+
+/// The table key of the lease on giving orders to engines.
+pub const ORDERS_LEASE: &str = "lease/orders";
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -1,5 +1,6 @@
 //! What engines say of themselves, as far as sardinemux reads it.
 
+use sardinemux_core::config::Duty;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -105,3 +106,23 @@
     /// The number of tokens that need not be sent again.
     pub resume_offset: u64,
 }
+
+/// An order to an engine: `POST /orders`. One that checks the number refuses an older one with 409.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// The fencing number of the lease.
+    pub number: u64,
+    /// The duty that the engine is to take up.
+    pub duty: Duty,
+}
+
+/// What an engine does: `GET /duty`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyState {
+    /// The duty that it has taken up.
+    pub duty: Duty,
+    /// Whether it is still loading it.
+    pub is_loading: bool,
+    /// The highest fencing number that it has seen, if it checks them.
+    pub number: u64,
+}
