Tell a caller of a router that cannot serve yet to come back, not that a model is unknown

Change: such a router answers 503, not run, with a time to come back; the administration API notes the operator as the author; the headers are gone; the load of targets is shown as a table. Ruled out: waiting for the list before listening (a balancer would see nothing).

--- a/crates/admin/src/log.rs
+++ b/crates/admin/src/log.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use parking_lot::Mutex;
-use sardinemux_core::config::{command, ChangeId, Entry, Operator, State, Version};
+use sardinemux_core::config::{
+    command, Change, ChangeId, Entry, Exception, Operator, State, Version,
+};
 use sardinemux_host::platform::{Condition, Platform, Range, Write};
 use sardinemux_wire::admin::{Submission, Verdict};
 use sardinemux_wire::platform::{log_key, LOG_PREFIX, SNAPSHOT_OBJECT};
@@ -217,7 +219,22 @@
         id: submission.id,
         author: operator.name.clone(),
         at_s: now.map_or(0, |now| now.as_secs()),
-        changes: submission.changes.clone(),
+        changes: submission
+            .changes
+            .iter()
+            .map(|change| signed(change, operator))
+            .collect(),
+    }
+}
+
+/// Notes the operator as the author of an exception, whatever was submitted.
+fn signed(change: &Change, operator: &Operator) -> Change {
+    match change {
+        Change::SetException(exception) => Change::SetException(Exception {
+            author: operator.name.clone(),
+            ..exception.clone()
+        }),
+        other => other.clone(),
     }
 }
 
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -49,7 +49,8 @@
     pub value: f64,
     /// Why; every member can read it.
     pub reason: SmolStr,
-    /// Who set it.
+    /// Who set it, as the administration API notes it.
+    #[serde(default)]
     pub author: SmolStr,
 }
 
--- a/crates/core/src/config/command.rs
+++ b/crates/core/src/config/command.rs
@@ -211,7 +211,6 @@
 fn check_exception(exception: &Exception) -> Result<()> {
     check_text("name", &exception.name)?;
     check_text("reason", &exception.reason)?;
-    check_text("author", &exception.author)?;
     check_value(exception.parameter, exception.value)
 }
 
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -8,7 +8,7 @@
     query, Change, ChangeId, Duty, Entry, Exception, Operator, Organisation, Parameter, Scope,
     Stop, StopKind, Version,
 };
-use sardinemux_wire::admin::{Force, Submission, Verdict};
+use sardinemux_wire::admin::{FleetLoad, Force, Submission, Verdict};
 use serde_json::Value;
 use smol_str::SmolStr;
 use snafu::{OptionExt, ResultExt};
@@ -97,7 +97,7 @@
             return list(&api, inner, &format!("/v1/diff?from={from}&to={to}")).await;
         }
         "force" => return force(&api, inner).await,
-        "load" => return list(&api, inner, "/v1/load").await,
+        "load" => return load(&api, inner).await,
         _ => {}
     }
     let Some((action, arguments)) = inner.subcommand() else {
@@ -128,7 +128,7 @@
             parameter: parameter(matches)?,
             value: number(matches, "value", "a number")?,
             reason: reason(),
-            author: "ctl".into(),
+            author: SmolStr::default(),
         }),
         ("exception", _) => Change::RemoveException {
             scope: choice(matches, "scope", &SCOPES)?,
@@ -318,6 +318,21 @@
     Ok(())
 }
 
+async fn load(api: &Api, matches: &ArgMatches) -> Result<()> {
+    let load: FleetLoad = api.get("/v1/load").await?;
+    if matches.get_flag("json") {
+        show::json(&load);
+        return Ok(());
+    }
+    let targets =
+        serde_json::to_value(&load.targets).context(MalformedSnafu { what: "the answer" })?;
+    show::table(&targets);
+    for router in &load.silent_routers {
+        println!("no answer from {router}: its targets may still have work");
+    }
+    Ok(())
+}
+
 async fn force(api: &Api, matches: &ArgMatches) -> Result<()> {
     let force: Force = api.get("/v1/force").await?;
     if matches.get_flag("json") {
--- a/crates/host/src/server.rs
+++ b/crates/host/src/server.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use rocket::config::{Config, Ident, Shutdown};
+use rocket::shield::Shield;
 use rocket::{Build, Ignite, Rocket};
 
 use crate::errors::{Error, Result};
@@ -52,7 +53,8 @@
         shutdown,
         ..Config::release_default()
     };
-    rocket::custom(config)
+    // The shield's headers are for browsers; here they would only cost control traffic.
+    rocket::custom(config).attach(Shield::new())
 }
 
 /// Checks a server's routes.
--- a/crates/proof/tests/control.rs
+++ b/crates/proof/tests/control.rs
@@ -10,6 +10,7 @@
 use sardinemux_core::config::{
     query, Change, ChangeId, Entry, Operator, Organisation, Parameter, Stop, StopKind,
 };
+use sardinemux_core::outcome::Outcome;
 use sardinemux_load::run::{self, Settings as Load};
 use sardinemux_proof::client::{self, until};
 use sardinemux_proof::fleet::{Fleet, Settings, FIRST_TOKEN};
@@ -265,7 +266,11 @@
     .await
     .unwrap();
     let told = matrix::send_chat(&fleet, 0, true, 2).await;
-    assert!(matches!(told, Told::Refused { .. }), "{told:?}");
+    let not_run = Told::Refused {
+        outcome: Outcome::NotRun,
+        has_retry_after: true,
+    };
+    assert_eq!(told, not_run);
     let ready = format!("http://{}/health/ready", router.entry);
     let status = fleet.client.get(&ready).send().await.unwrap().status();
     assert_eq!(status.as_u16(), 503);
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -40,6 +40,8 @@
 impl route::Handler for Handler {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> route::Outcome<'r> {
         let result = match self.kind {
+            // Keys, models and services that are not known yet must not be called wrong.
+            _ if !self.router.can_serve() => Err(Failure::not_ready()),
             Kind::Engine => chat::serve(&self.router, request, data).await,
             Kind::Service => service::serve(&self.router, request, data).await,
         };
--- a/crates/router/src/entry/errors.rs
+++ b/crates/router/src/entry/errors.rs
@@ -84,7 +84,19 @@
 /// When to come back after "still running", in milliseconds.
 const STILL_RUNNING_MS: u64 = 1_000;
 
+/// When to come back to a router that has just started or is cut off, in milliseconds.
+const NOT_READY_MS: u64 = 1_000;
+
 impl Failure {
+    /// Returns the failure of a router that cannot serve.
+    pub fn not_ready() -> Self {
+        Self::GivenUp {
+            outcome: Outcome::NotRun,
+            reason: Reason::NotReady,
+            retry_after_ms: NOT_READY_MS,
+        }
+    }
+
     /// Returns the HTTP status.
     pub fn status(&self) -> u16 {
         match self {
--- a/crates/router/src/tables.rs
+++ b/crates/router/src/tables.rs
@@ -194,12 +194,17 @@
         membership::query::me(&self.view.lock()).clone()
     }
 
-    /// Returns whether this router takes work: it has a configuration and targets, is not stopping
-    /// and is not cut off.
+    /// Returns whether this router owns targets: it can serve, and is not stopping.
     pub fn is_ready(&self) -> bool {
+        self.can_serve() && !self.drain.is_stopping()
+    }
+
+    /// Returns whether this router can serve callers: it has a configuration and targets, and is not cut
+    /// off. A router that is stopping still serves what the balancer sends it.
+    pub fn can_serve(&self) -> bool {
         let has_config = self.config.read().version > 0;
         let has_targets = !self.targets.read().is_empty();
-        has_config && has_targets && !self.drain.is_stopping() && !self.is_cut_off()
+        has_config && has_targets && !self.is_cut_off()
     }
 
     /// Returns whether this router has reached neither a peer nor the platform for too long.
