--- a/crates/router/src/entry/errors.rs
+++ b/crates/router/src/entry/errors.rs
@@ -157,6 +157,7 @@
     pub fn body(&self) -> ErrorBody {
         let reason = match self {
             Self::GivenUp { reason, .. } => Some(*reason),
+            Self::Busy { .. } => Some(Reason::Busy),
             _ => None,
         };
         ErrorBody {
--- a/crates/router/src/entry/service.rs
+++ b/crates/router/src/entry/service.rs
@@ -23,6 +23,9 @@
 /// The longest idempotency key, in bytes.
 const KEY_MAX: usize = 255;
 
+/// The largest answer that is recorded in the ledger, in bytes.
+const RECORD_MAX: usize = 64 * 1024;
+
 /// A call as the caller made it.
 struct Made {
     organisation: Organisation,
@@ -88,8 +91,7 @@
     let begin = Instant::now();
     let class = made.class;
     let member = made.organisation.member.clone();
-    // The call runs to its end in a task of its own, since Rocket drops nothing a caller has left,
-    // but a claim must be closed even if the server drops this future.
+    // A task of its own runs to its end also if the server drops this future, as a claim must be closed.
     let task_router = router.clone();
     let task = tokio::spawn(async move {
         let _guard = guard;
@@ -179,11 +181,7 @@
     };
     let result = dispatch(router, made.job()).await;
     let ended = match &result {
-        Ok(answer) => Ended::Completed(Answer {
-            status: answer.status,
-            content_type: answer.content_type.clone(),
-            body: String::from_utf8_lossy(&answer.body).into_owned(),
-        }),
+        Ok(answer) => recordable(answer).map_or(Ended::Unknown, Ended::Completed),
         Err(failure) if failure.outcome() == Outcome::NotRun => Ended::NotRun,
         Err(_) => Ended::Unknown,
     };
@@ -191,6 +189,17 @@
     result.map(whole)
 }
 
+/// Returns an answer as it is recorded; one that is not text, or too large for a row, cannot be
+/// replayed, and a repeat is told that the outcome is not known.
+fn recordable(answer: &Kept) -> Option<Answer> {
+    let body = std::str::from_utf8(&answer.body).ok()?;
+    (body.len() <= RECORD_MAX).then(|| Answer {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: body.to_owned(),
+    })
+}
+
 fn whole(answer: Kept) -> Reply {
     Reply::whole(answer.status, &answer.content_type, answer.body)
 }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -7,7 +7,7 @@
 
 use parking_lot::Mutex;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 use sardinemux_core::class::Class;
 use smol_str::SmolStr;
@@ -50,8 +50,6 @@
     pub resumed: IntCounter,
     /// Targets that this router owns.
     pub owned: IntGauge,
-    /// Requests in flight at this router, by part: entry or owner.
-    pub in_flight: IntGaugeVec,
     /// The version of the configuration in force.
     pub config_version: IntGauge,
     members: Mutex<HashSet<SmolStr>>,
@@ -88,11 +86,6 @@
         };
         let process = prometheus::process_collector::ProcessCollector::for_self();
         registry.register(Box::new(process))?;
-        let in_flight = IntGaugeVec::new(
-            Opts::new("sardinemux_in_flight", "Requests in flight."),
-            &["part"],
-        )?;
-        registry.register(Box::new(in_flight.clone()))?;
         Ok(Self {
             requests: counters(
                 "sardinemux_requests_total",
@@ -141,7 +134,6 @@
                 "sardinemux_config_version",
                 "The version of the configuration in force.",
             )?,
-            in_flight,
             registry,
             members: Mutex::new(HashSet::new()),
         })
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -2,18 +2,26 @@
 
 use std::net::SocketAddr;
 
+use prometheus::Registry;
 use rocket::{Build, Rocket, Route};
+use sardinemux_host::observe::{self, Observed};
 use sardinemux_host::server;
 
 use crate::errors::Result;
 
-/// Creates a server with some routes.
+/// Creates a server with some routes, and those that every program has.
 pub fn build(address: SocketAddr, routes: Vec<Route>) -> Rocket<Build> {
     let settings = server::Settings {
         address,
         ..server::Settings::default()
     };
-    server::build(settings).mount("/", routes)
+    server::build(settings)
+        .manage(Observed {
+            registry: Registry::new(),
+            is_ready: Box::new(|| true),
+        })
+        .mount("/", observe::routes())
+        .mount("/", routes)
 }
 
 /// Serves until the process ends.
