Let the test of leaving targets wait until its engine is placed and serves

Cause: the test of a leaving target failed once in a run of all checks and once in three runs of it alone, with "not reached in time: work on the engine": six chats are placed at random, and none had gone to the engine that leaves, which could also still rest after a take-over. Ruled out: a fault of the router (the engine had been offered nothing). Change: the test first sends chats until the engine has served one, then twelve long ones, so that each of three engines gets some. What it asserts is as before.

--- a/crates/proof/tests/control.rs
+++ b/crates/proof/tests/control.rs
@@ -22,6 +22,9 @@
 use sardinemux_wire::caller::{ErrorBody, Kind};
 use serde_json::{json, Value};
 
+/// The chats that run at once while a target leaves: so many that, of three engines, each gets some.
+const LONG_CHATS: usize = 12;
+
 fn small() -> Settings {
     Settings {
         routers: 3,
@@ -315,7 +318,18 @@
 #[tokio::test]
 async fn verify_leaving_target_gets_no_new_work(#[case] how: &str) {
     let fleet = Fleet::start(small()).await.unwrap();
-    let long: Vec<_> = (0..6)
+    // Chats are placed at random, and an engine that was just taken over rests: it must have served
+    // one before the test can count on it.
+    until("a chat served by the engine", || async {
+        matrix::send_chat(&fleet, 0, true, 2).await;
+        fleet
+            .engine_stats(0)
+            .await
+            .is_ok_and(|stats| stats.completed > 0)
+    })
+    .await
+    .unwrap();
+    let long: Vec<_> = (0..LONG_CHATS)
         .map(|_| matrix::send_chat(&fleet, 0, true, 200))
         .collect();
     let long = join_all(long);
