Serve the users' platform on a thin path: gateway, adapter and deploy file

A gateway crate routes plain HTTP by host and path, with hyper at both edges; platform/ translates headers, settings and the store's rows, and decides nothing. New decisions in core: catalogue, roster, cold shares, prompt parts, events.

--- a/crates/admin/src/main.rs
+++ b/crates/admin/src/main.rs
@@ -10,6 +10,7 @@
         name: "sardinemux-admin",
         about: "Serves the administration API of the fleet",
         keys: &settings::KEYS,
+        settings_variable: None,
     };
     program::run(&program, run::run)
 }
--- a/crates/core/src/errors.rs
+++ b/crates/core/src/errors.rs
@@ -89,4 +89,12 @@
         /// What had arrived.
         found: u64,
     },
+    /// A message is larger than what is put together.
+    #[snafu(display("{found} bytes where at most {limit} are taken"))]
+    Oversized {
+        /// The largest size, in bytes.
+        limit: u64,
+        /// What had arrived, in bytes.
+        found: u64,
+    },
 }
--- /dev/null
+++ b/crates/core/src/event.rs
@@ -0,0 +1,146 @@
+//! Splitting a stream into whole events, so that a cut never leaves half an event with the caller.
+//!
+//! Format: events end with a blank line; a line `id: N` numbers them. Source: WHATWG HTML, section
+//! "Server-sent events".
+
+use snafu::ensure;
+
+use crate::errors::{OversizedSnafu, Result};
+
+/// The largest event that is put together, in bytes; a longer one is no event of a model engine.
+pub const EVENT_MAX: usize = 1 << 20;
+
+/// One whole event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// The number that the stream gives it.
+    pub id: Option<u64>,
+    /// The bytes, with the blank line.
+    pub bytes: Vec<u8>,
+}
+
+/// Puts whole events together from the pieces of a stream.
+#[derive(Clone, Debug, Default)]
+pub struct Splitter {
+    buffer: Vec<u8>,
+}
+
+impl Splitter {
+    /// Takes in a piece.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Oversized` if an event is larger than [`EVENT_MAX`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::event::Splitter;
+    ///
+    /// let mut splitter = Splitter::default();
+    /// splitter.push(b"id: 4\ndata: a\n\nid: 5").unwrap();
+    /// assert_eq!(splitter.next().unwrap().id, Some(4));
+    /// assert!(splitter.next().is_none());
+    /// assert!(!splitter.is_empty());
+    /// ```
+    pub fn push(&mut self, piece: &[u8]) -> Result<()> {
+        let found = (self.buffer.len() + piece.len()) as u64;
+        ensure!(
+            found <= EVENT_MAX as u64,
+            OversizedSnafu {
+                limit: EVENT_MAX as u64,
+                found
+            }
+        );
+        self.buffer.extend_from_slice(piece);
+        Ok(())
+    }
+
+    /// Returns whether no part of an event is left over.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    fn end(&self) -> Option<usize> {
+        let bytes = &self.buffer;
+        (1..bytes.len()).find_map(|index| {
+            let is_blank = bytes[index] == b'\n'
+                && (bytes[index - 1] == b'\n'
+                    || (index >= 3 && &bytes[index - 3..index] == b"\r\n\r"));
+            is_blank.then_some(index + 1)
+        })
+    }
+}
+
+impl Iterator for Splitter {
+    type Item = Event;
+
+    fn next(&mut self) -> Option<Event> {
+        let end = self.end()?;
+        let rest = self.buffer.split_off(end);
+        let bytes = std::mem::replace(&mut self.buffer, rest);
+        Some(Event {
+            id: id(&bytes),
+            bytes,
+        })
+    }
+}
+
+fn id(event: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(event).ok()?;
+    let field = text.lines().find_map(|line| line.strip_prefix("id:"))?;
+    field.trim().parse().ok()
+}
+
+/// What an event is to what the caller already has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// The next one.
+    Next,
+    /// Delivered before.
+    Repeated,
+    /// Events before it are missing.
+    Gap,
+}
+
+/// Follows the numbers of the events that the caller has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    last: Option<u64>,
+}
+
+impl Progress {
+    /// Starts after an event that the caller says it has.
+    pub fn after(last: Option<u64>) -> Self {
+        Self { last }
+    }
+
+    /// Returns the number of the last event.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Takes in the number of an event.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::event::{Place, Progress};
+    ///
+    /// let mut progress = Progress::after(Some(4));
+    /// assert_eq!(progress.take(Some(5)), Place::Next);
+    /// assert_eq!(progress.take(Some(5)), Place::Repeated);
+    /// assert_eq!(progress.take(Some(7)), Place::Gap);
+    /// ```
+    pub fn take(&mut self, id: Option<u64>) -> Place {
+        let Some(id) = id else { return Place::Next };
+        match self.last {
+            Some(last) if id <= last => Place::Repeated,
+            Some(last) if id > last + 1 => Place::Gap,
+            _ => {
+                self.last = Some(id);
+                Place::Next
+            }
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,10 +5,13 @@
 
 pub mod book;
 pub mod budget;
+pub mod catalog;
 pub mod chats;
 pub mod class;
+pub mod cold;
 pub mod config;
 pub mod errors;
+pub mod event;
 pub mod fairness;
 pub mod fence;
 pub mod hash;
@@ -19,8 +22,11 @@
 pub mod membership;
 pub mod outcome;
 pub mod ownership;
+pub mod pace;
 pub mod placement;
 pub mod prelude;
+pub mod prompt;
 pub mod retry;
+pub mod roster;
 pub mod stream;
 pub mod target;
--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,373 @@
+//! From a caller's request to its final answer: which targets are tried, and what the caller is told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{self, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
+use rand::Rng;
+use sardinemux_core::roster::query::{self, Wish};
+use sardinemux_core::roster::Evidence;
+use sardinemux_core::target::{Key, Target};
+use snafu::Snafu;
+use tokio::time::{self, Instant};
+
+use crate::attempt::{self, Account, Answer, Reached};
+use crate::prelude::*;
+use crate::request::{self, Job, Rejection};
+use crate::stream;
+
+/// Why an answer's body ends early. The caller's connection is closed, so that it does not look complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("the answer broke off: {}", reason.name()))]
+pub struct Broken {
+    /// Why.
+    pub reason: Reason,
+}
+
+/// The body of an answer to a caller.
+pub type Body = UnsyncBoxBody<Bytes, Broken>;
+
+/// The largest answer that is read whole before it is passed on, in bytes; a larger one cannot be tried again.
+const WHOLE_MAX: usize = 8 << 20;
+
+/// The targets that may turn one request away before the caller is told to come back.
+const TURNED_AWAY_MAX: u32 = 4;
+
+/// A repeatable request is tried elsewhere after this multiple of its objective without a first byte.
+const SILENCE_OBJECTIVES: u32 = 2;
+
+/// The shortest time that a target is given for its first byte, in milliseconds.
+const SILENCE_LEAST_MS: u64 = 400;
+
+/// The shortest time after which a refused caller is asked to come back, in milliseconds.
+const RETRY_LEAST_MS: u64 = 150;
+
+/// The longest time after which a refused caller is asked to come back, in milliseconds.
+const RETRY_MOST_MS: u64 = 1_200;
+
+/// The part of the remaining time after which a refused caller is asked to come back at the latest; callers wait
+/// for a third of it at most.
+const RETRY_PART: u32 = 4;
+
+/// How far the attempts at one request have come.
+#[derive(Debug)]
+pub struct Attempts {
+    gateway: Arc<Gateway>,
+    job: Job,
+    tried: Vec<Key>,
+    ran: u32,
+    turned_away: u32,
+    reason: Reason,
+    fallback: Option<Response<Bytes>>,
+}
+
+/// Why no further target is tried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Whether the request may have run.
+    pub outcome: Outcome,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// Serves a request to its end, or to the head of a streamed answer.
+pub async fn serve(gateway: Arc<Gateway>, job: Job) -> Response<Body> {
+    gateway.earn_retry(&job.pool);
+    let mut attempts = Attempts::new(gateway, job);
+    loop {
+        let answer = match attempts.next(None).await {
+            Ok(answer) => answer,
+            Err(failure) => return attempts.fail(failure),
+        };
+        let is_stream = attempts.job.route.kind.is_stream();
+        if is_stream && answer.head.status.is_success() {
+            return stream::respond(attempts, *answer);
+        }
+        match attempts.read_whole(*answer).await {
+            Ok(Some(response)) => return attempts.deliver(response),
+            Ok(None) => {}
+            Err(failure) => return attempts.fail(failure),
+        }
+    }
+}
+
+impl Attempts {
+    fn new(gateway: Arc<Gateway>, job: Job) -> Self {
+        Self {
+            gateway,
+            job,
+            tried: Vec::new(),
+            ran: 0,
+            turned_away: 0,
+            reason: Reason::NoTarget,
+            fallback: None,
+        }
+    }
+
+    /// Returns the request.
+    pub fn job(&self) -> &Job {
+        &self.job
+    }
+
+    /// Returns the gateway.
+    pub fn gateway(&self) -> &Arc<Gateway> {
+        &self.gateway
+    }
+
+    /// Sends the request to the best target, and to others as long as that is allowed. `last_event` is the number
+    /// of the last event that the caller has.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] once nothing more may be tried.
+    pub async fn next(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> std::result::Result<Box<Answer>, Failure> {
+        loop {
+            if self.job.left().is_zero() {
+                return Err(self.failure(Reason::Waited));
+            }
+            let Some((account, target)) = self.choose() else {
+                return Err(self.failure(self.reason));
+            };
+            let key = account.key;
+            self.tried.push(key);
+            let first_byte = self.first_byte();
+            let sent = attempt::send(&self.job, account, &target, last_event, first_byte);
+            match sent.await {
+                Reached::Answer(answer) => {
+                    self.ran += 1;
+                    return Ok(answer);
+                }
+                Reached::NotRun {
+                    reason,
+                    has_arrived,
+                } => self.note_not_run(reason, has_arrived)?,
+                Reached::Unknown { reason } => {
+                    self.ran += 1;
+                    self.may_repeat(reason)?;
+                }
+            }
+        }
+    }
+
+    fn choose(&self) -> Option<(Account, Target)> {
+        let job = &self.job;
+        let now_ms = self.gateway.now_ms();
+        let ranks = {
+            let wish = Wish {
+                pool: &job.pool,
+                subject: job.prompt.subject(),
+                zone: &self.gateway.settings.zone,
+                tried: &self.tried,
+            };
+            query::rank(&self.gateway.roster.lock(), wish, now_ms)
+        };
+        let mut ranks = ranks.into_iter();
+        ranks.find_map(|key| attempt::start(&self.gateway, key))
+    }
+
+    /// Returns until when the head of the answer must come.
+    fn first_byte(&self) -> Instant {
+        let route = &self.job.route;
+        let has_another = self.ran + 1 < route.attempts_max;
+        if !route.kind.is_repeatable() || !has_another {
+            return self.job.deadline;
+        }
+        let objective = Duration::from_millis(route.objective_ms);
+        let least = Duration::from_millis(SILENCE_LEAST_MS);
+        let patience = (objective * SILENCE_OBJECTIVES).max(least);
+        self.job.deadline.min(Instant::now() + patience)
+    }
+
+    fn note_not_run(
+        &mut self,
+        reason: Reason,
+        has_arrived: bool,
+    ) -> std::result::Result<(), Failure> {
+        self.reason = reason;
+        self.turned_away += 1;
+        let may_go_on = self.turned_away <= TURNED_AWAY_MAX
+            && (!has_arrived || self.gateway.spend_retry(&self.job.pool));
+        match may_go_on {
+            true => Ok(()),
+            false => Err(self.failure(reason)),
+        }
+    }
+
+    /// Checks whether a request that may have run may be sent again.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] if not.
+    pub fn may_repeat(&mut self, reason: Reason) -> std::result::Result<(), Failure> {
+        self.reason = reason;
+        let route = &self.job.route;
+        let may_repeat = route.kind.is_repeatable()
+            && self.ran < route.attempts_max
+            && !self.job.left().is_zero()
+            && self.gateway.spend_retry(&self.job.pool);
+        match may_repeat {
+            true => Ok(()),
+            false => Err(self.failure(reason)),
+        }
+    }
+
+    fn failure(&self, reason: Reason) -> Failure {
+        let outcome = match self.ran {
+            0 => Outcome::NotRun,
+            _ => Outcome::Unknown,
+        };
+        Failure { outcome, reason }
+    }
+
+    /// Reads a whole answer. Returns nothing if the request is to be tried again.
+    async fn read_whole(
+        &mut self,
+        mut answer: Answer,
+    ) -> std::result::Result<Option<Response<Bytes>>, Failure> {
+        let whole = Limited::new(&mut answer.body, WHOLE_MAX).collect();
+        let reason = match time::timeout_at(self.job.deadline, whole).await {
+            Ok(Ok(whole)) => {
+                let response = Response::from_parts(answer.head.clone(), whole.to_bytes());
+                answer.complete();
+                return Ok(self.keep_or_repeat(response));
+            }
+            Ok(Err(_)) => Reason::Cut,
+            Err(_) => Reason::Silence,
+        };
+        answer.account.note(Evidence::Faulty);
+        drop(answer);
+        self.may_repeat(reason)?;
+        Ok(None)
+    }
+
+    /// A target's own server error is kept while another target is tried.
+    fn keep_or_repeat(&mut self, response: Response<Bytes>) -> Option<Response<Bytes>> {
+        if !response.status().is_server_error() || self.may_repeat(Reason::Failed).is_err() {
+            return Some(response);
+        }
+        self.fallback = Some(response);
+        None
+    }
+
+    fn deliver(&self, response: Response<Bytes>) -> Response<Body> {
+        let (head, body) = response.into_parts();
+        self.note_answer(head.status);
+        let mut response = Response::new(whole(body));
+        self.copy_head(head, &mut response);
+        response
+    }
+
+    /// Copies the head of a target's answer, without what concerns only that connection.
+    pub fn copy_head(&self, mut head: Parts, response: &mut Response<Body>) {
+        let dialect = &self.gateway.dialect;
+        request::strip_hop_by_hop(&mut head.headers);
+        head.headers.remove(header::CONTENT_LENGTH);
+        head.headers.remove(&dialect.load);
+        *response.status_mut() = head.status;
+        *response.headers_mut() = head.headers;
+    }
+
+    /// Counts and logs the outcome of the request.
+    pub fn note_answer(&self, status: StatusCode) {
+        let job = &self.job;
+        let elapsed = job.begun.elapsed();
+        let class = class(job);
+        let metrics = &self.gateway.metrics;
+        let organisation = job.organisation.as_deref().unwrap_or("none");
+        metrics
+            .answers
+            .with_label_values(&[class, organisation, status.as_str()])
+            .inc();
+        metrics
+            .first_byte_s
+            .with_label_values(&[class])
+            .observe(elapsed.as_secs_f64());
+        log::info!(
+            request_id:? = job.id, route:% = job.route.name, organisation = organisation,
+            pool:% = job.pool, status = status.as_u16(), tried = self.tried.len(), ran = self.ran,
+            elapsed_ms = elapsed.as_millis() as u64, version = self.gateway.catalog.read().version();
+            "answered"
+        );
+    }
+
+    fn fail(mut self, failure: Failure) -> Response<Body> {
+        if let Some(fallback) = self.fallback.take() {
+            return self.deliver(fallback);
+        }
+        let status = match (failure.outcome, failure.reason) {
+            (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+            (_, Reason::Silence | Reason::Waited) => StatusCode::GATEWAY_TIMEOUT,
+            _ => StatusCode::BAD_GATEWAY,
+        };
+        self.note_answer(status);
+        let mut response = plain(status, failure.reason.name());
+        if failure.outcome == Outcome::NotRun {
+            set_retry_after(&mut response, self.job.left());
+        }
+        response
+    }
+}
+
+fn class(job: &Job) -> &'static str {
+    use sardinemux_core::catalog::Kind;
+    match job.route.kind {
+        Kind::Safe => "safe",
+        Kind::Unsafe => "unsafe",
+        Kind::Stream { is_resumable: true } => "resumable",
+        Kind::Stream { .. } => "stream",
+    }
+}
+
+fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Returns an answer of the gateway's own.
+pub fn plain(status: StatusCode, reason: &str) -> Response<Body> {
+    let mut response = Response::new(whole(Bytes::from(format!("{reason}\n"))));
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns the answer to a request that is not passed on.
+pub fn reject(rejection: Rejection) -> Response<Body> {
+    let status = rejection.status();
+    let mut response = plain(status, &rejection.to_string());
+    if rejection == Rejection::NotReady {
+        set_retry_after(&mut response, Duration::from_millis(RETRY_MOST_MS));
+    }
+    // What is left of the request on the connection is not read.
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
+/// Tells a caller when to come back, spread so that those who were refused together do not return together.
+fn set_retry_after(response: &mut Response<Body>, left: Duration) {
+    let most_ms = (left / RETRY_PART).as_millis() as u64;
+    let most_ms = most_ms.clamp(RETRY_LEAST_MS, RETRY_MOST_MS);
+    let wait_ms = rand::rng().random_range(RETRY_LEAST_MS..=most_ms);
+    let seconds = format!("{:.3}", wait_ms as f64 / 1_000.0);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+}
+
+/// Counts a request as running until its body has been sent or dropped.
+pub fn counted(body: Body, running: crate::drain::Running) -> Body {
+    let mut running = Some(running);
+    body.map_frame(move |frame| {
+        let _ = &mut running;
+        frame
+    })
+    .boxed_unsync()
+}
--- /dev/null
+++ b/crates/gateway/src/caller.rs
@@ -0,0 +1,98 @@
+//! The listener for callers.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use snafu::ResultExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time;
+
+use crate::answer::{self, Body};
+use crate::connections;
+use crate::drain::Phase;
+use crate::errors::ListenSnafu;
+use crate::prelude::*;
+use crate::request;
+
+/// The smallest buffer that the HTTP library takes for a head, in bytes.
+const HEAD_LEAST: usize = 8_192;
+
+/// The pause after a connection could not be accepted, as descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers for ever.
+///
+/// # Errors
+///
+/// `Error::Listen` if the address cannot be bound.
+pub async fn listen(gateway: Arc<Gateway>) -> Result<()> {
+    let address = gateway.settings.caller_address;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.context(ListenSnafu { address })?;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(gateway.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "a caller's connection was not accepted");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream) {
+    if let Err(error) = connections::set_options(&stream) {
+        log::debug!(error:% = error; "a caller left at once");
+        return;
+    }
+    let limits = gateway.catalog().limits();
+    let mut phases = gateway.drain.subscribe();
+    let service = service_fn(|request| respond(gateway.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_ms))
+        .max_buf_size(limits.head_bytes.max(HEAD_LEAST))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let closing = async move {
+        // The sender lives as long as the gateway; an error would mean that nothing is left to wait for.
+        drop(phases.wait_for(|phase| *phase == Phase::Closing).await);
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "a caller's connection ended early");
+    }
+}
+
+async fn respond(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> std::result::Result<Response<Body>, Infallible> {
+    let running = gateway.drain.enter();
+    let mut response = match request::read(&gateway, request).await {
+        Ok(job) => answer::serve(gateway.clone(), job).await,
+        Err(rejection) => {
+            log::info!(reason:% = rejection, version = gateway.catalog.read().version(); "rejected");
+            answer::reject(rejection)
+        }
+    };
+    if gateway.drain.phase() != Phase::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response.map(|body| answer::counted(body, running)))
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,99 @@
+//! Counters and latency histograms, by class of route and organisation.
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+use snafu::ResultExt;
+
+use crate::errors::MetricSnafu;
+use crate::prelude::*;
+
+/// Upper bounds of the latency histograms, in seconds: around the objectives of 0.1 to 1 s.
+const LATENCY_S: [f64; 10] = [0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0, 12.0];
+
+/// Organisations beyond this many are counted together, to bound the memory of the series.
+pub const ORGANISATIONS_MAX: usize = 32;
+
+/// The name under which further organisations are counted.
+pub const OTHERS: &str = "others";
+
+/// The metrics of a gateway.
+#[derive(Debug)]
+pub struct Metrics {
+    /// All of them.
+    pub registry: Registry,
+    /// Answers by class, organisation and outcome.
+    pub answers: IntCounterVec,
+    /// Seconds to the first byte of an answer, by class.
+    pub first_byte_s: HistogramVec,
+    /// Requests sent to targets, by pool and outcome.
+    pub attempts: IntCounterVec,
+    /// Calls to the store, by topic and outcome.
+    pub store_calls: IntCounterVec,
+    /// Bytes of the catalogue's version in force.
+    pub catalog_version: IntGauge,
+    /// Reports of other gateways that were taken in.
+    pub reports: IntCounter,
+}
+
+impl Metrics {
+    /// Creates and registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Metric` if two have the same name.
+    pub fn new() -> Result<Self> {
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name, help), labels)
+        };
+        let build = || -> prometheus::Result<Self> {
+            let first_byte = HistogramOpts::new(
+                "gateway_first_byte_seconds",
+                "Seconds to the first byte of an answer",
+            );
+            Ok(Self {
+                registry: Registry::new(),
+                answers: counters(
+                    "gateway_answers_total",
+                    "Answers to callers",
+                    &["class", "organisation", "outcome"],
+                )?,
+                first_byte_s: HistogramVec::new(
+                    first_byte.buckets(LATENCY_S.to_vec()),
+                    &["class"],
+                )?,
+                attempts: counters(
+                    "gateway_attempts_total",
+                    "Requests sent to targets",
+                    &["pool", "outcome"],
+                )?,
+                store_calls: counters(
+                    "gateway_store_calls_total",
+                    "Calls to the store",
+                    &["topic", "outcome"],
+                )?,
+                catalog_version: IntGauge::new(
+                    "gateway_catalog_version",
+                    "The version of the catalogue in force",
+                )?,
+                reports: IntCounter::new(
+                    "gateway_peer_reports_total",
+                    "Reports of other gateways taken in",
+                )?,
+            })
+        };
+        let metrics = build().context(MetricSnafu)?;
+        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
+            Box::new(metrics.answers.clone()),
+            Box::new(metrics.first_byte_s.clone()),
+            Box::new(metrics.attempts.clone()),
+            Box::new(metrics.store_calls.clone()),
+            Box::new(metrics.catalog_version.clone()),
+            Box::new(metrics.reports.clone()),
+        ];
+        for collector in collectors {
+            metrics.registry.register(collector).context(MetricSnafu)?;
+        }
+        Ok(metrics)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The types that most modules of this crate use.
+
+pub use std::sync::Arc;
+
+pub use crate::errors::{Error, Result};
+pub use crate::tables::Gateway;
+pub use sardinemux_core::prelude::{Outcome, Reason, SmolStr};
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,159 @@
+//! Passing on a stream event by event, and going on at another target when it breaks off.
+
+use std::time::Duration;
+
+use async_stream::stream;
+use bytes::Bytes;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use hyper::Response;
+use sardinemux_core::catalog::Kind;
+use sardinemux_core::event::{Place, Progress, Splitter};
+use sardinemux_core::roster::Evidence;
+use tokio::time::{self, Instant};
+
+use crate::answer::{Attempts, Body, Broken};
+use crate::attempt::Answer;
+use crate::prelude::*;
+
+/// A resumable stream goes on elsewhere after this long without an event, in milliseconds: callers give up after
+/// two seconds.
+const GAP_MS: u64 = 1_500;
+
+/// Returns the response to a caller for a streamed answer.
+pub fn respond(attempts: Attempts, answer: Answer) -> Response<Body> {
+    attempts.note_answer(answer.head.status);
+    let head = answer.head.clone();
+    let mut response = Response::new(Body::default());
+    attempts.copy_head(head, &mut response);
+    let is_resumable = attempts.job().route.kind == Kind::Stream { is_resumable: true };
+    *response.body_mut() = match is_resumable {
+        true => resumable(attempts, answer),
+        false => once(attempts, answer),
+    };
+    response
+}
+
+/// Waits for the next piece of an answer; nothing at its clean end.
+async fn piece(answer: &mut Answer, until: Instant) -> std::result::Result<Option<Bytes>, Broken> {
+    loop {
+        let frame = match time::timeout_at(until, answer.body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) => return Err(broken(Reason::Cut)),
+            Ok(None) => return Ok(None),
+            Err(_) => return Err(broken(Reason::Silence)),
+        };
+        if let Ok(data) = frame.into_data() {
+            return Ok(Some(data));
+        }
+    }
+}
+
+fn broken(reason: Reason) -> Broken {
+    Broken { reason }
+}
+
+fn log_broken(attempts: &Attempts, broken: Broken, last_event: Option<u64>) {
+    log::warn!(
+        request_id:? = attempts.job().id, reason = broken.reason.name(),
+        last_event = last_event.unwrap_or_default();
+        "stream broke off"
+    );
+}
+
+/// Passes on a stream that must not be run again.
+fn once(attempts: Attempts, mut answer: Answer) -> Body {
+    let pieces = stream! {
+        loop {
+            match piece(&mut answer, attempts.job().deadline).await {
+                Ok(Some(data)) => yield Ok(Frame::data(data)),
+                Ok(None) => {
+                    answer.complete();
+                    return;
+                }
+                Err(broken) => {
+                    answer.account.note(Evidence::Faulty);
+                    drop(answer);
+                    log_broken(&attempts, broken, None);
+                    yield Err(broken);
+                    return;
+                }
+            }
+        }
+    };
+    StreamBody::new(pieces).boxed_unsync()
+}
+
+/// Passes on whole events, and goes on elsewhere after the last one when the stream breaks off.
+fn resumable(mut attempts: Attempts, mut answer: Answer) -> Body {
+    let pieces = stream! {
+        let mut progress = Progress::after(attempts.job().last_event);
+        loop {
+            let mut splitter = Splitter::default();
+            let broken = loop {
+                let gap = Instant::now() + Duration::from_millis(GAP_MS);
+                let until = gap.min(attempts.job().deadline);
+                match piece(&mut answer, until).await {
+                    Ok(Some(data)) => {
+                        if splitter.push(&data).is_err() {
+                            break broken(Reason::Crossed);
+                        }
+                    }
+                    Ok(None) if splitter.is_empty() => {
+                        answer.complete();
+                        return;
+                    }
+                    Ok(None) => break broken(Reason::Cut),
+                    Err(broken) => break broken,
+                }
+                let (bytes, is_whole) = take_events(&mut splitter, &mut progress);
+                if !bytes.is_empty() {
+                    yield Ok(Frame::data(bytes));
+                }
+                if !is_whole {
+                    break broken(Reason::Crossed);
+                }
+            };
+            answer.account.note(Evidence::Faulty);
+            drop(answer);
+            log_broken(&attempts, broken, progress.last());
+            answer = match resume(&mut attempts, broken, progress.last()).await {
+                Ok(next) => next,
+                Err(broken) => {
+                    yield Err(broken);
+                    return;
+                }
+            };
+        }
+    };
+    StreamBody::new(pieces).boxed_unsync()
+}
+
+/// Takes the whole events that come next; `false` if events are missing before one.
+fn take_events(splitter: &mut Splitter, progress: &mut Progress) -> (Bytes, bool) {
+    let mut bytes = Vec::new();
+    for event in splitter {
+        match progress.take(event.id) {
+            Place::Next => bytes.extend(event.bytes),
+            Place::Repeated => {}
+            Place::Gap => return (bytes.into(), false),
+        }
+    }
+    (bytes.into(), true)
+}
+
+async fn resume(
+    attempts: &mut Attempts,
+    cause: Broken,
+    last_event: Option<u64>,
+) -> std::result::Result<Answer, Broken> {
+    loop {
+        let may_repeat = attempts.may_repeat(cause.reason);
+        may_repeat.map_err(|failure| broken(failure.reason))?;
+        let next = attempts.next(last_event).await;
+        let next = next.map_err(|failure| broken(failure.reason))?;
+        if next.head.status.is_success() {
+            return Ok(*next);
+        }
+    }
+}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod clock;
 pub mod errors;
+pub mod logs;
 pub mod observe;
 pub mod platform;
 pub mod prelude;
--- a/crates/host/src/program.rs
+++ b/crates/host/src/program.rs
@@ -7,6 +7,7 @@
 use snafu::ResultExt;
 
 use crate::errors::{Result, RuntimeSnafu};
+use crate::logs;
 use crate::settings::{Key, Kind, Values};
 
 /// The exit status for settings that are not valid.
@@ -26,7 +27,7 @@
         name: "threads",
         kind: Kind::Count { least: 1, most: 64 },
         default: Some("2"),
-        about: "The worker threads; set, not taken from the machine, as it decides the memory.",
+        about: "The worker threads, which decide the memory; with 1, all runs on the main thread.",
     },
 ];
 
@@ -39,6 +40,8 @@
     pub about: &'static str,
     /// Its own keys, besides [`COMMON_KEYS`].
     pub keys: &'static [Key],
+    /// An environment variable that may name the settings file instead of the command line.
+    pub settings_variable: Option<&'static str>,
 }
 
 fn command(program: &Program) -> Command {
@@ -63,7 +66,7 @@
             Arg::new("settings")
                 .long("settings")
                 .value_name("FILE")
-                .required(true)
+                .required(!has_variable(program))
                 .help("The INI file with the settings"),
         )
         .arg(
@@ -74,6 +77,20 @@
         )
 }
 
+fn has_variable(program: &Program) -> bool {
+    program
+        .settings_variable
+        .is_some_and(|name| std::env::var_os(name).is_some())
+}
+
+fn settings_file(program: &Program, matches: &clap::ArgMatches) -> String {
+    let given = matches.get_one::<String>("settings").cloned();
+    let variable = program
+        .settings_variable
+        .and_then(|name| std::env::var(name).ok());
+    given.or(variable).unwrap_or_default()
+}
+
 fn all_keys(program: &Program) -> Vec<Key> {
     COMMON_KEYS.iter().chain(program.keys).copied().collect()
 }
@@ -87,11 +104,8 @@
     E: std::error::Error,
 {
     let matches = command(program).get_matches();
-    let file = matches
-        .get_one::<String>("settings")
-        .map(String::as_str)
-        .unwrap_or_default();
-    let values = match Values::load(file, &all_keys(program)) {
+    let file = settings_file(program, &matches);
+    let values = match Values::load(&file, &all_keys(program)) {
         Ok(values) => values,
         Err(error) => {
             eprintln!("{}: {error}", program.name);
@@ -102,7 +116,7 @@
         println!("{file}: the settings are valid");
         return ExitCode::SUCCESS;
     }
-    init_logs(&values);
+    logs::init(&values.text("program", "log").unwrap_or_default());
     match runtime(&values) {
         Ok(runtime) => report(program, runtime.block_on(main(values))),
         Err(error) => report(program, Err(error)),
@@ -113,23 +127,21 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log::error!("{} failed: {error}", program.name);
+            log::error!(program = program.name, error:% = error; "program failed");
+            logs::flush();
             ExitCode::FAILURE
         }
     }
 }
 
-/// Starts the log; the environment variable `RUST_LOG` outweighs the settings.
-fn init_logs(values: &Values) {
-    let level = values.text("program", "log").unwrap_or_default();
-    let environment = env_logger::Env::default().default_filter_or(format!(
-        "{level},rocket=off,hyper=off,_=off,rocket::server=off"
-    ));
-    env_logger::Builder::from_env(environment).init();
-}
-
 fn runtime(values: &Values) -> Result<tokio::runtime::Runtime> {
     let threads = values.number("program", "threads")? as usize;
+    if threads == 1 {
+        return tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .context(RuntimeSnafu);
+    }
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
         .max_blocking_threads(4)
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -43,6 +43,11 @@
         /// The largest allowed size, in bytes.
         most: u64,
     },
+    /// A number from 0 that may have a fraction.
+    Fraction {
+        /// The largest allowed number.
+        most: u32,
+    },
     /// One of a list of words.
     Choice(&'static [&'static str]),
 }
@@ -72,10 +77,19 @@
 fn measure(text: &str, units: &[(&str, u64)]) -> Option<u64> {
     units.iter().find_map(|(unit, factor)| {
         let digits = text.strip_suffix(unit)?.trim_end();
-        digits.parse::<u64>().ok()?.checked_mul(*factor)
+        if let Ok(whole) = digits.parse::<u64>() {
+            return whole.checked_mul(*factor);
+        }
+        let fraction = parse_fraction(digits)? * *factor as f64;
+        Some(fraction.round() as u64)
     })
 }
 
+fn parse_fraction(text: &str) -> Option<f64> {
+    let number: f64 = text.parse().ok()?;
+    (number.is_finite() && number >= 0.0).then_some(number)
+}
+
 impl Kind {
     /// Returns what is allowed, for a message.
     pub fn allowed(self) -> String {
@@ -90,6 +104,7 @@
             Self::Size { least, most } => {
                 format!("a size in B, KiB or MiB, from {least}B to {most}B")
             }
+            Self::Fraction { most } => format!("a number from 0 to {most}"),
             Self::Choice(words) => format!("one of {}", words.join(", ")),
         }
     }
@@ -119,6 +134,9 @@
                 between(measure(text, &TIME_UNITS), least_ms, most_ms)
             }
             Self::Size { least, most } => between(measure(text, &SIZE_UNITS), least, most),
+            Self::Fraction { most } => {
+                parse_fraction(text).is_some_and(|number| number <= f64::from(most))
+            }
             Self::Choice(words) => words.contains(&text),
         }
     }
@@ -282,6 +300,24 @@
     }
 }
 
+impl Values {
+    /// Returns a number that may have a fraction.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Values::address`].
+    pub fn fraction(&self, section: &str, name: &str) -> Result<f64> {
+        let (kind, value) = self.value(section, name)?;
+        parse_fraction(value).context(ValueSnafu {
+            file: self.file.clone(),
+            section,
+            key: name,
+            value: value.to_string(),
+            allowed: kind.allowed(),
+        })
+    }
+}
+
 fn check_section(file: &str, section: &str, keys: &[Key]) -> Result<()> {
     let mut sections: Vec<&str> = keys.iter().map(|key| key.section).collect();
     sections.dedup();
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -10,6 +10,7 @@
         name: "sardinemux-router",
         about: "Takes callers' requests in and hands each to the owner of its target",
         keys: &settings::KEYS,
+        settings_variable: None,
     };
     program::run(&program, run::run)
 }
