Tell a lapse in the store's list from a target that leaves

Cause: after any outage of the store, removals counted as lapses for 2.5 s.

Ruled out: a late feed; the log shows the removal 4 ms after the store's confirmation.

Now a removal in the feed always takes effect, and the first list after an outage spares missing targets only if no other gateway followed the store all the while, which reports tell.

--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -20,9 +20,6 @@
 /// The longest pause between calls, in milliseconds: a part of the second or two within which changes must be known.
 const PAUSE_MAX_MS: u64 = 800;
 
-/// After an outage, removals of targets wait for their return for this long, in milliseconds.
-const RELIST_MS: u64 = 2_500;
-
 /// What was heard of one topic.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -34,8 +31,13 @@
     pub heard_ms: u64,
     /// Since when the source has given no answer.
     pub lost_since_ms: Option<u64>,
-    /// Removals of targets count as an outage's until then.
-    pub relists_until_ms: u64,
+    /// Since when the source has answered without a break.
+    pub followed_since_ms: Option<u64>,
+    /// Whether another gateway followed the source all through the present outage: the store was there, and this
+    /// gateway's path to it was not.
+    pub is_own_outage: bool,
+    /// Whether the next list is the first after an outage of the store itself.
+    pub is_relisting: bool,
     /// The evacuated zones, by key of their entry.
     pub evacuated: IndexMap<SmolStr, SmolStr>,
 }
@@ -90,24 +92,45 @@
     calls.with_label_values(&[topic.name(), outcome]).inc();
 }
 
-fn note_contact(gateway: &Gateway, topic: Topic) {
+/// Notes an answer of the source.
+pub fn note_contact(gateway: &Gateway, topic: Topic) {
     let now_ms = gateway.now_ms();
     let mut views = gateway.views.lock();
     let view = views.entry(topic).or_default();
     view.heard_ms = now_ms;
+    view.followed_since_ms.get_or_insert(now_ms);
     if let Some(since_ms) = view.lost_since_ms.take() {
-        view.relists_until_ms = now_ms + RELIST_MS;
+        view.is_relisting = !view.is_own_outage;
         let away_ms = now_ms.saturating_sub(since_ms);
-        log::info!(topic = topic.name(), away_ms = away_ms; "store regained");
+        log::info!(
+            topic = topic.name(), away_ms = away_ms, is_own_outage = view.is_own_outage;
+            "store regained"
+        );
     }
+    view.is_own_outage = false;
 }
 
-fn note_loss(gateway: &Gateway, topic: Topic, error: &source::Error) {
+/// Returns for how long this gateway has followed a topic without a break, in milliseconds.
+pub fn followed_ms(view: &View, now_ms: u64) -> u64 {
+    let since_ms = view.followed_since_ms;
+    since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+}
+
+/// Notes for how long another gateway has followed a topic without a break.
+pub fn note_follower(view: &mut View, followed_ms: u64, now_ms: u64) {
+    if let Some(since_ms) = view.lost_since_ms {
+        view.is_own_outage |= followed_ms > now_ms.saturating_sub(since_ms);
+    }
+}
+
+/// Notes that the source gave no answer.
+pub fn note_loss(gateway: &Gateway, topic: Topic, error: &source::Error) {
     let now_ms = gateway.now_ms();
     let mut views = gateway.views.lock();
     let view = views.entry(topic).or_default();
     // The whole list is read on return: what lapsed meanwhile may have left the history.
     view.version = None;
+    view.followed_since_ms = None;
     if view.lost_since_ms.is_none() {
         view.lost_since_ms = Some(now_ms);
         log::warn!(topic = topic.name(), error:% = error; "store lost");
@@ -199,12 +222,12 @@
 
 fn apply_targets(gateway: &Gateway, entries: Vec<Entry>, is_complete: bool) {
     let now_ms = gateway.now_ms();
-    let is_relisting = {
-        let views = gateway.views.lock();
-        let view = views.get(&Topic::Targets);
-        view.is_some_and(|view| now_ms < view.relists_until_ms)
-    };
     if is_complete {
+        let is_relisting = {
+            let mut views = gateway.views.lock();
+            let view = views.entry(Topic::Targets).or_default();
+            std::mem::take(&mut view.is_relisting)
+        };
         let listed = entries
             .iter()
             .filter(|entry| matches!(entry.fact, Some(Fact::Target(_))))
@@ -223,8 +246,8 @@
             }
             Some(_) => {}
             None => {
-                log::info!(target_id:% = entry.key, version = entry.version, is_relisting = is_relisting; "target is no longer listed");
-                command::remove(&mut roster, &entry.key, is_relisting, now_ms);
+                log::info!(target_id:% = entry.key, version = entry.version; "target is no longer listed");
+                command::remove(&mut roster, &entry.key, false, now_ms);
             }
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -101,6 +101,8 @@
     pub operators: u64,
     /// The newest change of targets' entries.
     pub targets: u64,
+    /// For how long it has followed the store's list of targets without a break, in milliseconds.
+    pub followed_ms: u64,
     /// Its requests in flight, by target.
     pub running: IndexMap<SmolStr, u32>,
 }
@@ -129,6 +131,9 @@
         catalog: gateway.catalog.read().version(),
         operators: changed(Topic::Operators),
         targets: changed(Topic::Targets),
+        followed_ms: views
+            .get(&Topic::Targets)
+            .map_or(0, |view| knowledge::followed_ms(view, gateway.now_ms())),
         running,
     }
 }
@@ -217,6 +222,9 @@
     let now_ms = gateway.now_ms();
     let is_newer = is_newer(gateway, &report);
     let address = report.member.address;
+    if let Some(view) = gateway.views.lock().get_mut(&Topic::Targets) {
+        knowledge::note_follower(view, report.followed_ms, now_ms);
+    }
     {
         let mut roster = gateway.roster.lock();
         let name = report.member.name.clone();
