Speak the store's published calls with one client, and let the product's log, lease and ledger use it

Cause: the product spoke a table protocol of its own; the users' store has rows, conditional transactions, a change feed and objects. The former client and protocol go; the stand-in speaks the published calls, with outages, 429, lost and late answers, lapse and forgotten history.

Found by the new tests: a connection taken back right after its answer was not yet ready, and the call failed without being sent; a gateway then counted its target as faulty. Kept connections are awaited now.

--- a/crates/admin/src/errors.rs
+++ b/crates/admin/src/errors.rs
@@ -18,6 +18,12 @@
         /// The cause.
         source: sardinemux_host::errors::Error,
     },
+    /// The platform's store failed.
+    #[snafu(display("{source}"), context(false))]
+    Platform {
+        /// The cause.
+        source: sardinemux_platform::errors::Error,
+    },
     /// A change is not valid or not allowed.
     #[snafu(display("{source}"), context(false))]
     Change {
@@ -57,7 +63,9 @@
     fn kind(&self) -> (u16, Kind) {
         use sardinemux_core::errors::Error as Core;
         match self {
-            Self::Host { .. } | Self::Signal { .. } => (503, Kind::Unavailable),
+            Self::Host { .. } | Self::Platform { .. } | Self::Signal { .. } => {
+                (503, Kind::Unavailable)
+            }
             Self::Token => (401, Kind::Unauthorized),
             Self::Body { .. } | Self::Unread { .. } => (400, Kind::Malformed),
             Self::Path { .. } => (404, Kind::NotFound),
--- a/crates/admin/src/log.rs
+++ b/crates/admin/src/log.rs
@@ -9,7 +9,7 @@
 use sardinemux_core::config::{
     command, Change, ChangeId, Entry, Exception, Operator, State, Version,
 };
-use sardinemux_host::platform::{Condition, Platform, Range, Write};
+use sardinemux_platform::services::{Condition, Platform, Range, Write};
 use sardinemux_wire::admin::{Submission, Verdict};
 use sardinemux_wire::platform::{log_key, LOG_PREFIX, SNAPSHOT_OBJECT};
 use smol_str::SmolStr;
@@ -60,7 +60,7 @@
     ///
     /// # Errors
     ///
-    /// `Error::Host` if the platform does not answer, `Error::Change` if the log is damaged.
+    /// `Error::Platform` if the store does not answer, `Error::Change` if the log is damaged.
     pub async fn read(&self) -> Result<State> {
         let mut state = self.state.lock().clone();
         if state.version == 0 {
@@ -88,7 +88,7 @@
     ///
     /// # Errors
     ///
-    /// `Error::Host` if the platform does not answer.
+    /// `Error::Platform` if the store does not answer.
     pub async fn entries(&self, after: Version, limit: usize) -> Result<Vec<Entry>> {
         let range = Range {
             prefix: LOG_PREFIX,
@@ -111,7 +111,7 @@
     ///
     /// # Errors
     ///
-    /// `Error::Change` if they are not valid or not allowed, `Error::Host` if the platform does not
+    /// `Error::Change` if they are not valid or not allowed, `Error::Platform` if the store does not
     /// answer before anything was written.
     pub async fn submit(&self, operator: &Operator, submission: Submission) -> Result<Verdict> {
         let mut attempted = 0;
@@ -179,7 +179,7 @@
     ///
     /// # Errors
     ///
-    /// `Error::Host` if the platform does not answer.
+    /// `Error::Platform` if the store does not answer.
     pub async fn resolve(&self, id: ChangeId, attempted: Option<Version>) -> Result<Verdict> {
         let state = self.read().await?;
         if let Some(version) = state.recent.get(&id) {
--- a/crates/admin/src/orders.rs
+++ b/crates/admin/src/orders.rs
@@ -14,7 +14,7 @@
 use sardinemux_core::target::{Kind, Target};
 use sardinemux_host::client;
 use sardinemux_host::clock::Clock;
-use sardinemux_host::platform::{Condition, Write};
+use sardinemux_platform::services::{Condition, Write};
 use sardinemux_wire::platform::ORDERS_LEASE;
 use sardinemux_wire::target::{DutyState, Order};
 use tokio::time;
--- a/crates/admin/src/run.rs
+++ b/crates/admin/src/run.rs
@@ -4,9 +4,9 @@
 
 use prometheus::Registry;
 use sardinemux_host::observe::{self, Observed};
-use sardinemux_host::platform::Platform;
 use sardinemux_host::prelude::Values;
 use sardinemux_host::{client, server};
+use sardinemux_platform::services::Platform;
 use snafu::ResultExt;
 use tokio::signal::unix::{signal, SignalKind};
 
@@ -24,7 +24,7 @@
 /// `Error::Host` if the settings are incomplete or the server cannot listen.
 pub async fn run(values: Values) -> Result<()> {
     let settings = Settings::new(&values)?;
-    let platform = Platform::new(settings.platform.clone(), settings.platform_timeout_ms)?;
+    let platform = Platform::new(settings.platform.clone(), settings.platform_timeout_ms);
     let admin = Arc::new(Admin {
         log: Log::new(platform),
         fleet: Fleet {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -196,8 +196,8 @@
 async fn connect(gateway: &Gateway, job: &Job, key: Key, address: SocketAddr) -> Option<Link> {
     if job.route.kind.is_repeatable() {
         let kept = gateway.shelf.lock().take(key);
-        if kept.is_some() {
-            return kept;
+        if let Some(link) = connections::reuse(kept).await {
+            return Some(link);
         }
     }
     match connections::open(address).await {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -52,7 +52,7 @@
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>> {
         let address = self.address;
         let kept = self.idle.lock().take();
-        let mut link = match kept.filter(|link| !link.sender.is_closed()) {
+        let mut link = match connections::reuse(kept).await {
             Some(link) => link,
             None => connections::open(address).await?,
         };
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -99,6 +99,13 @@
     })
 }
 
+/// Returns a kept connection once it takes the next request; nothing if it has been closed.
+pub async fn reuse(kept: Option<Link>) -> Option<Link> {
+    let mut link = kept?;
+    link.sender.ready().await.ok()?;
+    Some(link)
+}
+
 #[derive(Debug)]
 struct Idle {
     link: Link,
--- a/crates/host/src/errors.rs
+++ b/crates/host/src/errors.rs
@@ -1,6 +1,5 @@
 //! The common error type of this crate.
 
-use smol_str::SmolStr;
 use snafu::Snafu;
 
 /// The result of an operation that may fail with an [`Error`].
@@ -94,50 +93,10 @@
         /// The cause.
         source: prometheus::Error,
     },
-    /// A service of the platform did not answer.
-    #[snafu(display("{url} did not answer: {source}"))]
-    Silent {
-        /// The address.
-        url: String,
-        /// The cause.
-        source: reqwest::Error,
-    },
-    /// A service of the platform answered with an error.
-    #[snafu(display("{url} answered {status}"))]
-    Status {
-        /// The address.
-        url: String,
-        /// The HTTP status.
-        status: u16,
-    },
     /// A message cannot be read or written.
     #[snafu(display("{source}"))]
     Wire {
         /// The cause.
         source: sardinemux_wire::errors::Error,
     },
-    /// A value of the platform cannot be read.
-    #[snafu(display("the value of {key} is malformed: {source}"))]
-    Stored {
-        /// The key.
-        key: SmolStr,
-        /// The cause.
-        source: serde_json::Error,
-    },
-}
-
-impl Error {
-    /// Returns whether nothing can have happened, as the connection was never made.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use sardinemux_host::errors::Error;
-    ///
-    /// let error = Error::Status { url: "http://127.0.0.1:1/".to_owned(), status: 500 };
-    /// assert!(!error.is_unsent());
-    /// ```
-    pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Silent { source, .. } if source.is_connect())
-    }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod errors;
 pub mod logs;
 pub mod observe;
-pub mod platform;
 pub mod prelude;
 pub mod program;
 pub mod reply;
--- a/crates/proof/src/matrix/table.rs
+++ b/crates/proof/src/matrix/table.rs
@@ -24,6 +24,8 @@
 }
 
 const DOWN: Faults = Faults {
+    is_busy: false,
+    late_ms: 0,
     is_down: true,
     slow_ms: 0,
     lose_answers: 0,
--- a/crates/router/src/configure.rs
+++ b/crates/router/src/configure.rs
@@ -7,7 +7,7 @@
 
 use sardinemux_core::config::{command, query, Entry, State, StopKind, Version};
 use sardinemux_core::membership::{self, Member};
-use sardinemux_host::platform::Range;
+use sardinemux_platform::services::Range;
 use sardinemux_wire::gossip::Update;
 use sardinemux_wire::platform::{log_key, LOG_PREFIX, SNAPSHOT_OBJECT};
 use tokio::time;
@@ -68,7 +68,7 @@
 ///
 /// # Errors
 ///
-/// `Error::Host` if the platform fails, `Error::Config` if an entry cannot be applied.
+/// `Error::Platform` if the store fails, `Error::Config` if an entry cannot be applied.
 async fn read_log(router: &Arc<Router>) -> Result<()> {
     loop {
         let after = log_key(router.config.read().version);
--- a/crates/router/src/entry/ledger.rs
+++ b/crates/router/src/entry/ledger.rs
@@ -8,7 +8,7 @@
 use sardinemux_core::hash;
 use sardinemux_core::ledger::{self, Answer, Decision, Nonce, Progress, Record};
 use sardinemux_core::membership::{Member, State};
-use sardinemux_host::platform::{Condition, Write};
+use sardinemux_platform::services::{Condition, Write};
 use sardinemux_wire::ask::{self, ClaimStatus};
 use sardinemux_wire::platform::LEDGER_PREFIX;
 use tokio::time;
--- a/crates/router/src/errors.rs
+++ b/crates/router/src/errors.rs
@@ -15,6 +15,12 @@
         /// The cause.
         source: sardinemux_host::errors::Error,
     },
+    /// The platform's store failed.
+    #[snafu(display("{source}"), context(false))]
+    Platform {
+        /// The cause.
+        source: sardinemux_platform::errors::Error,
+    },
     /// A message cannot be read or written.
     #[snafu(display("{source}"), context(false))]
     Wire {
--- a/crates/router/src/tables.rs
+++ b/crates/router/src/tables.rs
@@ -14,7 +14,7 @@
 use sardinemux_core::{fence, ledger::Nonce, load::Samples, ownership, retry, target};
 use sardinemux_host::client;
 use sardinemux_host::clock::Clock;
-use sardinemux_host::platform::Platform;
+use sardinemux_platform::services::Platform;
 use sardinemux_wire::ask::{ClaimStatus, Kept};
 use sardinemux_wire::target::Load;
 
@@ -145,7 +145,7 @@
             ..membership::Settings::default()
         };
         Ok(Self {
-            platform: Platform::new(settings.platform.clone(), settings.platform_timeout_ms)?,
+            platform: Platform::new(settings.platform.clone(), settings.platform_timeout_ms),
             control: Mutex::new(Budget::new(settings.control_bytes, 0)),
             view: Mutex::new(View::new(me, membership, 0)),
             clock,
--- a/crates/router/src/watch.rs
+++ b/crates/router/src/watch.rs
@@ -6,7 +6,7 @@
 use sardinemux_core::budget::Purpose;
 use sardinemux_core::membership::{self, Member};
 use sardinemux_core::target::{Kind, Table, Target};
-use sardinemux_host::platform::Traffic;
+use sardinemux_platform::services::Traffic;
 use sardinemux_wire::platform::{Instance, Part};
 use sardinemux_wire::target::{CacheChange, CacheEvents, Load};
 use tokio::time;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,27 +1,28 @@
-//! The platform's services: the lagging instance list, the transactional table and the object store,
-//! with outages, slowness and answers that are lost after the write has taken effect.
+//! The platform's store: rows with conditional transactions, ranges and a change feed, and objects. Faults: outages,
+//! turned-away calls, slowness, answers that are lost, writes that are done late, and a history that is forgotten.
+//!
+//! The list of instances is a table whose changes show after a lag.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use base64::prelude::{Engine as _, BASE64_STANDARD};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
 use rocket::data::ToByteUnit;
 use rocket::http::{ContentType, Status};
-use rocket::request::{FromRequest, Outcome};
-use rocket::{delete, get, post, put, routes, Data, Request, State};
-use sardinemux_host::reply::Reply;
-use sardinemux_wire::platform::{Instance, Row};
+use rocket::{delete, get, post, put, routes, Data, FromForm, State};
+use sardinemux_wire::platform::Instance;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::errors::Result;
 use crate::serve;
 
-/// What the platform is like.
+/// What the store is like.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// The address.
@@ -30,52 +31,50 @@
     pub list_lag_ms: u64,
 }
 
-/// What is wrong with the table and the object store.
+/// What is wrong with the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Faults {
-    /// They answer 503 and do nothing.
+    /// It answers 503 and does nothing.
     pub is_down: bool,
-    /// They answer this much later, in milliseconds.
+    /// It answers 429 and does nothing.
+    pub is_busy: bool,
+    /// It answers this much later, in milliseconds.
     pub slow_ms: u64,
     /// The answers of this many next writes are lost after the write has taken effect.
     pub lose_answers: u32,
+    /// A write whose answer is lost takes effect this much later, in milliseconds.
+    pub late_ms: u64,
     /// The instance list is down too.
     pub is_list_down: bool,
 }
 
+/// A row's table and key.
+type Name = (String, String);
+
 #[derive(Debug, Default)]
 struct Stored {
-    rows: BTreeMap<String, (u64, serde_json::Value)>,
-    objects: IndexMap<String, serde_json::Value>,
+    rows: BTreeMap<Name, (u64, String)>,
+    /// Every change with its version and the value, nothing for a removal.
+    history: Vec<(u64, Name, Option<String>)>,
+    /// The history begins after this version.
+    forgotten: u64,
+    version: u64,
+    objects: IndexMap<String, Vec<u8>>,
     reads: u64,
     writes: u64,
 }
 
-#[derive(Debug, Default)]
-struct List {
-    now: IndexMap<String, Instance>,
-    version: u64,
-    published: Vec<Published>,
-}
-
-/// The list as it was at a moment.
-#[derive(Debug)]
-struct Published {
-    at: Instant,
-    version: u64,
-    instances: Vec<Instance>,
-}
-
-/// The platform.
+/// The store.
 pub struct Platform {
     settings: Settings,
     stored: Mutex<Stored>,
-    list: Mutex<List>,
     faults: Mutex<Faults>,
+    changed: Notify,
+    begun: Instant,
 }
 
-/// What the table has counted.
+/// What the store has counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stats {
     /// The reads.
@@ -90,6 +89,15 @@
 /// The largest body, in bytes.
 const BODY_MAX: u64 = 64 * 1024 * 1024;
 
+/// The most rows of one answer.
+const PAGE_ROWS: usize = 500;
+
+/// The longest wait of a feed, in milliseconds.
+const WAIT_MAX_MS: u64 = 30_000;
+
+/// The table of instances, whose changes lag.
+const INSTANCES: &str = "instances";
+
 type Json = (Status, (ContentType, String));
 
 fn json<T: Serialize>(value: &T) -> Json {
@@ -101,246 +109,357 @@
     (status, (ContentType::JSON, "{}".to_owned()))
 }
 
-/// The condition of a write.
-enum Condition {
-    Absent,
-    Version(u64),
-    None,
+/// A row as it is written in bodies.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireRow {
+    table: String,
+    #[serde(rename = "part", default)]
+    part: String,
+    key: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    value: Option<String>,
+    #[serde(default)]
+    ver: u64,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    tombstone: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireTransaction {
+    #[serde(default)]
+    expected_rev: Vec<WireRow>,
+    #[serde(default)]
+    upserts: Vec<WireRow>,
+    #[serde(default)]
+    remove: Vec<WireRow>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct WirePage {
+    rows: Vec<WireRow>,
+    has_more: bool,
+    ver: u64,
+    now_ms: u64,
 }
 
-#[rocket::async_trait]
-impl<'r> FromRequest<'r> for Condition {
-    type Error = ();
+impl Stored {
+    fn change(&mut self, name: Name, value: Option<String>) {
+        match &value {
+            Some(value) => {
+                self.rows
+                    .insert(name.clone(), (self.version, value.clone()));
+            }
+            None => {
+                self.rows.remove(&name);
+            }
+        }
+        self.history.push((self.version, name, value));
+    }
 
-    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
-        let headers = request.headers();
-        if headers.get_one("If-None-Match") == Some("*") {
-            return Outcome::Success(Self::Absent);
+    /// Applies a transaction if all rows have the versions that it expects.
+    fn apply(&mut self, transaction: &WireTransaction) -> bool {
+        self.writes += 1;
+        let holds = transaction.expected_rev.iter().all(|expected| {
+            let row = self.rows.get(&name(expected));
+            row.map_or(0, |(version, _)| *version) == expected.ver
+        });
+        if !holds {
+            return false;
+        }
+        self.version += 1;
+        for row in &transaction.upserts {
+            self.change(name(row), Some(row.value.clone().unwrap_or_default()));
         }
-        let version = headers.get_one("If-Match").map(str::parse);
-        match version {
-            Some(Ok(version)) => Outcome::Success(Self::Version(version)),
-            Some(Err(_)) => Outcome::Error((Status::BadRequest, ())),
-            None => Outcome::Success(Self::None),
+        for row in &transaction.remove {
+            self.change(name(row), None);
         }
+        true
+    }
+
+    fn changes(&self, table: &str, since: u64) -> Vec<WireRow> {
+        let newer = self
+            .history
+            .iter()
+            .filter(|(version, name, _)| *version > since && name.0 == table);
+        newer
+            .map(|(version, name, value)| wire_row(name, *version, value.clone()))
+            .collect()
+    }
+}
+
+fn name(row: &WireRow) -> Name {
+    (row.table.clone(), row.key.clone())
+}
+
+fn wire_row(name: &Name, ver: u64, value: Option<String>) -> WireRow {
+    WireRow {
+        table: name.0.clone(),
+        part: String::new(),
+        key: name.1.clone(),
+        tombstone: value.is_none(),
+        value,
+        ver,
     }
 }
 
 impl Platform {
-    /// Waits as the faults say; `Err` if the table is down.
+    /// Waits as the faults say; `Err` if the store is down or turns calls away.
     async fn suffer(&self) -> std::result::Result<(), Json> {
         let faults = *self.faults.lock();
         time::sleep(Duration::from_millis(faults.slow_ms)).await;
-        match faults.is_down {
+        match faults {
+            Faults { is_down: true, .. } => Err(empty(Status::ServiceUnavailable)),
+            Faults { is_busy: true, .. } => Err(empty(Status::TooManyRequests)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Waits as the faults say before a read of a table.
+    async fn suffer_read(&self, table: &str) -> std::result::Result<(), Json> {
+        if table != INSTANCES {
+            return self.suffer().await;
+        }
+        match self.faults.lock().is_list_down {
             true => Err(empty(Status::ServiceUnavailable)),
             false => Ok(()),
         }
     }
 
-    async fn lose_answer(&self) {
-        let is_lost = {
-            let mut faults = self.faults.lock();
-            let is_lost = faults.lose_answers > 0;
-            faults.lose_answers = faults.lose_answers.saturating_sub(1);
-            is_lost
-        };
-        if is_lost {
-            time::sleep(LOST).await;
-        }
+    /// Returns whether the answer of this write is lost.
+    fn loses_answer(&self) -> bool {
+        let mut faults = self.faults.lock();
+        let is_lost = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        is_lost
     }
 
-    fn write(&self, key: String, value: serde_json::Value, condition: &Condition) -> bool {
-        let mut stored = self.stored.lock();
-        stored.writes += 1;
-        let version = stored.rows.get(&key).map(|(version, _)| *version);
-        let holds = match condition {
-            Condition::Absent => version.is_none(),
-            Condition::Version(expected) => version == Some(*expected),
-            Condition::None => true,
-        };
-        if holds {
-            stored.rows.insert(key, (version.unwrap_or(0) + 1, value));
-        }
-        holds
+    fn now_ms(&self) -> u64 {
+        self.begun.elapsed().as_millis() as u64
+    }
+
+    fn page(&self, rows: Vec<WireRow>, has_more: bool, ver: u64) -> Json {
+        json(&WirePage {
+            rows,
+            has_more,
+            ver,
+            now_ms: self.now_ms(),
+        })
     }
-}
 
-fn path_key(key: &Path) -> String {
-    key.to_string_lossy().into_owned()
+    fn write(&self, change: impl FnOnce(&mut Stored)) {
+        change(&mut self.stored.lock());
+        self.changed.notify_waiters();
+    }
 }
 
-async fn read(data: Data<'_>) -> Option<serde_json::Value> {
+async fn read<T: serde::de::DeserializeOwned>(data: Data<'_>) -> Option<T> {
     let body = data.open(BODY_MAX.bytes()).into_bytes().await.ok()?;
     serde_json::from_slice(&body).ok()
 }
 
-#[get("/table/<key..>")]
-async fn row(platform: &State<Arc<Platform>>, key: PathBuf) -> Json {
+#[post("/v1/rows-tx", data = "<data>")]
+async fn transact(platform: &State<Arc<Platform>>, data: Data<'_>) -> Json {
     if let Err(refusal) = platform.suffer().await {
         return refusal;
     }
-    let key = path_key(&key);
+    let Some(transaction) = read::<WireTransaction>(data).await else {
+        return empty(Status::BadRequest);
+    };
+    let is_lost = platform.loses_answer();
+    let late_ms = platform.faults.lock().late_ms;
+    if is_lost && late_ms > 0 {
+        time::sleep(Duration::from_millis(late_ms)).await;
+    }
+    let is_applied = platform.stored.lock().apply(&transaction);
+    platform.changed.notify_waiters();
+    if is_lost {
+        time::sleep(LOST).await;
+    }
     let mut stored = platform.stored.lock();
     stored.reads += 1;
-    match stored.rows.get(&key) {
-        Some((version, value)) => json(&Row {
-            key: key.into(),
-            version: *version,
-            value: value.clone(),
-        }),
-        None => empty(Status::NotFound),
+    let rows = transaction.expected_rev.iter().filter_map(|row| {
+        let (ver, value) = stored.rows.get(&name(row))?;
+        Some(wire_row(&name(row), *ver, Some(value.clone())))
+    });
+    let answer = platform.page(rows.collect(), false, stored.version);
+    match is_applied {
+        true => answer,
+        false => (Status::PreconditionFailed, answer.1),
     }
 }
 
-#[put("/table/<key..>", data = "<data>")]
-async fn put_row(
-    platform: &State<Arc<Platform>>,
-    key: PathBuf,
-    condition: Condition,
-    data: Data<'_>,
-) -> Json {
-    if let Err(refusal) = platform.suffer().await {
-        return refusal;
-    }
-    let Some(value) = read(data).await else {
-        return empty(Status::BadRequest);
-    };
-    let is_written = platform.write(path_key(&key), value, &condition);
-    platform.lose_answer().await;
-    match is_written {
-        true => empty(Status::Ok),
-        false => empty(Status::PreconditionFailed),
-    }
+/// The query of a range.
+#[derive(Debug, FromForm)]
+struct Range {
+    #[field(name = "Table")]
+    table: String,
+    #[field(name = "From")]
+    from: Option<String>,
+    #[field(name = "Target")]
+    to: Option<String>,
+    #[field(name = "Limit")]
+    limit: Option<usize>,
 }
 
-#[get("/rows?<prefix>&<after>&<limit>")]
-async fn rows(
-    platform: &State<Arc<Platform>>,
-    prefix: String,
-    after: String,
-    limit: usize,
-) -> Json {
-    if let Err(refusal) = platform.suffer().await {
+#[get("/v1/rows-get?<range..>")]
+async fn rows(platform: &State<Arc<Platform>>, range: Range) -> Json {
+    if let Err(refusal) = platform.suffer_read(&range.table).await {
         return refusal;
     }
     let mut stored = platform.stored.lock();
     stored.reads += 1;
-    let rows: Vec<Row> = stored
+    let limit = range.limit.unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
+    let first = (range.table.clone(), range.from.unwrap_or_default());
+    let mut rows: Vec<WireRow> = stored
         .rows
-        .range::<String, _>((
-            std::ops::Bound::Excluded(after.max(prefix.clone())),
-            std::ops::Bound::Unbounded,
-        ))
-        .take_while(|(key, _)| key.starts_with(&prefix))
-        .take(limit)
-        .map(|(key, (version, value))| Row {
-            key: key.as_str().into(),
-            version: *version,
-            value: value.clone(),
+        .range(first..)
+        .take_while(|((table, key), _)| {
+            *table == range.table && range.to.as_ref().is_none_or(|to| key < to)
         })
+        .take(limit + 1)
+        .map(|(name, (ver, value))| wire_row(name, *ver, Some(value.clone())))
         .collect();
-    json(&rows)
+    let has_more = rows.len() > limit;
+    rows.truncate(limit);
+    platform.page(rows, has_more, stored.version)
 }
 
-#[get("/objects/<key..>")]
-async fn object(platform: &State<Arc<Platform>>, key: PathBuf) -> Json {
-    if let Err(refusal) = platform.suffer().await {
+/// The query of a feed.
+#[derive(Debug, FromForm)]
+struct Feed {
+    #[field(name = "Table")]
+    table: String,
+    #[field(name = "SinceRev")]
+    since: u64,
+    #[field(name = "WaitMs")]
+    wait_ms: u64,
+}
+
+#[get("/v1/rows-feed?<feed..>")]
+async fn changes(platform: &State<Arc<Platform>>, feed: Feed) -> Json {
+    if let Err(refusal) = platform.suffer_read(&feed.table).await {
         return refusal;
     }
-    match platform.stored.lock().objects.get(&path_key(&key)) {
-        Some(value) => json(value),
-        None => empty(Status::NotFound),
+    platform.stored.lock().reads += 1;
+    let wait = Duration::from_millis(feed.wait_ms.min(WAIT_MAX_MS));
+    let until = time::Instant::now() + wait;
+    loop {
+        let changed = platform.changed.notified();
+        {
+            let stored = platform.stored.lock();
+            if feed.since < stored.forgotten {
+                return empty(Status::Gone);
+            }
+            let rows = stored.changes(&feed.table, feed.since);
+            if !rows.is_empty() || time::Instant::now() >= until {
+                return platform.page(rows, false, stored.version);
+            }
+        }
+        // Running out of time is looked at above, with the changes.
+        let _ = time::timeout_at(until, changed).await;
+    }
+}
+
+#[get("/v1/blob-get/<name>")]
+async fn object(platform: &State<Arc<Platform>>, name: &str) -> (Status, Vec<u8>) {
+    if let Err((status, _)) = platform.suffer().await {
+        return (status, Vec::new());
+    }
+    match platform.stored.lock().objects.get(name) {
+        Some(bytes) => (Status::Ok, bytes.clone()),
+        None => (Status::NotFound, Vec::new()),
     }
 }
 
-#[put("/objects/<key..>", data = "<data>")]
-async fn put_object(platform: &State<Arc<Platform>>, key: PathBuf, data: Data<'_>) -> Json {
+#[put("/v1/blob-put/<name>", data = "<data>")]
+async fn put_object(platform: &State<Arc<Platform>>, name: &str, data: Data<'_>) -> Json {
     if let Err(refusal) = platform.suffer().await {
         return refusal;
     }
-    let Some(value) = read(data).await else {
+    let Ok(bytes) = data.open(BODY_MAX.bytes()).into_bytes().await else {
         return empty(Status::BadRequest);
     };
-    let key = path_key(&key);
-    platform.stored.lock().objects.insert(key, value);
-    platform.lose_answer().await;
-    empty(Status::Ok)
-}
-
-/// The version of the list that a reader has.
-struct Known(Option<u64>);
-
-#[rocket::async_trait]
-impl<'r> FromRequest<'r> for Known {
-    type Error = ();
-
-    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
-        let tag = request.headers().get_one("If-None-Match");
-        Outcome::Success(Self(tag.and_then(|tag| tag.trim_matches('"').parse().ok())))
+    let bytes = bytes.into_inner();
+    platform
+        .stored
+        .lock()
+        .objects
+        .insert(name.to_owned(), bytes);
+    if platform.loses_answer() {
+        time::sleep(LOST).await;
     }
+    empty(Status::Ok)
 }
 
-#[get("/instances")]
-async fn instances(platform: &State<Arc<Platform>>, known: Known) -> Reply {
-    if platform.faults.lock().is_list_down {
-        return Reply::whole(503, "text/plain", Vec::new());
-    }
+/// Changes instances, visible after the list's lag.
+fn change_instances(platform: &Arc<Platform>, changes: Vec<(String, Option<String>)>) {
+    let platform = platform.clone();
     let lag = Duration::from_millis(platform.settings.list_lag_ms);
-    let mut list = platform.list.lock();
-    let due = list
-        .published
-        .iter()
-        .rposition(|list| list.at.elapsed() >= lag);
-    let Some(index) = due else {
-        return Reply::json(200, &Vec::<Instance>::new());
-    };
-    list.published.drain(..index);
-    let published = &list.published[0];
-    let reply = match known.0 == Some(published.version) {
-        true => Reply::whole(304, "application/json", Vec::new()),
-        false => Reply::json(200, &published.instances),
-    };
-    reply.with("ETag", format!("\"{}\"", published.version))
-}
-
-fn publish(list: &mut List) {
-    list.version += 1;
-    let published = Published {
-        at: Instant::now(),
-        version: list.version,
-        instances: list.now.values().cloned().collect(),
-    };
-    list.published.push(published);
+    rocket::tokio::spawn(async move {
+        time::sleep(lag).await;
+        platform.write(|stored| {
+            stored.version += 1;
+            for (id, value) in changes {
+                stored.change((INSTANCES.to_owned(), id), value);
+            }
+        });
+    });
 }
 
 #[put("/standin/instances", data = "<data>")]
 async fn put_instances(platform: &State<Arc<Platform>>, data: Data<'_>) -> Status {
-    let value = read(data).await;
-    let instances = value.and_then(|value| serde_json::from_value::<Vec<Instance>>(value).ok());
-    let Some(instances) = instances else {
+    let Some(instances) = read::<Vec<Instance>>(data).await else {
         return Status::BadRequest;
     };
-    let mut list = platform.list.lock();
-    for instance in instances {
-        list.now.insert(instance.id.to_string(), instance);
-    }
-    publish(&mut list);
+    let changes = instances.into_iter().map(|instance| {
+        let value = serde_json::to_vec(&instance).unwrap_or_default();
+        (instance.id.to_string(), Some(BASE64_STANDARD.encode(value)))
+    });
+    change_instances(platform, changes.collect());
     Status::Ok
 }
 
 #[delete("/standin/instances/<id>")]
 fn delete_instance(platform: &State<Arc<Platform>>, id: &str) -> Status {
-    let mut list = platform.list.lock();
-    list.now.shift_remove(id);
-    publish(&mut list);
+    change_instances(platform, vec![(id.to_owned(), None)]);
+    Status::Ok
+}
+
+/// Forgets the history: a feed since any earlier version is answered 410.
+#[post("/standin/forget")]
+fn forget(platform: &State<Arc<Platform>>) -> Status {
+    platform.write(|stored| {
+        stored.version += 1;
+        stored.forgotten = stored.version;
+        stored.history.clear();
+    });
+    Status::Ok
+}
+
+/// Lets the entries of a table lapse.
+#[post("/standin/lapse/<table>")]
+fn lapse(platform: &State<Arc<Platform>>, table: &str) -> Status {
+    platform.write(|stored| {
+        stored.version += 1;
+        let names: Vec<Name> = stored
+            .rows
+            .keys()
+            .filter(|name| name.0 == table)
+            .cloned()
+            .collect();
+        for name in names {
+            stored.change(name, None);
+        }
+    });
     Status::Ok
 }
 
 #[post("/standin/faults", data = "<data>")]
 async fn set_faults(platform: &State<Arc<Platform>>, data: Data<'_>) -> Status {
-    let value = read(data).await;
-    let faults = value.and_then(|value| serde_json::from_value::<Faults>(value).ok());
-    let Some(faults) = faults else {
+    let Some(faults) = read::<Faults>(data).await else {
         return Status::BadRequest;
     };
     *platform.faults.lock() = faults;
@@ -366,18 +485,20 @@
     let platform = Arc::new(Platform {
         settings,
         stored: Mutex::default(),
-        list: Mutex::default(),
         faults: Mutex::default(),
+        changed: Notify::new(),
+        begun: Instant::now(),
     });
     let all = routes![
-        row,
-        put_row,
+        transact,
         rows,
+        changes,
         object,
         put_object,
-        instances,
         put_instances,
         delete_instance,
+        forget,
+        lapse,
         set_faults,
         stats
     ];
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -1,11 +1,4 @@
-//! The published protocol of the platform's services, as far as sardinemux uses it.
-//!
-//! - Instance list: `GET /instances` returns a JSON array of [`Instance`]; it lags. The answer carries an
-//!   `ETag`, and a read with `If-None-Match` is answered 304 while the list is unchanged.
-//! - Table: `GET /table/<key>` returns a [`Row`]; `PUT /table/<key>` writes the body on a condition,
-//!   `If-None-Match: *` or `If-Match: <version>`, and answers 412 if it does not hold;
-//!   `GET /rows?prefix=&after=&limit=` returns rows in the order of their keys.
-//! - Object store: `GET` and `PUT /objects/<key>`.
+//! What the product keeps in the platform's store: instances and rows, and the keys of each.
 
 use sardinemux_core::target::{Kind, Target};
 use serde::{Deserialize, Serialize};
@@ -104,7 +97,7 @@
 pub struct Row {
     /// The key.
     pub key: SmolStr,
-    /// Raised by each write.
+    /// The version of the store at which it changed.
     pub version: u64,
     /// The value.
     pub value: serde_json::Value,
@@ -125,7 +118,7 @@
 pub const LOG_PREFIX: &str = "config/log/";
 
 /// The object that holds a snapshot of the configuration.
-pub const SNAPSHOT_OBJECT: &str = "config/snapshot";
+pub const SNAPSHOT_OBJECT: &str = "config-snapshot";
 
 /// The beginning of the table keys of the idempotency ledger.
 pub const LEDGER_PREFIX: &str = "ledger/";
