Let one gateway of each zone read the store, and the others follow it

Ruled out: polling; the calls are answers of the change feed.

Now the first gateway of each zone reads, at most once in 150 ms; the others ask it for news and change to another one that follows the store or is ahead of it. Removals that an outage may explain are marked, so that followers keep the grace too. The list of gateways is read every 30 s only.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -2,6 +2,8 @@
 //!
 //! A [`Definition`] is what operators write and peers pass on; a [`Catalog`] is the same with its indexes.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -157,7 +159,7 @@
 /// A catalogue with its indexes.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
-    definition: Definition,
+    definition: Arc<Definition>,
     hosts: IndexMap<SmolStr, IndexMap<SmolStr, usize>>,
     keys: IndexMap<SmolStr, usize>,
     pools: IndexMap<SmolStr, usize>,
@@ -171,10 +173,10 @@
     /// ```
     /// use sardinemux_core::catalog::{Catalog, Definition};
     ///
-    /// let catalog = Catalog::new(Definition::default());
+    /// let catalog = Catalog::new(Definition::default().into());
     /// assert!(catalog.route("example.org", "/a/b").is_none());
     /// ```
-    pub fn new(definition: Definition) -> Self {
+    pub fn new(definition: Arc<Definition>) -> Self {
         let mut hosts: IndexMap<SmolStr, IndexMap<SmolStr, usize>> = IndexMap::new();
         for (index, route) in definition.routes.iter().enumerate() {
             let prefixes = hosts.entry(route.host.clone()).or_default();
@@ -195,7 +197,7 @@
     }
 
     /// Returns the definition.
-    pub fn definition(&self) -> &Definition {
+    pub fn definition(&self) -> &Arc<Definition> {
         &self.definition
     }
 
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,8 +1,10 @@
 //! Following the source: the catalogue, evacuated zones, targets and gateways, through outages.
 //!
-//! Each topic is listed once and then watched. After an outage the list is read again; targets that it no longer
-//! names stay in use for a moment, since entries lapse while the store is away.
+//! One gateway of each zone lists a topic at the store and then watches it; the others follow that gateway. After an
+//! outage the list is read again; targets that it no longer names stay in use for a moment, since entries lapse
+//! while the store is away.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
@@ -11,7 +13,9 @@
 use sardinemux_core::roster::{command, query, Announcement};
 use tokio::time;
 
+use crate::peers;
 use crate::prelude::*;
+use crate::relay::{Log, News};
 use crate::source::{self, Batch, Entry, Fact, Source, Topic};
 
 /// The first pause after a failed call, in milliseconds; doubled with each further one.
@@ -20,62 +24,188 @@
 /// The longest pause between calls, in milliseconds: a part of the second or two within which changes must be known.
 const PAUSE_MAX_MS: u64 = 800;
 
+/// How often a gateway that follows nobody looks for one to follow.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How long a gateway that need not read the store waits for one that does, in milliseconds, before it reads the
+/// store itself.
+const ALONE_MS: u64 = 2_500;
+
+/// The shortest time between two reads of the store. Changes come in bursts, each call is priced, and the bounds
+/// are seconds.
+const READ_PAUSE: Duration = Duration::from_millis(150);
+
+/// The time between two reads of the list of gateways; reports tell of changes between them.
+const MEMBERS_PAUSE: Duration = Duration::from_secs(30);
+
 /// What was heard of one topic.
 #[derive(Clone, Debug, Default)]
 pub struct View {
-    /// The version up to which changes were taken in; none before the first list.
-    pub version: Option<u64>,
-    /// The version of the newest change.
-    pub changed: u64,
-    /// When the source last answered.
-    pub heard_ms: u64,
-    /// Since when the source has given no answer.
-    pub lost_since_ms: Option<u64>,
-    /// Since when the source has answered without a break.
-    pub followed_since_ms: Option<u64>,
-    /// Whether another gateway followed the source all through the present outage: the store was there, and this
+    /// Everything that was heard.
+    pub log: Log,
+    /// The version from which the store is to be watched; none if the whole list is to be read.
+    store_since: Option<u64>,
+    /// Since when the store has answered without a break.
+    followed_since_ms: Option<u64>,
+    /// Since when the store has given no answer.
+    lost_since_ms: Option<u64>,
+    /// Whether another gateway followed the store all through the present outage: the store was there, and this
     /// gateway's path to it was not.
-    pub is_own_outage: bool,
+    is_own_outage: bool,
     /// Whether the next list is the first after an outage of the store itself.
-    pub is_relisting: bool,
+    is_relisting: bool,
+    /// When another gateway was last followed, or the store last asked.
+    asked_ms: u64,
     /// The evacuated zones, by key of their entry.
     pub evacuated: IndexMap<SmolStr, SmolStr>,
 }
 
-/// Follows one topic for ever.
-pub async fn follow(gateway: Arc<Gateway>, source: Arc<Source>, topic: Topic) {
+impl View {
+    /// Returns whether this gateway follows the store itself.
+    pub fn is_following(&self) -> bool {
+        self.followed_since_ms.is_some()
+    }
+}
+
+/// Follows one topic at the store for ever, while it is this gateway's turn to.
+pub async fn follow_store(gateway: Arc<Gateway>, source: Arc<Source>, topic: Topic) {
     let mut failures: u32 = 0;
     loop {
-        let since = gateway
-            .views
-            .lock()
-            .get(&topic)
-            .and_then(|view| view.version);
+        if !reads_store(&gateway, topic) {
+            leave_store(&gateway, topic);
+            time::sleep(LOOK).await;
+            continue;
+        }
+        let since = store_since(&gateway, topic);
         let result = match since {
             Some(since) => (source.watch)(topic, since).await,
             None => (source.list)(topic).await,
         };
         count(&gateway, topic, &result);
-        match result {
+        let pause = match result {
             Ok(batch) => {
                 failures = 0;
                 note_contact(&gateway, topic);
-                apply(&gateway, topic, batch, since.is_none());
+                let is_quiet = batch.entries.is_empty();
+                apply_store(&gateway, topic, batch, since.is_none());
+                match is_quiet {
+                    true => Duration::ZERO,
+                    false => READ_PAUSE,
+                }
             }
             Err(source::Error::Forgotten { since }) => {
                 log::info!(topic = topic.name(), since = since; "history is gone, listing anew");
                 forget_version(&gateway, topic);
+                Duration::ZERO
             }
             Err(error) => {
                 note_loss(&gateway, topic, &error);
-                let pause_ms = pause_ms(failures);
                 failures += 1;
-                time::sleep(Duration::from_millis(pause_ms)).await;
+                Duration::from_millis(pause_ms(failures))
+            }
+        };
+        time::sleep(pause).await;
+    }
+}
+
+/// Follows one topic at other gateways for ever, while this one does not follow the store.
+pub async fn follow_peers(gateway: Arc<Gateway>, topic: Topic) {
+    let mut avoided = None;
+    loop {
+        let Some(address) = peer_to_follow(&gateway, topic, avoided) else {
+            avoided = None;
+            time::sleep(LOOK).await;
+            continue;
+        };
+        let now_ms = gateway.now_ms();
+        with_view(&gateway, topic, |view| view.asked_ms = now_ms);
+        match peers::news(&gateway, address, topic).await {
+            Ok(news) if news.is_following => {
+                avoided = None;
+                take_news(&gateway, topic, news);
+            }
+            Ok(_) => avoided = Some(address),
+            Err(error) => {
+                log::info!(peer:% = address, topic = topic.name(), error:% = error; "a gateway told nothing");
+                avoided = Some(address);
             }
         }
     }
 }
 
+/// Returns the gateway to ask for news: one that is ahead, or, for a gateway that does not follow the store, any
+/// that does.
+fn peer_to_follow(
+    gateway: &Gateway,
+    topic: Topic,
+    avoided: Option<SocketAddr>,
+) -> Option<SocketAddr> {
+    let now_ms = gateway.now_ms();
+    let (is_following, newest) = with_view(gateway, topic, |view| {
+        (view.is_following(), view.log.newest())
+    });
+    let members = gateway.members.lock();
+    let ahead = members.ahead(topic, newest, now_ms);
+    let ahead = ahead.filter(|address| Some(*address) != avoided);
+    ahead.or_else(|| match is_following {
+        true => None,
+        false => members.best_reader(&gateway.settings.zone, avoided, now_ms),
+    })
+}
+
+/// Reads the list of gateways now and then, after this one is in it: of any two, the later reader finds the other.
+pub async fn follow_members(gateway: Arc<Gateway>, source: Arc<Source>) {
+    loop {
+        let result = (source.list)(Topic::Members).await;
+        count(&gateway, Topic::Members, &result);
+        let pause = match result {
+            Ok(batch) => {
+                apply_members(&gateway, batch.entries);
+                MEMBERS_PAUSE
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "the list of gateways was not read");
+                Duration::from_millis(PAUSE_MAX_MS)
+            }
+        };
+        time::sleep(pause).await;
+    }
+}
+
+fn with_view<T>(gateway: &Gateway, topic: Topic, action: impl FnOnce(&mut View) -> T) -> T {
+    action(gateway.views.lock().entry(topic).or_default())
+}
+
+/// Returns whether this gateway is to read the store now: it is the first of its zone, or it has found nobody to
+/// follow for a while.
+fn reads_store(gateway: &Gateway, topic: Topic) -> bool {
+    let now_ms = gateway.now_ms();
+    let settings = &gateway.settings;
+    let is_first = gateway
+        .members
+        .lock()
+        .is_first(&settings.name, &settings.zone, now_ms);
+    with_view(gateway, topic, |view| {
+        let is_alone = now_ms.saturating_sub(view.asked_ms) >= ALONE_MS;
+        if is_alone {
+            view.asked_ms = now_ms;
+        }
+        is_first || is_alone
+    })
+}
+
+fn leave_store(gateway: &Gateway, topic: Topic) {
+    with_view(gateway, topic, |view| {
+        view.followed_since_ms = None;
+        view.lost_since_ms = None;
+        view.store_since = None;
+    });
+}
+
+fn store_since(gateway: &Gateway, topic: Topic) -> Option<u64> {
+    with_view(gateway, topic, |view| view.store_since)
+}
+
 fn pause_ms(failures: u32) -> u64 {
     let most = (PAUSE_MS << failures.min(6)).min(PAUSE_MAX_MS);
     rand::rng().random_range(most / 2..=most)
@@ -92,82 +222,85 @@
     calls.with_label_values(&[topic.name(), outcome]).inc();
 }
 
-/// Notes an answer of the source.
+/// Notes an answer of the store.
 pub fn note_contact(gateway: &Gateway, topic: Topic) {
     let now_ms = gateway.now_ms();
-    let mut views = gateway.views.lock();
-    let view = views.entry(topic).or_default();
-    view.heard_ms = now_ms;
-    view.followed_since_ms.get_or_insert(now_ms);
-    if let Some(since_ms) = view.lost_since_ms.take() {
-        view.is_relisting = !view.is_own_outage;
-        let away_ms = now_ms.saturating_sub(since_ms);
-        log::info!(
-            topic = topic.name(), away_ms = away_ms, is_own_outage = view.is_own_outage;
-            "store regained"
-        );
-    }
-    view.is_own_outage = false;
+    with_view(gateway, topic, |view| {
+        view.followed_since_ms.get_or_insert(now_ms);
+        if let Some(since_ms) = view.lost_since_ms.take() {
+            view.is_relisting = !view.is_own_outage;
+            let away_ms = now_ms.saturating_sub(since_ms);
+            log::info!(
+                topic = topic.name(), away_ms = away_ms, is_own_outage = view.is_own_outage;
+                "store regained"
+            );
+        }
+        view.is_own_outage = false;
+    });
 }
 
-/// Returns for how long this gateway has followed a topic without a break, in milliseconds.
+/// Returns for how long this gateway has followed a topic at the store without a break, in milliseconds.
 pub fn followed_ms(view: &View, now_ms: u64) -> u64 {
     let since_ms = view.followed_since_ms;
     since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
 }
 
-/// Notes for how long another gateway has followed a topic without a break.
+/// Notes for how long another gateway has followed a topic at the store without a break.
 pub fn note_follower(view: &mut View, followed_ms: u64, now_ms: u64) {
     if let Some(since_ms) = view.lost_since_ms {
         view.is_own_outage |= followed_ms > now_ms.saturating_sub(since_ms);
     }
 }
 
-/// Notes that the source gave no answer.
+/// Notes that the store gave no answer.
 pub fn note_loss(gateway: &Gateway, topic: Topic, error: &source::Error) {
     let now_ms = gateway.now_ms();
-    let mut views = gateway.views.lock();
-    let view = views.entry(topic).or_default();
-    // The whole list is read on return: what lapsed meanwhile may have left the history.
-    view.version = None;
-    view.followed_since_ms = None;
-    if view.lost_since_ms.is_none() {
-        view.lost_since_ms = Some(now_ms);
-        log::warn!(topic = topic.name(), error:% = error; "store lost");
-    }
+    with_view(gateway, topic, |view| {
+        // The whole list is read on return: what lapsed meanwhile may have left the history.
+        view.store_since = None;
+        view.followed_since_ms = None;
+        if view.lost_since_ms.is_none() {
+            view.lost_since_ms = Some(now_ms);
+            log::warn!(topic = topic.name(), error:% = error; "store lost");
+        }
+    });
 }
 
 fn forget_version(gateway: &Gateway, topic: Topic) {
-    let mut views = gateway.views.lock();
-    views.entry(topic).or_default().version = None;
+    with_view(gateway, topic, |view| view.store_since = None);
 }
 
-/// Takes in entries; a complete list also removes what it does not name.
-pub fn apply(gateway: &Gateway, topic: Topic, batch: Batch, is_complete: bool) {
-    let Batch { entries, version } = batch;
-    let newest = entries.iter().map(|entry| entry.version).max();
-    {
-        let mut views = gateway.views.lock();
-        let view = views.entry(topic).or_default();
-        view.version = Some(view.version.unwrap_or_default().max(version));
-        view.changed = view.changed.max(newest.unwrap_or_default());
-    }
+/// Takes in what the store said; a complete list also removes what it does not name.
+pub fn apply_store(gateway: &Gateway, topic: Topic, batch: Batch, is_complete: bool) {
+    let news = with_view(gateway, topic, |view| {
+        view.store_since = Some(batch.version);
+        let may_return = is_complete && std::mem::take(&mut view.is_relisting);
+        view.log.take(&batch, is_complete, may_return)
+    });
+    apply(gateway, topic, news);
+}
+
+/// Takes in what another gateway said.
+pub fn take_news(gateway: &Gateway, topic: Topic, news: News) {
+    let News {
+        is_complete, batch, ..
+    } = news;
+    let news = with_view(gateway, topic, |view| {
+        view.log.take(&batch, is_complete, false)
+    });
+    apply(gateway, topic, news);
+}
+
+fn apply(gateway: &Gateway, topic: Topic, news: Vec<Entry>) {
     match topic {
-        Topic::Operators => apply_operators(gateway, entries, is_complete),
-        Topic::Targets => apply_targets(gateway, entries, is_complete),
-        Topic::Members => apply_members(gateway, entries),
+        Topic::Operators => apply_operators(gateway, news),
+        Topic::Targets => apply_targets(gateway, news),
+        Topic::Members => apply_members(gateway, news),
     }
 }
 
-fn apply_operators(gateway: &Gateway, entries: Vec<Entry>, is_complete: bool) {
-    let mut evacuated = {
-        let mut views = gateway.views.lock();
-        let view = views.entry(Topic::Operators).or_default();
-        if is_complete {
-            view.evacuated.clear();
-        }
-        view.evacuated.clone()
-    };
+fn apply_operators(gateway: &Gateway, entries: Vec<Entry>) {
+    let mut evacuated = with_view(gateway, Topic::Operators, |view| view.evacuated.clone());
     for entry in entries {
         match entry.fact {
             Some(Fact::Catalog(definition)) => set_catalog(gateway, Catalog::new(definition)),
@@ -220,22 +353,8 @@
     command::set_evacuated(&mut roster, zones, cold_ms, now_ms);
 }
 
-fn apply_targets(gateway: &Gateway, entries: Vec<Entry>, is_complete: bool) {
+fn apply_targets(gateway: &Gateway, entries: Vec<Entry>) {
     let now_ms = gateway.now_ms();
-    if is_complete {
-        let is_relisting = {
-            let mut views = gateway.views.lock();
-            let view = views.entry(Topic::Targets).or_default();
-            std::mem::take(&mut view.is_relisting)
-        };
-        let listed = entries
-            .iter()
-            .filter(|entry| matches!(entry.fact, Some(Fact::Target(_))))
-            .map(|entry| entry.key.clone())
-            .collect();
-        let mut roster = gateway.roster.lock();
-        command::keep_listed(&mut roster, &listed, is_relisting, now_ms);
-    }
     for entry in entries {
         let mut roster = gateway.roster.lock();
         match entry.fact {
@@ -246,8 +365,8 @@
             }
             Some(_) => {}
             None => {
-                log::info!(target_id:% = entry.key, version = entry.version; "target is no longer listed");
-                command::remove(&mut roster, &entry.key, false, now_ms);
+                log::info!(target_id:% = entry.key, version = entry.version, may_return = entry.may_return; "target is no longer listed");
+                command::remove(&mut roster, &entry.key, entry.may_return, now_ms);
             }
         }
     }
@@ -268,12 +387,11 @@
 }
 
 fn apply_members(gateway: &Gateway, entries: Vec<Entry>) {
-    let now_ms = gateway.now_ms();
     let mut members = gateway.members.lock();
     for entry in entries {
         match entry.fact {
             Some(Fact::Member(member)) if member.name != gateway.settings.name => {
-                members.put(member, now_ms);
+                members.put(member);
             }
             Some(Fact::Unreadable(reason)) => {
                 log::warn!(key:% = entry.key, reason:% = reason; "unreadable entry names no gateway");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod prelude;
+pub mod relay;
 pub mod request;
 pub mod run;
 pub mod settings;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,8 @@
 //! What gateways tell each other: what each has in flight, and what operators and targets said, for those that
 //! the store turns away.
 //!
-//! Reports are datagrams: a lost one is followed by the next. What a report shows to be newer is fetched over TCP.
+//! Reports are datagrams: a lost one is followed by the next. News of operators and targets is asked for over TCP,
+//! at a gateway that reads the store.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -12,7 +13,6 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use indexmap::IndexMap;
-use sardinemux_core::catalog::{Catalog, Definition};
 use sardinemux_core::roster::{command, query};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
@@ -23,7 +23,8 @@
 use crate::errors::{BuildSnafu, DecodeSnafu, EncodeSnafu, ListenSnafu};
 use crate::knowledge;
 use crate::prelude::*;
-use crate::source::{Batch, Entry, Fact, Member, Topic};
+use crate::relay::{self, News};
+use crate::source::{Batch, Member, Topic};
 
 /// The time between two reports to each other gateway: half of what a streamed answer takes, so that loads of
 /// other gateways are about right, for some 200 bytes each.
@@ -32,11 +33,15 @@
 /// The largest datagram that is sent or read, in bytes; loopback and the instances' links carry it unsplit.
 const DATAGRAM_MAX: usize = 1_400;
 
-/// The time limit of a fetch.
-const FETCH: Duration = Duration::from_millis(600);
+/// How long a question for news waits for some: a reader that stops answering must be noticed well inside the two
+/// seconds in which a leaving target must be known.
+const NEWS: Duration = Duration::from_millis(600);
 
-/// The shortest time between two fetches, in milliseconds: the reports of all gateways show the same news.
-const FETCH_PAUSE_MS: u64 = 300;
+/// The time limit of a question beyond its wait.
+const NEWS_MARGIN: Duration = Duration::from_millis(400);
+
+/// A gateway whose last report is older than this is not followed, in milliseconds: four reports.
+const SILENT_MS: u64 = 1_000;
 
 /// A gateway that has said nothing for this long is sent only one report in eight, in milliseconds.
 const QUIET_MS: u64 = 5_000;
@@ -47,24 +52,68 @@
 #[derive(Clone, Debug)]
 struct Contact {
     address: SocketAddr,
-    heard_ms: u64,
+    /// When it last sent a report; none if it is only listed.
+    heard_ms: Option<u64>,
+    zone: SmolStr,
+    is_following: bool,
+    operators: u64,
+    targets: u64,
+}
+
+impl Contact {
+    /// Returns the newest entry that the gateway knows.
+    fn newest(&self, topic: Topic) -> u64 {
+        match topic {
+            Topic::Operators => self.operators,
+            Topic::Targets => self.targets,
+            Topic::Members => 0,
+        }
+    }
+
+    fn is_heard(&self, now_ms: u64, within_ms: u64) -> bool {
+        self.heard_ms
+            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) <= within_ms)
+    }
 }
 
 /// The other gateways.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Members {
     contacts: IndexMap<SmolStr, Contact>,
-    fetched_ms: Option<u64>,
+    clients: IndexMap<(SocketAddr, Topic), Arc<Client>>,
 }
 
 impl Members {
-    /// Adds a gateway or replaces its address.
-    pub fn put(&mut self, member: Member, now_ms: u64) {
+    /// Adds a gateway that is listed.
+    pub fn put(&mut self, member: Member) {
+        let Member { name, address } = member;
+        match self.contacts.get_mut(&name) {
+            Some(contact) => contact.address = address,
+            None => {
+                let contact = Contact {
+                    address,
+                    heard_ms: None,
+                    zone: SmolStr::default(),
+                    is_following: false,
+                    operators: 0,
+                    targets: 0,
+                };
+                self.contacts.insert(name, contact);
+            }
+        }
+    }
+
+    /// Takes in what a gateway says of itself.
+    fn hear(&mut self, report: &Report, now_ms: u64) {
         let contact = Contact {
-            address: member.address,
-            heard_ms: now_ms,
+            address: report.member.address,
+            heard_ms: Some(now_ms),
+            zone: report.zone.clone(),
+            is_following: report.followed_ms > 0,
+            operators: report.operators,
+            targets: report.targets,
         };
-        self.contacts.insert(member.name, contact);
+        self.contacts.insert(report.member.name.clone(), contact);
     }
 
     /// Forgets a gateway.
@@ -72,20 +121,68 @@
         self.contacts.shift_remove(name);
     }
 
-    /// Returns whether facts may be fetched now, and notes that they are.
-    fn may_fetch(&mut self, now_ms: u64) -> bool {
-        let is_due = |at_ms: u64| now_ms.saturating_sub(at_ms) >= FETCH_PAUSE_MS;
-        let is_due = self.fetched_ms.is_none_or(is_due);
-        if is_due {
-            self.fetched_ms = Some(now_ms);
-        }
-        is_due
-    }
-
     /// Returns the names of the other gateways.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.contacts.keys().map(SmolStr::as_str)
     }
+
+    /// Returns whether a gateway is the first of its zone among those that were heard lately.
+    pub fn is_first(&self, name: &str, zone: &str, now_ms: u64) -> bool {
+        let mine = relay::rank(name);
+        let mut others = self
+            .contacts
+            .iter()
+            .filter(|(_, contact)| contact.zone == zone && contact.is_heard(now_ms, SILENT_MS));
+        others.all(|(other, _)| relay::rank(other) > mine)
+    }
+
+    /// Returns a gateway that follows the store and knows of a newer entry. The path of a gateway to the store, or of
+    /// the one that it follows, may have fallen silent without a reset.
+    pub fn ahead(&self, topic: Topic, newest: u64, now_ms: u64) -> Option<SocketAddr> {
+        let readers = self.contacts.values().filter(|contact| {
+            contact.is_following
+                && contact.is_heard(now_ms, SILENT_MS)
+                && contact.newest(topic) > newest
+        });
+        readers
+            .max_by_key(|contact| contact.newest(topic))
+            .map(|contact| contact.address)
+    }
+
+    /// Returns the gateway to follow: one that follows the store itself, of the own zone if possible.
+    pub fn best_reader(
+        &self,
+        zone: &str,
+        avoided: Option<SocketAddr>,
+        now_ms: u64,
+    ) -> Option<SocketAddr> {
+        let readers = self.contacts.iter().filter(|(_, contact)| {
+            contact.is_following
+                && contact.is_heard(now_ms, SILENT_MS)
+                && Some(contact.address) != avoided
+        });
+        readers
+            .min_by_key(|(name, contact)| (contact.zone != zone, relay::rank(name)))
+            .map(|(_, contact)| contact.address)
+    }
+
+    /// Returns the client for one topic at a gateway; one that is followed no longer is dropped.
+    fn client(&mut self, address: SocketAddr, topic: Topic) -> Arc<Client> {
+        self.clients
+            .retain(|(other, its), _| *its != topic || *other == address);
+        let client = self.clients.entry((address, topic));
+        client
+            .or_insert_with(|| Arc::new(Client::new(address)))
+            .clone()
+    }
+}
+
+/// A question for news.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Question {
+    topic: Topic,
+    /// The version up to which the asker knows the topic.
+    since: Option<u64>,
 }
 
 /// What a gateway says of itself, several times a second.
@@ -95,45 +192,34 @@
     pub member: Member,
     /// Whether it is stopping.
     pub is_stopping: bool,
-    /// The version of the catalogue in force.
-    pub catalog: u64,
-    /// The newest change of operators' entries.
-    pub operators: u64,
-    /// The newest change of targets' entries.
-    pub targets: u64,
+    /// Its availability zone.
+    pub zone: SmolStr,
     /// For how long it has followed the store's list of targets without a break, in milliseconds.
     pub followed_ms: u64,
+    /// The newest entry of the operators that it knows.
+    pub operators: u64,
+    /// The newest entry of the targets that it knows.
+    pub targets: u64,
     /// Its requests in flight, by target.
     pub running: IndexMap<SmolStr, u32>,
 }
 
-/// Everything that a gateway knows of operators and targets.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Digest {
-    /// The catalogue.
-    pub catalog: Definition,
-    /// Evacuated zones.
-    pub operators: Batch,
-    /// Targets.
-    pub targets: Batch,
-}
-
 fn report(gateway: &Gateway) -> Report {
     let running = query::running(&gateway.roster.lock());
     let views = gateway.views.lock();
-    let changed = |topic: Topic| views.get(&topic).map_or(0, |view| view.changed);
+    let newest = |topic: Topic| views.get(&topic).map_or(0, |view| view.log.newest());
     Report {
         member: Member {
             name: gateway.settings.name.clone(),
             address: gateway.settings.peer_address,
         },
         is_stopping: gateway.drain.phase() != crate::drain::Phase::Serving,
-        catalog: gateway.catalog.read().version(),
-        operators: changed(Topic::Operators),
-        targets: changed(Topic::Targets),
+        zone: gateway.settings.zone.clone(),
         followed_ms: views
             .get(&Topic::Targets)
             .map_or(0, |view| knowledge::followed_ms(view, gateway.now_ms())),
+        operators: newest(Topic::Operators),
+        targets: newest(Topic::Targets),
         running,
     }
 }
@@ -190,10 +276,7 @@
     let members = gateway.members.lock();
     let known = members.contacts.values();
     let mut addresses: Vec<SocketAddr> = known
-        .filter(|contact| {
-            let is_quiet = now_ms.saturating_sub(contact.heard_ms) > QUIET_MS;
-            !is_quiet || round % 8 == 0
-        })
+        .filter(|contact| contact.is_heard(now_ms, QUIET_MS) || round % 8 == 0)
         .map(|contact| contact.address)
         .collect();
     if members.contacts.is_empty() {
@@ -210,7 +293,7 @@
         .filter(move |address| *address != own)
 }
 
-fn take_report(gateway: &Arc<Gateway>, bytes: &[u8], sender: SocketAddr) {
+fn take_report(gateway: &Gateway, bytes: &[u8], sender: SocketAddr) {
     let report: Report = match rmp_serde::from_slice(bytes) {
         Ok(report) => report,
         Err(error) => {
@@ -220,112 +303,68 @@
     };
     gateway.metrics.reports.inc();
     let now_ms = gateway.now_ms();
-    let is_newer = is_newer(gateway, &report);
-    let address = report.member.address;
-    if let Some(view) = gateway.views.lock().get_mut(&Topic::Targets) {
+    {
+        let mut views = gateway.views.lock();
+        let view = views.entry(Topic::Targets).or_default();
         knowledge::note_follower(view, report.followed_ms, now_ms);
     }
     {
-        let mut roster = gateway.roster.lock();
-        let name = report.member.name.clone();
-        command::note_report(&mut roster, name, report.running, now_ms);
         let mut members = gateway.members.lock();
         match report.is_stopping {
             true => members.remove(&report.member.name),
-            false => members.put(report.member, now_ms),
+            false => members.hear(&report, now_ms),
         }
     }
-    if is_newer && gateway.members.lock().may_fetch(now_ms) {
-        tokio::spawn(fetch_logged(gateway.clone(), address));
-    }
+    let name = report.member.name;
+    let mut roster = gateway.roster.lock();
+    command::note_report(&mut roster, name, report.running, now_ms);
 }
 
-fn is_newer(gateway: &Gateway, report: &Report) -> bool {
-    if report.catalog > gateway.catalog.read().version() {
-        return true;
-    }
-    let views = gateway.views.lock();
-    let is_behind = |topic: Topic, theirs: u64| {
-        let view = views.get(&topic);
-        let is_lost = view.is_none_or(|view| view.version.is_none());
-        is_lost && theirs > view.map_or(0, |view| view.changed)
+/// Asks another gateway for news of a topic, and waits for some.
+///
+/// # Errors
+///
+/// As [`Client::call`], and `Error::Decode` for an answer that cannot be read.
+pub async fn news(gateway: &Gateway, address: SocketAddr, topic: Topic) -> Result<News> {
+    let since = {
+        let views = gateway.views.lock();
+        let log = views.get(&topic).map(|view| &view.log);
+        log.filter(|log| log.is_filled()).map(|log| log.version())
     };
-    is_behind(Topic::Operators, report.operators) || is_behind(Topic::Targets, report.targets)
-}
-
-async fn fetch_logged(gateway: Arc<Gateway>, address: SocketAddr) {
-    match fetch(&gateway, address).await {
-        Ok(()) => log::info!(peer:% = address; "newer facts taken from a gateway"),
-        Err(error) => log::warn!(peer:% = address, error:% = error; "a gateway gave no facts"),
-    }
-}
-
-async fn fetch(gateway: &Gateway, address: SocketAddr) -> Result<()> {
-    let request = Request::get("/facts")
+    let question = rmp_serde::to_vec(&Question { topic, since }).context(EncodeSnafu)?;
+    let request = Request::post("/news")
         .header(hyper::header::HOST, address.to_string())
-        .body(Full::default())
+        .body(Full::from(question))
         .context(BuildSnafu)?;
-    let response = Client::new(address).call(request, FETCH).await?;
-    let digest: Digest = rmp_serde::from_slice(response.body()).context(DecodeSnafu { address })?;
-    apply(gateway, digest);
-    Ok(())
+    let client = gateway.members.lock().client(address, topic);
+    let response = client.call(request, NEWS + NEWS_MARGIN).await?;
+    rmp_serde::from_slice(response.body()).context(DecodeSnafu { address })
 }
 
-/// Takes in what another gateway knows, where it is newer than what the store told this one.
-pub fn apply(gateway: &Gateway, digest: Digest) {
-    if digest.catalog.version > 0 {
-        knowledge::set_catalog(gateway, Catalog::new(digest.catalog));
-    }
-    for (topic, batch) in [
-        (Topic::Operators, digest.operators),
-        (Topic::Targets, digest.targets),
-    ] {
-        let (is_following, held) = {
-            let views = gateway.views.lock();
-            let view = views.get(&topic);
-            let is_following = view.is_some_and(|view| view.version.is_some());
-            (is_following, view.map_or(0, |view| view.changed))
+/// Answers at once if there is news, else when there is some, or without any after a while.
+async fn tell(gateway: &Gateway, question: Question) -> News {
+    let until = time::Instant::now() + NEWS;
+    loop {
+        let (found, is_following, mut changed) = {
+            let mut views = gateway.views.lock();
+            let view = views.entry(question.topic).or_default();
+            let found = view.log.since(question.since);
+            (found, view.is_following(), view.log.subscribe())
+        };
+        let (is_complete, batch) = match found {
+            Some(found) => found,
+            None if time::Instant::now() < until && is_following => {
+                // Running out of time is looked at above, with the news.
+                let _ = time::timeout_at(until, changed.changed()).await;
+                continue;
+            }
+            None => (false, Batch::default()),
+        };
+        return News {
+            is_following,
+            is_complete,
+            batch,
         };
-        if is_following || batch.version <= held {
-            continue;
-        }
-        let changed = batch.version;
-        knowledge::apply(gateway, topic, batch, true);
-        let mut views = gateway.views.lock();
-        let view = views.entry(topic).or_default();
-        // The store's own list is still due.
-        view.version = None;
-        view.changed = changed;
-    }
-}
-
-fn digest(gateway: &Gateway) -> Digest {
-    let now_ms = gateway.now_ms();
-    let catalog = gateway.catalog().definition().clone();
-    let roster = gateway.roster.lock();
-    let views = gateway.views.lock();
-    let view = |topic: Topic| views.get(&topic).cloned().unwrap_or_default();
-    let operators = view(Topic::Operators);
-    let evacuated = operators.evacuated.iter().map(|(key, zone)| Entry {
-        key: key.clone(),
-        fact: Some(Fact::Evacuated(zone.clone())),
-        version: operators.changed,
-    });
-    let targets = query::announcements(&roster, now_ms).map(|announcement| Entry {
-        key: announcement.target.id.clone(),
-        fact: Some(Fact::Target(announcement)),
-        version: 0,
-    });
-    Digest {
-        catalog,
-        operators: Batch {
-            entries: evacuated.collect(),
-            version: operators.changed,
-        },
-        targets: Batch {
-            entries: targets.collect(),
-            version: view(Topic::Targets).changed,
-        },
     }
 }
 
@@ -338,16 +377,22 @@
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
 ) -> std::result::Result<Response<Full<Bytes>>, Infallible> {
-    let is_known = request.method() == Method::GET && request.uri().path() == "/facts";
-    let question = Limited::new(request.into_body(), QUESTION_MAX);
-    if !is_known || question.collect().await.is_err() {
-        return Ok(status(StatusCode::NOT_FOUND));
-    }
-    let bytes = rmp_serde::to_vec(&digest(&gateway)).context(EncodeSnafu);
+    let is_known = request.method() == Method::POST && request.uri().path() == "/news";
+    let body = Limited::new(request.into_body(), QUESTION_MAX)
+        .collect()
+        .await;
+    let question = match body {
+        Ok(body) if is_known => rmp_serde::from_slice::<Question>(&body.to_bytes()),
+        _ => return Ok(status(StatusCode::NOT_FOUND)),
+    };
+    let Ok(question) = question else {
+        return Ok(status(StatusCode::BAD_REQUEST));
+    };
+    let bytes = rmp_serde::to_vec(&tell(&gateway, question).await).context(EncodeSnafu);
     Ok(match bytes {
         Ok(bytes) => Response::new(Full::from(bytes)),
         Err(error) => {
-            log::error!(error:% = error; "facts cannot be told");
+            log::error!(error:% = error; "news cannot be told");
             status(StatusCode::INTERNAL_SERVER_ERROR)
         }
     })
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -40,8 +40,13 @@
         callers:% = gateway.settings.caller_address;
         "gateway starts"
     );
-    for topic in Topic::ALL {
-        tokio::spawn(knowledge::follow(gateway.clone(), source.clone(), topic));
+    for topic in [Topic::Operators, Topic::Targets] {
+        tokio::spawn(knowledge::follow_store(
+            gateway.clone(),
+            source.clone(),
+            topic,
+        ));
+        tokio::spawn(knowledge::follow_peers(gateway.clone(), topic));
     }
     tokio::spawn(enlist(gateway.clone(), source.clone()));
     let settings = &gateway.settings;
@@ -69,6 +74,7 @@
         log::warn!(error:% = error; "not entered into the list of gateways");
         time::sleep(ENLIST_PAUSE).await;
     }
+    knowledge::follow_members(gateway, source).await;
 }
 
 /// Waits for a signal to stop, and then until nothing runs; ends the process.
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -1,6 +1,7 @@
 //! Where the gateway learns what operators, targets and other gateways say.
 
 use std::fmt;
+use std::sync::Arc;
 
 use futures_util::future::BoxFuture;
 use sardinemux_core::catalog::Definition;
@@ -21,9 +22,6 @@
 }
 
 impl Topic {
-    /// Every topic.
-    pub const ALL: [Self; 3] = [Self::Operators, Self::Targets, Self::Members];
-
     /// Returns the name that logs and metrics use.
     pub fn name(self) -> &'static str {
         match self {
@@ -48,7 +46,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum Fact {
     /// The catalogue in force.
-    Catalog(Definition),
+    Catalog(Arc<Definition>),
     /// An availability zone that gets no new work.
     Evacuated(SmolStr),
     /// A target.
@@ -68,6 +66,8 @@
     pub fact: Option<Fact>,
     /// The version of the store at which it changed.
     pub version: u64,
+    /// Set on a removal that may be a lapse of the store's own outage: the target may be listed again soon.
+    pub may_return: bool,
 }
 
 /// Entries of one topic up to a version.
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -72,12 +72,13 @@
         key: id.into(),
         fact: Some(Fact::Target(announcement)),
         version,
+        may_return: false,
     }
 }
 
 fn list(gateway: &Gateway, entries: Vec<Entry>, version: u64) {
     let batch = Batch { entries, version };
-    knowledge::apply(gateway, Topic::Targets, batch, true);
+    knowledge::apply_store(gateway, Topic::Targets, batch, true);
 }
 
 fn is_in_use(gateway: &Gateway, id: &str) -> bool {
@@ -126,11 +127,12 @@
         key: "e1".into(),
         fact: None,
         version: 3,
+        may_return: false,
     };
     let batch = Batch {
         entries: vec![removal],
         version: 3,
     };
-    knowledge::apply(&gateway, Topic::Targets, batch, false);
+    knowledge::apply_store(&gateway, Topic::Targets, batch, false);
     assert!(!is_in_use(&gateway, "e1"));
 }
