--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -43,9 +43,12 @@
 /// A gateway whose last report is older than this is not followed, in milliseconds: four reports.
 const SILENT_MS: u64 = 1_000;
 
-/// A gateway that has said nothing for this long is sent only one report in eight, in milliseconds.
+/// A gateway that has said nothing for this long gets fewer reports, in milliseconds.
 const QUIET_MS: u64 = 5_000;
 
+/// The rounds of reports of which one goes to gateways that have said nothing.
+const QUIET_ROUNDS: u64 = 8;
+
 /// The largest question to a gateway, in bytes.
 const QUESTION_MAX: usize = 4_096;
 
@@ -276,7 +279,7 @@
     let members = gateway.members.lock();
     let known = members.contacts.values();
     let mut addresses: Vec<SocketAddr> = known
-        .filter(|contact| contact.is_heard(now_ms, QUIET_MS) || round % 8 == 0)
+        .filter(|contact| contact.is_heard(now_ms, QUIET_MS) || round.is_multiple_of(QUIET_ROUNDS))
         .map(|contact| contact.address)
         .collect();
     if members.contacts.is_empty() {
