Bound what metrics, idle connections and body reads may use

Cause: the bounds were named and not applied: series for every organisation, eight idle connections at each target whatever its limit, bodies that could take until the deadline. Organisations beyond 32 count together, a gateway keeps its part of half of a target's connections, a body must arrive within the operators' limit. A setting that nothing read is gone.

--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -1,5 +1,7 @@
 //! Tests of routing: catalogue, roster, placement by prompt part, cold shares and events.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use proptest::prelude::*;
 use rstest::rstest;
 use sardinemux_core::catalog::{Catalog, Definition, Kind, Organisation, Route, Share};
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -16,6 +16,7 @@
 use tokio::time::{self, Instant};
 
 use crate::attempt::{self, Account, Answer, Reached};
+use crate::metrics;
 use crate::prelude::*;
 use crate::request::{self, Job, Rejection};
 use crate::stream;
@@ -291,20 +292,23 @@
         let job = &self.job;
         let elapsed = job.begun.elapsed();
         let class = class(job);
-        let metrics = &self.gateway.metrics;
-        let organisation = job.organisation.as_deref().unwrap_or("none");
-        metrics
+        let catalog = self.gateway.catalog();
+        let organisation = job.organisation.as_deref();
+        let counted = metrics::organisation(&catalog, organisation);
+        self.gateway
+            .metrics
             .answers
-            .with_label_values(&[class, organisation, status.as_str()])
+            .with_label_values(&[class, counted, status.as_str()])
             .inc();
-        metrics
+        self.gateway
+            .metrics
             .first_byte_s
             .with_label_values(&[class])
             .observe(elapsed.as_secs_f64());
         log::info!(
-            request_id:? = job.id, route:% = job.route.name, organisation = organisation,
+            request_id:? = job.id, route:% = job.route.name, organisation = organisation.unwrap_or("none"),
             pool:% = job.pool, status = status.as_u16(), tried = self.tried.len(), ran = self.ran,
-            elapsed_ms = elapsed.as_millis() as u64, version = self.gateway.catalog.read().version();
+            elapsed_ms = elapsed.as_millis() as u64, version = catalog.version();
             "answered"
         );
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -85,8 +85,10 @@
             return;
         }
         let keep = keep_alive(&self.head);
-        let shelf = &self.account.gateway.shelf;
-        shelf.lock().put(self.account.key, self.link, keep);
+        let gateway = &self.account.gateway;
+        let most = gateway.idle_max(self.account.key);
+        let mut shelf = gateway.shelf.lock();
+        shelf.put(self.account.key, self.link, keep, most);
     }
 }
 
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -41,9 +41,25 @@
 /// Connections are given up this much sooner than targets say they close them.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
 
-/// The idle connections that are kept for one target.
+/// The most idle connections that are kept for one target.
 const IDLE_MAX: usize = 8;
 
+/// Returns how many idle connections one of some gateways keeps for a target that accepts `connections_max` from all
+/// of them: its part of a half.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_gateway::connections;
+///
+/// assert_eq!(connections::idle_max(680, 87), 3);
+/// assert_eq!(connections::idle_max(370, 9), 8);
+/// assert_eq!(connections::idle_max(10, 87), 1);
+/// ```
+pub fn idle_max(connections_max: u32, gateways: usize) -> usize {
+    (connections_max as usize / 2 / gateways.max(1)).clamp(1, IDLE_MAX)
+}
+
 /// Sets the options that reveal a connection which has gone silent.
 pub fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
@@ -127,11 +143,11 @@
         links.pop().map(|idle| idle.link)
     }
 
-    /// Keeps a connection whose last answer came whole. `keep` is the time that the target stated.
-    pub fn put(&mut self, key: Key, link: Link, keep: Option<Duration>) {
+    /// Keeps a connection whose last answer came whole, up to `most`. `keep` is the time that the target stated.
+    pub fn put(&mut self, key: Key, link: Link, keep: Option<Duration>, most: usize) {
         let keep = keep.map_or(IDLE, |keep| keep.saturating_sub(IDLE_MARGIN));
         let links = self.idle.entry(key).or_default();
-        if keep.is_zero() || links.len() >= IDLE_MAX || link.sender.is_closed() {
+        if keep.is_zero() || links.len() >= most || link.sender.is_closed() {
             return;
         }
         let until = Instant::now() + keep;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
+use sardinemux_core::catalog::Catalog;
 use snafu::ResultExt;
 
 use crate::errors::MetricSnafu;
@@ -17,6 +18,30 @@
 /// The name under which further organisations are counted.
 pub const OTHERS: &str = "others";
 
+/// Returns the name under which an organisation is counted.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::catalog::Catalog;
+/// use sardinemux_gateway::metrics;
+///
+/// assert_eq!(metrics::organisation(&Catalog::default(), None), "none");
+/// assert_eq!(metrics::organisation(&Catalog::default(), Some("unlisted")), metrics::OTHERS);
+/// ```
+pub fn organisation<'a>(catalog: &Catalog, name: Option<&'a str>) -> &'a str {
+    let Some(name) = name else { return "none" };
+    let mut counted = catalog
+        .definition()
+        .organisations
+        .iter()
+        .take(ORGANISATIONS_MAX);
+    match counted.any(|organisation| organisation.name == name) {
+        true => name,
+        false => OTHERS,
+    }
+}
+
 /// The metrics of a gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -30,7 +55,7 @@
     pub attempts: IntCounterVec,
     /// Calls to the store, by topic and outcome.
     pub store_calls: IntCounterVec,
-    /// Bytes of the catalogue's version in force.
+    /// The version of the catalogue in force.
     pub catalog_version: IntGauge,
     /// Reports of other gateways that were taken in.
     pub reports: IntCounter,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -135,7 +135,9 @@
     let path = parts.uri.path_and_query().ok_or(Rejection::Malformed)?;
     let uri = Uri::from(path.clone());
     let headers = passed_on(gateway, parts.headers);
-    let body = read_body(body, &catalog, deadline).await?;
+    let limits = catalog.limits();
+    let due = deadline.min(begun + Duration::from_millis(limits.read_ms));
+    let body = read_body(body, limits.body_bytes, due).await?;
     Ok(Job {
         id,
         method: parts.method,
@@ -231,11 +233,11 @@
 
 async fn read_body(
     body: Incoming,
-    catalog: &Catalog,
-    deadline: Instant,
+    limit: usize,
+    due: Instant,
 ) -> std::result::Result<Bytes, Rejection> {
-    let whole = Limited::new(body, catalog.limits().body_bytes).collect();
-    match time::timeout_at(deadline, whole).await {
+    let whole = Limited::new(body, limit).collect();
+    match time::timeout_at(due, whole).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Rejection::TooLarge),
         Ok(Err(_)) => Err(Rejection::Malformed),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,11 +26,9 @@
     pub store_address: SocketAddr,
     /// How long a stopping process may live, in milliseconds.
     pub grace_ms: u64,
-    /// The window of the retry budget, in milliseconds.
-    pub retry_window_ms: u64,
     /// Retries that each request earns, for all gateways together.
     pub retry_ratio: f64,
-    /// Retries in a window beyond the ratio, for all gateways together.
+    /// Retries that may be saved up beyond the ratio, for all gateways together.
     pub retry_extra: f64,
     /// The most that a target may carry, as a multiple of its pool's mean load.
     pub load_multiple: f64,
@@ -72,7 +70,7 @@
 }
 
 /// The keys of the settings file.
-pub const KEYS: [Key; 13] = [
+pub const KEYS: [Key; 12] = [
     required("instance", "name", Kind::Text, "The name of the instance."),
     required("instance", "zone", Kind::Text, "The availability zone."),
     required(
@@ -113,12 +111,6 @@
         "8s",
         "How long a stopping process may live.",
     ),
-    time(
-        "limits",
-        "retry_window",
-        "10s",
-        "The window of the retry budget.",
-    ),
     Key {
         section: "limits",
         name: "retry_ratio",
@@ -131,7 +123,7 @@
         name: "retry_extra",
         kind: Kind::Fraction { most: 1_000_000 },
         default: Some("20"),
-        about: "Retries in a window beyond the ratio, for all gateways together.",
+        about: "Retries that may be saved up beyond the ratio, for all gateways together.",
     },
     Key {
         section: "limits",
@@ -159,7 +151,6 @@
             seeds: values.addresses("instance", "seeds")?,
             store_address: values.address("store", "address")?,
             grace_ms: values.number("limits", "grace")?,
-            retry_window_ms: values.number("limits", "retry_window")?,
             retry_ratio: values.fraction("limits", "retry_ratio")?,
             retry_extra: values.fraction("limits", "retry_extra")?,
             load_multiple: values.fraction("limits", "load_multiple")?,
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -13,7 +13,7 @@
 use sardinemux_core::{cold, roster::query};
 use sardinemux_host::clock::Clock;
 
-use crate::connections::Shelf;
+use crate::connections::{self, Shelf};
 use crate::dialect::Dialect;
 use crate::drain::{Drain, Phase};
 use crate::knowledge::View;
@@ -116,6 +116,17 @@
         cold::share(per_s, &self.settings.name, members.names(), target)
     }
 
+    /// Returns how many idle connections to a target are kept.
+    pub fn idle_max(&self, key: Key) -> usize {
+        let pool = query::target(&self.roster.lock(), key).map(|target| target.pool.clone());
+        let catalog = self.catalog();
+        let pool = pool.as_ref().and_then(|pool| catalog.pool(pool));
+        let gateways = self.members.lock().names().count() + 1;
+        pool.map_or(1, |pool| {
+            connections::idle_max(pool.connections_max, gateways)
+        })
+    }
+
     /// Notes a first attempt at a pool, which earns a part of a retry.
     pub fn earn_retry(&self, pool: &SmolStr) {
         self.with_budget(pool, Budget::earn);
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -1,5 +1,7 @@
 //! Tests of what a gateway believes of targets through outages of the store and of its own path to it.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 #[path = "support/harness.rs"]
 mod harness;
 
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -1,5 +1,7 @@
 //! Tests of the whole path from a caller through the gateway to targets that misbehave.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 #[path = "support/harness.rs"]
 mod harness;
 
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -1,7 +1,6 @@
 //! A gateway in this process, targets that follow a script, and a caller, all on the loopback interface.
 
-// Each test file uses a part of this.
-#![allow(dead_code)]
+#![allow(dead_code, reason = "each test file uses a part of this")]
 
 use std::net::{SocketAddr, TcpListener as Port};
 use std::sync::Arc;
@@ -62,7 +61,6 @@
         seeds: Vec::new(),
         store_address: address(4),
         grace_ms: 8_000,
-        retry_window_ms: 10_000,
         retry_ratio: 0.2,
         retry_extra: 50.0,
         load_multiple: 2.0,
