--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -60,6 +60,7 @@
     gateway: Arc<Gateway>,
     job: Job,
     tried: Vec<Key>,
+    last_target: SmolStr,
     ran: u32,
     turned_away: u32,
     reason: Reason,
@@ -102,6 +103,7 @@
             gateway,
             job,
             tried: Vec::new(),
+            last_target: SmolStr::default(),
             ran: 0,
             turned_away: 0,
             reason: Reason::NoTarget,
@@ -138,6 +140,7 @@
             };
             let key = account.key;
             self.tried.push(key);
+            self.last_target = target.id.clone();
             let first_byte = self.first_byte();
             let sent = attempt::send(&self.job, account, &target, last_event, first_byte);
             match sent.await {
@@ -306,8 +309,8 @@
             .with_label_values(&[class])
             .observe(elapsed.as_secs_f64());
         log::info!(
-            request_id:? = job.id, route:% = job.route.name, organisation = organisation.unwrap_or("none"),
-            pool:% = job.pool, status = status.as_u16(), tried = self.tried.len(), ran = self.ran,
+            request_id:% = job.id_text(), route:% = job.route.name, organisation = organisation.unwrap_or("none"),
+            pool:% = job.pool, target_id:% = self.last_target, status = status.as_u16(), tried = self.tried.len(), ran = self.ran,
             elapsed_ms = elapsed.as_millis() as u64, version = catalog.version();
             "answered"
         );
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -138,7 +138,7 @@
         .inc();
     if let Reached::NotRun { reason, .. } | Reached::Unknown { reason } = &reached {
         log::info!(
-            request_id:? = job.id, target_id:% = target.id, reason = reason.name(),
+            request_id:% = job.id_text(), target_id:% = target.id, reason = reason.name(),
             is_not_run = matches!(reached, Reached::NotRun { .. });
             "attempt failed"
         );
@@ -205,7 +205,7 @@
     match connections::open(address).await {
         Ok(link) => Some(link),
         Err(error) => {
-            log::info!(request_id:? = job.id, error:% = error; "no connection to the target");
+            log::info!(request_id:% = job.id_text(), error:% = error; "no connection to the target");
             None
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,5 +1,6 @@
 //! Reading a caller's request: route, organisation, what may be repeated, and what is passed on.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -58,6 +59,11 @@
 }
 
 impl Job {
+    /// Returns the caller's name of this attempt, for logs.
+    pub fn id_text(&self) -> Cow<'_, str> {
+        String::from_utf8_lossy(self.id.as_bytes())
+    }
+
     /// Returns the time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -55,7 +55,7 @@
 
 fn log_broken(attempts: &Attempts, broken: Broken, last_event: Option<u64>) {
     log::warn!(
-        request_id:? = attempts.job().id, reason = broken.reason.name(),
+        request_id:% = attempts.job().id_text(), reason = broken.reason.name(),
         last_event = last_event.unwrap_or_default();
         "stream broke off"
     );
