Tell grey targets by their answers

Cause: a target's own error counted as a healthy answer, so that a replica which failed half of its requests kept its share.

Each gateway keeps an error rate a target, which halves in 3 s; one that exceeds twice its pool's by a quarter is used last. The others' rate counts twice, since some requests fail wherever they run.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -27,6 +27,13 @@
     pub rest_ms: u64,
     /// The longest rest of a failing target, in milliseconds.
     pub rest_max_ms: u64,
+    /// How much of a target's error rate one answer decides: gateways see a target less than once a second, so a
+    /// few answers must tell.
+    pub error_weight: f64,
+    /// The time in which a target's error rate halves, in milliseconds, so that it is tried again.
+    pub error_half_ms: f64,
+    /// A target whose error rate exceeds twice that of its pool by this much is used last.
+    pub error_excess: f64,
     /// A router's report counts for this long, in milliseconds: several periods, as datagrams get lost.
     pub report_ms: u64,
 }
@@ -39,6 +46,9 @@
             relist_ms: 2_500,
             rest_ms: 400,
             rest_max_ms: 4_000,
+            error_weight: 0.3,
+            error_half_ms: 3_000.0,
+            error_excess: 0.25,
             report_ms: 1_500,
         }
     }
@@ -60,6 +70,8 @@
 pub enum Evidence {
     /// The target answered as it should.
     Healthy,
+    /// The target answered with an error of its own.
+    Failed,
     /// Nothing can be learned: the caller left, or the target was merely full.
     Nothing,
     /// No connection, silence, a cut or an answer that is none.
@@ -78,6 +90,8 @@
     pub(crate) is_displaced: bool,
     pub(crate) running: u32,
     pub(crate) foreign: Option<Foreign>,
+    pub(crate) error_rate: f64,
+    pub(crate) error_at_ms: u64,
     pub(crate) faults: u32,
     pub(crate) rests_until_ms: u64,
 }
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -3,7 +3,7 @@
 use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
-use super::{Announcement, Condition, Evidence, Foreign, Report, Roster};
+use super::{query, Announcement, Condition, Evidence, Foreign, Report, Roster};
 use crate::pace::Pace;
 use crate::target::Key;
 
@@ -154,9 +154,16 @@
         return;
     };
     condition.running = condition.running.saturating_sub(1);
+    let is_error = matches!(evidence, Evidence::Failed | Evidence::Faulty);
+    if evidence != Evidence::Nothing {
+        let rate = query::decayed(condition, settings, now_ms);
+        let sample = f64::from(u8::from(is_error));
+        condition.error_rate = rate + settings.error_weight * (sample - rate);
+        condition.error_at_ms = now_ms;
+    }
     match evidence {
         Evidence::Nothing => {}
-        Evidence::Healthy => condition.faults = 0,
+        Evidence::Healthy | Evidence::Failed => condition.faults = 0,
         Evidence::Displaced => condition.is_displaced = true,
         Evidence::Faulty => {
             let rest_ms = settings.rest_ms << condition.faults.min(8);
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
-use super::{Announcement, Roster};
+use super::{Announcement, Condition, Roster, Settings};
 use crate::hash;
 use crate::target::{Key, Target};
 
@@ -63,6 +63,37 @@
     condition.is_some_and(|condition| now_ms < condition.rests_until_ms)
 }
 
+/// Returns a target's error rate, which halves with time: what is not tried is not known to fail.
+pub(crate) fn decayed(condition: &Condition, settings: Settings, now_ms: u64) -> f64 {
+    let age_ms = now_ms.saturating_sub(condition.error_at_ms) as f64;
+    condition.error_rate * (-age_ms / settings.error_half_ms).exp2()
+}
+
+/// Returns whether a target fails clearly more often than the others of its pool, whatever its status check says.
+///
+/// The others' rate counts twice, as errors that belong to the requests show everywhere.
+pub fn is_grey(roster: &Roster, key: Key, now_ms: u64) -> bool {
+    let settings = roster.settings;
+    let rate = |key: Key| {
+        let condition = roster.conditions.get(&key);
+        condition.map_or(0.0, |condition| decayed(condition, settings, now_ms))
+    };
+    let own = rate(key);
+    if own <= settings.error_excess {
+        return false;
+    }
+    let Some(pool) = roster.table.get(key).map(|target| &target.pool) else {
+        return false;
+    };
+    let others = roster
+        .table
+        .of_pool(pool)
+        .filter(|(other, _)| *other != key);
+    let rates: Vec<f64> = others.map(|(other, _)| rate(other)).collect();
+    let mean = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
+    own > 2.0 * mean + settings.error_excess
+}
+
 /// Returns whether a target is cold.
 pub fn is_cold(roster: &Roster, key: Key, now_ms: u64) -> bool {
     let condition = roster.conditions.get(&key);
@@ -108,7 +139,7 @@
 ///
 /// With a subject: rendezvous order among targets under the load bound `multiple * mean + slack`, so that all
 /// routers send one subject to one target until it is busy; then the others, least loaded first. Without a
-/// subject: least loaded first, own zone before others. Resting targets come last.
+/// subject: least loaded first, own zone before others. Resting and grey targets come last.
 ///
 /// Load it answers: many subjects of unequal weight, one of them suddenly hot. Source: Mirrokni, Thorup and
 /// Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018.
@@ -127,7 +158,7 @@
     let mean = sum / candidates.len().max(1) as f64;
     let bound = roster.settings.load_multiple * mean + roster.settings.load_slack;
     let place = |candidate: &Candidate| {
-        let rests = rests(roster, candidate.key, now_ms);
+        let rests = rests(roster, candidate.key, now_ms) || is_grey(roster, candidate.key, now_ms);
         let is_over = candidate.load >= bound;
         match wish.subject {
             Some(_) if !is_over => (rests, is_over, -candidate.score),
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -184,6 +184,36 @@
     assert_eq!(query::rank(&roster, wish(None), 0).len(), 1);
 }
 
+/// Load: one of three targets answers half of its requests with errors while its status check is good; a part of
+/// all requests fails wherever they run. The target gets less than a tenth of the requests, and its share again
+/// once it has recovered.
+#[test]
+fn verify_grey_target_is_told_by_its_answers() {
+    let (mut roster, keys) = roster(3);
+    let mut shares = Vec::new();
+    for is_grey in [true, false] {
+        let mut sent = 0;
+        for round in 0..600_u64 {
+            let now_ms = if is_grey { 0 } else { 60_000 } + round * 50;
+            let key = query::rank(&roster, wish(Some(round)), now_ms)[0];
+            assert!(command::start(&mut roster, key, 0.0, now_ms));
+            let is_failure = match is_grey && key == keys[1] {
+                true => round % 2 == 0,
+                false => round % 16 == 0,
+            };
+            let evidence = match is_failure {
+                true => Evidence::Failed,
+                false => Evidence::Healthy,
+            };
+            command::finish(&mut roster, key, evidence, now_ms);
+            sent += u32::from(key == keys[1]);
+        }
+        shares.push(f64::from(sent) / 600.0);
+    }
+    assert!(shares[0] < 0.1, "{shares:?}");
+    assert!(shares[1] > 0.2, "{shares:?}");
+}
+
 #[test]
 fn verify_evacuated_zone_gets_nothing_and_returns_cold() {
     let (mut roster, keys) = roster(3);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -75,7 +75,10 @@
 impl Answer {
     /// Notes that the whole answer came, and keeps the connection if the target does.
     pub fn complete(mut self) {
-        self.account.note(Evidence::Healthy);
+        self.account.note(match self.head.status.is_server_error() {
+            true => Evidence::Failed,
+            false => Evidence::Healthy,
+        });
         let closes = self
             .head
             .headers
