Move the bounds on attempts, the times of return and the choice of readers into core

Cause: these decisions stood between input and output in the gateway, so that no test without a network could drive them.

No behaviour changes.

--- /dev/null
+++ b/crates/core/src/attempts.rs
@@ -0,0 +1,90 @@
+//! How often one request may be sent, and what its caller is told when nothing more may be tried.
+//!
+//! Load it answers: targets that fail, hang or turn requests away, alone or all at once.
+
+use rand::Rng;
+
+use crate::catalog::Route;
+use crate::outcome::Outcome;
+
+/// The targets that may turn one request away before its caller is told to come back.
+const TURNED_AWAY_MAX: u32 = 4;
+
+/// A repeatable request is tried elsewhere after this multiple of its objective without a first byte.
+const SILENCE_OBJECTIVES: u64 = 2;
+
+/// The shortest time that a target is given for its first byte, in milliseconds.
+const SILENCE_LEAST_MS: u64 = 400;
+
+/// The shortest time after which a refused caller is asked to come back, in milliseconds.
+pub const RETRY_LEAST_MS: u64 = 150;
+
+/// The longest time after which a refused caller is asked to come back, in milliseconds.
+pub const RETRY_MOST_MS: u64 = 1_200;
+
+/// The part of the remaining time after which a refused caller is asked to come back at the latest; callers wait
+/// for a third of it at most.
+const RETRY_PART: u64 = 4;
+
+/// The attempts at one request so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Attempts {
+    /// The targets on which it may have run.
+    pub ran: u32,
+    /// The targets that provably did not run it.
+    pub turned_away: u32,
+}
+
+impl Attempts {
+    /// Returns whether the request may be sent again after "not run".
+    pub fn may_go_on(&self) -> bool {
+        self.turned_away <= TURNED_AWAY_MAX
+    }
+
+    /// Returns whether a request that may have run may run once more.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::attempts::Attempts;
+    /// use sardinemux_core::catalog::{Kind, Route};
+    ///
+    /// let route = Route { kind: Kind::Safe, attempts_max: 2, ..Route::default() };
+    /// assert!(Attempts { ran: 1, turned_away: 0 }.may_run_again(&route));
+    /// assert!(!Attempts { ran: 2, turned_away: 0 }.may_run_again(&route));
+    /// ```
+    pub fn may_run_again(&self, route: &Route) -> bool {
+        route.kind.is_repeatable() && self.ran < route.attempts_max
+    }
+
+    /// Returns what may be said of the request if nothing more is tried.
+    pub fn outcome(&self) -> Outcome {
+        match self.ran {
+            0 => Outcome::NotRun,
+            _ => Outcome::Unknown,
+        }
+    }
+
+    /// Returns how long a target may take to its first byte, in milliseconds, where it need not be the last one that
+    /// is tried; nothing where it must be waited for.
+    pub fn patience_ms(&self, route: &Route) -> Option<u64> {
+        let has_another = self.ran + 1 < route.attempts_max;
+        let patience_ms = (route.objective_ms * SILENCE_OBJECTIVES).max(SILENCE_LEAST_MS);
+        (route.kind.is_repeatable() && has_another).then_some(patience_ms)
+    }
+}
+
+/// Returns when a refused caller that has some time left should come back, in milliseconds: at random, so that those
+/// who were refused together do not return together.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::attempts;
+///
+/// assert!(attempts::retry_after_ms(1_000, &mut rand::rng()) <= 250);
+/// ```
+pub fn retry_after_ms(left_ms: u64, random: &mut impl Rng) -> u64 {
+    let most_ms = (left_ms / RETRY_PART).clamp(RETRY_LEAST_MS, RETRY_MOST_MS);
+    random.random_range(RETRY_LEAST_MS..=most_ms)
+}
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -9,12 +9,13 @@
 use smol_str::SmolStr;
 
 /// What may be repeated of a route's requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// May run any number of times.
     Safe,
     /// May run at most once.
+    #[default]
     Unsafe,
     /// Answered by a stream of events; runs at most once unless it can be resumed.
     Stream {
@@ -58,7 +59,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// The name, unique within a catalogue.
     pub name: SmolStr,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Time, randomness and messages come in as arguments, so that a router, a test or a benchmark
 //! drives the same code.
 
+pub mod attempts;
 pub mod book;
 pub mod budget;
 pub mod catalog;
@@ -26,6 +27,7 @@
 pub mod placement;
 pub mod prelude;
 pub mod prompt;
+pub mod readers;
 pub mod retry;
 pub mod roster;
 pub mod stream;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -8,7 +8,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode};
-use rand::Rng;
+use sardinemux_core::attempts::{self, Attempts};
 use sardinemux_core::roster::query::{self, Wish};
 use sardinemux_core::roster::Evidence;
 use sardinemux_core::target::{Key, Target};
@@ -35,34 +35,14 @@
 /// The largest answer that is read whole before it is passed on, in bytes; a larger one cannot be tried again.
 const WHOLE_MAX: usize = 8 << 20;
 
-/// The targets that may turn one request away before the caller is told to come back.
-const TURNED_AWAY_MAX: u32 = 4;
-
-/// A repeatable request is tried elsewhere after this multiple of its objective without a first byte.
-const SILENCE_OBJECTIVES: u32 = 2;
-
-/// The shortest time that a target is given for its first byte, in milliseconds.
-const SILENCE_LEAST_MS: u64 = 400;
-
-/// The shortest time after which a refused caller is asked to come back, in milliseconds.
-const RETRY_LEAST_MS: u64 = 150;
-
-/// The longest time after which a refused caller is asked to come back, in milliseconds.
-const RETRY_MOST_MS: u64 = 1_200;
-
-/// The part of the remaining time after which a refused caller is asked to come back at the latest; callers wait
-/// for a third of it at most.
-const RETRY_PART: u32 = 4;
-
-/// How far the attempts at one request have come.
+/// A request that is being served.
 #[derive(Debug)]
-pub struct Attempts {
+pub struct Service {
     gateway: Arc<Gateway>,
     job: Job,
     tried: Vec<Key>,
     last_target: SmolStr,
-    ran: u32,
-    turned_away: u32,
+    attempts: Attempts,
     reason: Reason,
     fallback: Option<Response<Bytes>>,
 }
@@ -79,33 +59,32 @@
 /// Serves a request to its end, or to the head of a streamed answer.
 pub async fn serve(gateway: Arc<Gateway>, job: Job) -> Response<Body> {
     gateway.earn_retry(&job.pool);
-    let mut attempts = Attempts::new(gateway, job);
+    let mut service = Service::new(gateway, job);
     loop {
-        let answer = match attempts.next(None).await {
+        let answer = match service.next(None).await {
             Ok(answer) => answer,
-            Err(failure) => return attempts.fail(failure),
+            Err(failure) => return service.fail(failure),
         };
-        let is_stream = attempts.job.route.kind.is_stream();
+        let is_stream = service.job.route.kind.is_stream();
         if is_stream && answer.head.status.is_success() {
-            return stream::respond(attempts, *answer);
+            return stream::respond(service, *answer);
         }
-        match attempts.read_whole(*answer).await {
-            Ok(Some(response)) => return attempts.deliver(response),
+        match service.read_whole(*answer).await {
+            Ok(Some(response)) => return service.deliver(response),
             Ok(None) => {}
-            Err(failure) => return attempts.fail(failure),
+            Err(failure) => return service.fail(failure),
         }
     }
 }
 
-impl Attempts {
+impl Service {
     fn new(gateway: Arc<Gateway>, job: Job) -> Self {
         Self {
             gateway,
             job,
             tried: Vec::new(),
             last_target: SmolStr::default(),
-            ran: 0,
-            turned_away: 0,
+            attempts: Attempts::default(),
             reason: Reason::NoTarget,
             fallback: None,
         }
@@ -145,7 +124,7 @@
             let sent = attempt::send(&self.job, account, &target, last_event, first_byte);
             match sent.await {
                 Reached::Answer(answer) => {
-                    self.ran += 1;
+                    self.attempts.ran += 1;
                     return Ok(answer);
                 }
                 Reached::NotRun {
@@ -153,7 +132,7 @@
                     has_arrived,
                 } => self.note_not_run(reason, has_arrived)?,
                 Reached::Unknown { reason } => {
-                    self.ran += 1;
+                    self.attempts.ran += 1;
                     self.may_repeat(reason)?;
                 }
             }
@@ -178,15 +157,13 @@
 
     /// Returns until when the head of the answer must come.
     fn first_byte(&self) -> Instant {
-        let route = &self.job.route;
-        let has_another = self.ran + 1 < route.attempts_max;
-        if !route.kind.is_repeatable() || !has_another {
-            return self.job.deadline;
+        match self.attempts.patience_ms(&self.job.route) {
+            Some(patience_ms) => {
+                let patience = Duration::from_millis(patience_ms);
+                self.job.deadline.min(Instant::now() + patience)
+            }
+            None => self.job.deadline,
         }
-        let objective = Duration::from_millis(route.objective_ms);
-        let least = Duration::from_millis(SILENCE_LEAST_MS);
-        let patience = (objective * SILENCE_OBJECTIVES).max(least);
-        self.job.deadline.min(Instant::now() + patience)
     }
 
     fn note_not_run(
@@ -195,9 +172,9 @@
         has_arrived: bool,
     ) -> std::result::Result<(), Failure> {
         self.reason = reason;
-        self.turned_away += 1;
-        let may_go_on = self.turned_away <= TURNED_AWAY_MAX
-            && (!has_arrived || self.gateway.spend_retry(&self.job.pool));
+        self.attempts.turned_away += 1;
+        let may_go_on =
+            self.attempts.may_go_on() && (!has_arrived || self.gateway.spend_retry(&self.job.pool));
         match may_go_on {
             true => Ok(()),
             false => Err(self.failure(reason)),
@@ -211,9 +188,7 @@
     /// A [`Failure`] if not.
     pub fn may_repeat(&mut self, reason: Reason) -> std::result::Result<(), Failure> {
         self.reason = reason;
-        let route = &self.job.route;
-        let may_repeat = route.kind.is_repeatable()
-            && self.ran < route.attempts_max
+        let may_repeat = self.attempts.may_run_again(&self.job.route)
             && !self.job.left().is_zero()
             && self.gateway.spend_retry(&self.job.pool);
         match may_repeat {
@@ -223,10 +198,7 @@
     }
 
     fn failure(&self, reason: Reason) -> Failure {
-        let outcome = match self.ran {
-            0 => Outcome::NotRun,
-            _ => Outcome::Unknown,
-        };
+        let outcome = self.attempts.outcome();
         Failure { outcome, reason }
     }
 
@@ -310,7 +282,7 @@
             .observe(elapsed.as_secs_f64());
         log::info!(
             request_id:% = job.id_text(), route:% = job.route.name, organisation = organisation.unwrap_or("none"),
-            pool:% = job.pool, target_id:% = self.last_target, status = status.as_u16(), tried = self.tried.len(), ran = self.ran,
+            pool:% = job.pool, target_id:% = self.last_target, status = status.as_u16(), tried = self.tried.len(), ran = self.attempts.ran,
             elapsed_ms = elapsed.as_millis() as u64, version = catalog.version();
             "answered"
         );
@@ -367,7 +339,10 @@
     let status = rejection.status();
     let mut response = plain(status, &rejection.to_string());
     if rejection == Rejection::NotReady {
-        set_retry_after(&mut response, Duration::from_millis(RETRY_MOST_MS));
+        set_retry_after(
+            &mut response,
+            Duration::from_millis(attempts::RETRY_MOST_MS),
+        );
     }
     // What is left of the request on the connection is not read.
     let close = HeaderValue::from_static("close");
@@ -377,9 +352,8 @@
 
 /// Tells a caller when to come back, spread so that those who were refused together do not return together.
 fn set_retry_after(response: &mut Response<Body>, left: Duration) {
-    let most_ms = (left / RETRY_PART).as_millis() as u64;
-    let most_ms = most_ms.clamp(RETRY_LEAST_MS, RETRY_MOST_MS);
-    let wait_ms = rand::rng().random_range(RETRY_LEAST_MS..=most_ms);
+    let left_ms = left.as_millis() as u64;
+    let wait_ms = attempts::retry_after_ms(left_ms, &mut rand::rng());
     let seconds = format!("{:.3}", wait_ms as f64 / 1_000.0);
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -10,6 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 use sardinemux_core::catalog::Catalog;
+use sardinemux_core::readers;
 use sardinemux_core::roster::{command, query, Announcement};
 use tokio::time;
 
@@ -145,12 +146,15 @@
         (view.is_following(), view.log.newest())
     });
     let members = gateway.members.lock();
-    let ahead = members.ahead(topic, newest, now_ms);
-    let ahead = ahead.filter(|address| Some(*address) != avoided);
-    ahead.or_else(|| match is_following {
+    let peers = || {
+        let heard = members.heard(topic, now_ms);
+        heard.filter(|peer| members.address(peer.name) != avoided)
+    };
+    let chosen = readers::ahead(newest, peers()).or_else(|| match is_following {
         true => None,
-        false => members.best_reader(&gateway.settings.zone, avoided, now_ms),
-    })
+        false => readers::best(&gateway.settings.zone, peers()),
+    });
+    members.address(chosen?.name)
 }
 
 /// Reads the list of gateways now and then, after this one is in it: of any two, the later reader finds the other.
@@ -181,16 +185,17 @@
 fn reads_store(gateway: &Gateway, topic: Topic) -> bool {
     let now_ms = gateway.now_ms();
     let settings = &gateway.settings;
-    let is_first = gateway
-        .members
-        .lock()
-        .is_first(&settings.name, &settings.zone, now_ms);
+    let is_reader = {
+        let members = gateway.members.lock();
+        let peers = members.heard(topic, now_ms);
+        readers::is_reader(&settings.name, &settings.zone, peers)
+    };
     with_view(gateway, topic, |view| {
         let is_alone = now_ms.saturating_sub(view.asked_ms) >= ALONE_MS;
         if is_alone {
             view.asked_ms = now_ms;
         }
-        is_first || is_alone
+        is_reader || is_alone
     })
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use indexmap::IndexMap;
+use sardinemux_core::readers::Peer;
 use sardinemux_core::roster::{command, query};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
@@ -23,7 +24,7 @@
 use crate::errors::{BuildSnafu, DecodeSnafu, EncodeSnafu, ListenSnafu};
 use crate::knowledge;
 use crate::prelude::*;
-use crate::relay::{self, News};
+use crate::relay::News;
 use crate::source::{Batch, Member, Topic};
 
 /// The time between two reports to each other gateway: half of what a streamed answer takes, so that loads of
@@ -129,44 +130,23 @@
         self.contacts.keys().map(SmolStr::as_str)
     }
 
-    /// Returns whether a gateway is the first of its zone among those that were heard lately.
-    pub fn is_first(&self, name: &str, zone: &str, now_ms: u64) -> bool {
-        let mine = relay::rank(name);
-        let mut others = self
+    /// Returns the gateways that were heard lately, as far as one topic goes.
+    pub fn heard(&self, topic: Topic, now_ms: u64) -> impl Iterator<Item = Peer<'_>> {
+        let heard = self
             .contacts
             .iter()
-            .filter(|(_, contact)| contact.zone == zone && contact.is_heard(now_ms, SILENT_MS));
-        others.all(|(other, _)| relay::rank(other) > mine)
+            .filter(move |(_, contact)| contact.is_heard(now_ms, SILENT_MS));
+        heard.map(move |(name, contact)| Peer {
+            name,
+            zone: &contact.zone,
+            is_following: contact.is_following,
+            newest: contact.newest(topic),
+        })
     }
 
-    /// Returns a gateway that follows the store and knows of a newer entry. The path of a gateway to the store, or of
-    /// the one that it follows, may have fallen silent without a reset.
-    pub fn ahead(&self, topic: Topic, newest: u64, now_ms: u64) -> Option<SocketAddr> {
-        let readers = self.contacts.values().filter(|contact| {
-            contact.is_following
-                && contact.is_heard(now_ms, SILENT_MS)
-                && contact.newest(topic) > newest
-        });
-        readers
-            .max_by_key(|contact| contact.newest(topic))
-            .map(|contact| contact.address)
-    }
-
-    /// Returns the gateway to follow: one that follows the store itself, of the own zone if possible.
-    pub fn best_reader(
-        &self,
-        zone: &str,
-        avoided: Option<SocketAddr>,
-        now_ms: u64,
-    ) -> Option<SocketAddr> {
-        let readers = self.contacts.iter().filter(|(_, contact)| {
-            contact.is_following
-                && contact.is_heard(now_ms, SILENT_MS)
-                && Some(contact.address) != avoided
-        });
-        readers
-            .min_by_key(|(name, contact)| (contact.zone != zone, relay::rank(name)))
-            .map(|(_, contact)| contact.address)
+    /// Returns the address of a gateway.
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.contacts.get(name).map(|contact| contact.address)
     }
 
     /// Returns the client for one topic at a gateway; one that is followed no longer is dropped.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,6 @@
 //! if it falls silent. The versions are the store's, so that a gateway can change whom it follows at any time.
 
 use indexmap::IndexMap;
-use sardinemux_core::hash;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
@@ -150,8 +149,3 @@
         Some((is_complete, Batch { entries, version }))
     }
 }
-
-/// Returns a gateway's rank among those of its availability zone; the first reads the store.
-pub fn rank(name: &str) -> u64 {
-    hash::of(&[b"reader", name.as_bytes()])
-}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,104 +34,89 @@
     pub load_multiple: f64,
 }
 
-const MINUTE_MS: u64 = 60_000;
-
-const fn time(
-    section: &'static str,
-    name: &'static str,
-    default: &'static str,
-    about: &'static str,
-) -> Key {
-    Key {
-        section,
-        name,
-        kind: Kind::Time {
-            least_ms: 1,
-            most_ms: 10 * MINUTE_MS,
-        },
-        default: Some(default),
-        about,
-    }
-}
-
-const fn required(
-    section: &'static str,
-    name: &'static str,
-    kind: Kind,
-    about: &'static str,
-) -> Key {
-    Key {
-        section,
-        name,
-        kind,
-        default: None,
-        about,
-    }
-}
+/// The longest grace period that can be set, in milliseconds.
+const GRACE_MAX_MS: u64 = 600_000;
 
 /// The keys of the settings file.
 pub const KEYS: [Key; 12] = [
-    required("instance", "name", Kind::Text, "The name of the instance."),
-    required("instance", "zone", Kind::Text, "The availability zone."),
-    required(
+    Key::new(
+        "instance",
+        "name",
+        Kind::Text,
+        None,
+        "The name of the instance.",
+    ),
+    Key::new(
+        "instance",
+        "zone",
+        Kind::Text,
+        None,
+        "The availability zone.",
+    ),
+    Key::new(
         "instance",
         "callers",
         Kind::Address,
+        None,
         "Where callers connect.",
     ),
-    required(
+    Key::new(
         "instance",
         "ready",
         Kind::Address,
+        None,
         "Where the balancer asks for readiness.",
     ),
-    required(
+    Key::new(
         "instance",
         "metrics",
         Kind::Address,
+        None,
         "Where metrics are shown.",
     ),
-    required(
+    Key::new(
         "instance",
         "peers",
         Kind::Address,
+        None,
         "Where other gateways connect.",
     ),
-    Key {
-        section: "instance",
-        name: "seeds",
-        kind: Kind::Addresses,
-        default: Some(""),
-        about: "Gateways to ask while the store is away; only their IP numbers are used.",
-    },
-    required("store", "address", Kind::Address, "The store."),
-    time(
+    Key::new(
+        "instance",
+        "seeds",
+        Kind::Addresses,
+        Some(""),
+        "Gateways to ask while the store is away; only their IP numbers are used.",
+    ),
+    Key::new("store", "address", Kind::Address, None, "The store."),
+    Key::new(
         "limits",
         "grace",
-        "8s",
+        Kind::time(1, GRACE_MAX_MS),
+        Some("8s"),
         "How long a stopping process may live.",
     ),
-    Key {
-        section: "limits",
-        name: "retry_ratio",
-        kind: Kind::Fraction { most: 10 },
-        default: Some("0.2"),
-        about: "Retries that each request earns.",
-    },
-    Key {
-        section: "limits",
-        name: "retry_extra",
-        kind: Kind::Fraction { most: 1_000_000 },
-        default: Some("20"),
-        about: "Retries that may be saved up beyond the ratio, for all gateways together.",
-    },
-    Key {
-        section: "limits",
-        name: "load_multiple",
-        kind: Kind::Fraction { most: 1_000 },
-        default: Some("2"),
-        about: "The most that a target may carry, as a multiple of its pool's mean load.",
-    },
+    Key::new(
+        "limits",
+        "retry_ratio",
+        Kind::Fraction { most: 10 },
+        Some("0.2"),
+        "Retries that each request earns.",
+    ),
+    Key::new(
+        "limits",
+        "retry_extra",
+        Kind::Fraction { most: 1_000_000 },
+        Some("20"),
+        "Retries that may be saved up beyond the ratio, for all gateways together.",
+    ),
+    Key::new(
+        "limits",
+        "load_multiple",
+        Kind::Fraction { most: 1_000 },
+        Some("2"),
+        "The most that a target may carry, as a multiple of its pool's mean load.",
+    ),
 ];
 
 impl Settings {
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -67,6 +67,34 @@
     pub about: &'static str,
 }
 
+impl Key {
+    /// Describes a key; one without a default must be given.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_host::settings::{Key, Kind};
+    ///
+    /// const ZONE: Key = Key::new("instance", "zone", Kind::Text, None, "The zone.");
+    /// assert_eq!(ZONE.name, "zone");
+    /// ```
+    pub const fn new(
+        section: &'static str,
+        name: &'static str,
+        kind: Kind,
+        default: Option<&'static str>,
+        about: &'static str,
+    ) -> Self {
+        Self {
+            section,
+            name,
+            kind,
+            default,
+            about,
+        }
+    }
+}
+
 /// The units of a time, in milliseconds.
 const TIME_UNITS: [(&str, u64); 2] = [("ms", 1), ("s", 1_000)];
 
@@ -91,6 +119,11 @@
 }
 
 impl Kind {
+    /// Describes a time between two bounds, in milliseconds.
+    pub const fn time(least_ms: u64, most_ms: u64) -> Self {
+        Self::Time { least_ms, most_ms }
+    }
+
     /// Returns what is allowed, for a message.
     pub fn allowed(self) -> String {
         match self {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -72,51 +72,31 @@
 
 const POLICIES: [&str; 3] = ["owner", "hash", "least_loaded"];
 
-const fn key(
-    section: &'static str,
-    name: &'static str,
-    kind: Kind,
-    default: Option<&'static str>,
-    about: &'static str,
-) -> Key {
-    Key {
-        section,
-        name,
-        kind,
-        default,
-        about,
-    }
-}
-
-const fn time(least_ms: u64, most_ms: u64) -> Kind {
-    Kind::Time { least_ms, most_ms }
-}
-
 /// Every key of a router's settings file.
 pub const KEYS: [Key; 23] = [
-    key(
+    Key::new(
         "instance",
         "id",
         Kind::Text,
         None,
         "The name in the instance list.",
     ),
-    key(
+    Key::new(
         "instance",
         "zone",
         Kind::Text,
         None,
         "The availability zone.",
     ),
-    key("instance", "region", Kind::Text, None, "The region."),
-    key(
+    Key::new("instance", "region", Kind::Text, None, "The region."),
+    Key::new(
         "entry",
         "address",
         Kind::Address,
         None,
         "Where callers connect.",
     ),
-    key(
+    Key::new(
         "entry",
         "requests_max",
         Kind::Count {
@@ -126,7 +106,7 @@
         Some("2048"),
         "The most requests at this entry.",
     ),
-    key(
+    Key::new(
         "entry",
         "body_max",
         Kind::Size {
@@ -136,63 +116,63 @@
         Some("1MiB"),
         "The largest body of a caller.",
     ),
-    key(
+    Key::new(
         "entry",
         "request_time",
-        time(100, 3_600_000),
+        Kind::time(100, 3_600_000),
         Some("120s"),
         "The longest time for a request.",
     ),
-    key(
+    Key::new(
         "peer",
         "address",
         Kind::Address,
         None,
         "Where other routers connect.",
     ),
-    key(
+    Key::new(
         "peer",
         "advertise",
         Kind::Addresses,
         Some(""),
         "The address that other routers are told, if it differs.",
     ),
-    key(
+    Key::new(
         "peer",
         "token",
         Kind::Text,
         None,
         "The secret that the fleet's programs share.",
     ),
-    key(
+    Key::new(
         "peer",
         "gossip_period",
-        time(50, 60_000),
+        Kind::time(50, 60_000),
         Some("1s"),
         "The time between two exchanges with a random peer.",
     ),
-    key(
+    Key::new(
         "peer",
         "silence",
-        time(100, 60_000),
+        Kind::time(100, 60_000),
         Some("2500ms"),
         "A router that says nothing for this long counts as silent.",
     ),
-    key(
+    Key::new(
         "peer",
         "suspect",
-        time(100, 60_000),
+        Kind::time(100, 60_000),
         Some("2s"),
         "How long a suspected router stays an owner.",
     ),
-    key(
+    Key::new(
         "peer",
         "takeover",
-        time(100, 60_000),
+        Kind::time(100, 60_000),
         Some("4s"),
         "How long a new owner without an answer from the former one admits nothing.",
     ),
-    key(
+    Key::new(
         "peer",
         "control_bytes",
         Kind::Count {
@@ -202,56 +182,56 @@
         Some("10000"),
         "Control bytes a second.",
     ),
-    key(
+    Key::new(
         "platform",
         "addresses",
         Kind::Addresses,
         None,
         "The platform's services.",
     ),
-    key(
+    Key::new(
         "platform",
         "timeout",
-        time(50, 60_000),
+        Kind::time(50, 60_000),
         Some("1s"),
         "How long the platform may take to answer.",
     ),
-    key(
+    Key::new(
         "platform",
         "list_period",
-        time(100, 600_000),
+        Kind::time(100, 600_000),
         Some("2s"),
         "The time between two reads of the instance list.",
     ),
-    key(
+    Key::new(
         "platform",
         "config_period",
-        time(100, 3_600_000),
+        Kind::time(100, 3_600_000),
         Some("4s"),
         "The mean time between two reads of the configuration log.",
     ),
-    key(
+    Key::new(
         "routing",
         "policy",
         Kind::Choice(&POLICIES),
         Some("owner"),
         "How targets are chosen; all but owner are baselines for measurements.",
     ),
-    key(
+    Key::new(
         "shutdown",
         "drain",
-        time(0, 600_000),
+        Kind::time(0, 600_000),
         Some("3s"),
         "The shortest time between the start of a graceful shutdown and its end.",
     ),
-    key(
+    Key::new(
         "test",
         "without_first",
         Kind::Choice(&MECHANISMS),
         Some("nothing"),
         "A mechanism that is switched off, to show what it is for.",
     ),
-    key(
+    Key::new(
         "test",
         "without_second",
         Kind::Choice(&MECHANISMS),
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -3,13 +3,13 @@
 //!
 //! The list of instances is a table whose changes show after a lag.
 
-use std::collections::BTreeMap;
+mod stored;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use base64::prelude::{Engine as _, BASE64_STANDARD};
-use indexmap::IndexMap;
 use parking_lot::Mutex;
 use rocket::data::ToByteUnit;
 use rocket::http::{ContentType, Status};
@@ -21,6 +21,7 @@
 
 use crate::errors::Result;
 use crate::serve;
+use stored::{name, wire_row, Name, Page, Row, Stored, Transaction};
 
 /// What the store is like.
 #[derive(Clone, Debug)]
@@ -49,22 +50,6 @@
     pub is_list_down: bool,
 }
 
-/// A row's table and key.
-type Name = (String, String);
-
-#[derive(Debug, Default)]
-struct Stored {
-    rows: BTreeMap<Name, (u64, String)>,
-    /// Every change with its version and the value, nothing for a removal.
-    history: Vec<(u64, Name, Option<String>)>,
-    /// The history begins after this version.
-    forgotten: u64,
-    version: u64,
-    objects: IndexMap<String, Vec<u8>>,
-    reads: u64,
-    writes: u64,
-}
-
 /// The store.
 pub struct Platform {
     settings: Settings,
@@ -109,102 +94,6 @@
     (status, (ContentType::JSON, "{}".to_owned()))
 }
 
-/// A row as it is written in bodies.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireRow {
-    table: String,
-    #[serde(rename = "part", default)]
-    part: String,
-    key: String,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    value: Option<String>,
-    #[serde(default)]
-    ver: u64,
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    tombstone: bool,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireTransaction {
-    #[serde(default)]
-    expected_rev: Vec<WireRow>,
-    #[serde(default)]
-    upserts: Vec<WireRow>,
-    #[serde(default)]
-    remove: Vec<WireRow>,
-}
-
-#[derive(Debug, Serialize)]
-#[serde(rename_all = "PascalCase")]
-struct WirePage {
-    rows: Vec<WireRow>,
-    has_more: bool,
-    ver: u64,
-    now_ms: u64,
-}
-
-impl Stored {
-    fn change(&mut self, name: Name, value: Option<String>) {
-        match &value {
-            Some(value) => {
-                self.rows
-                    .insert(name.clone(), (self.version, value.clone()));
-            }
-            None => {
-                self.rows.remove(&name);
-            }
-        }
-        self.history.push((self.version, name, value));
-    }
-
-    /// Applies a transaction if all rows have the versions that it expects.
-    fn apply(&mut self, transaction: &WireTransaction) -> bool {
-        self.writes += 1;
-        let holds = transaction.expected_rev.iter().all(|expected| {
-            let row = self.rows.get(&name(expected));
-            row.map_or(0, |(version, _)| *version) == expected.ver
-        });
-        if !holds {
-            return false;
-        }
-        self.version += 1;
-        for row in &transaction.upserts {
-            self.change(name(row), Some(row.value.clone().unwrap_or_default()));
-        }
-        for row in &transaction.remove {
-            self.change(name(row), None);
-        }
-        true
-    }
-
-    fn changes(&self, table: &str, since: u64) -> Vec<WireRow> {
-        let newer = self
-            .history
-            .iter()
-            .filter(|(version, name, _)| *version > since && name.0 == table);
-        newer
-            .map(|(version, name, value)| wire_row(name, *version, value.clone()))
-            .collect()
-    }
-}
-
-fn name(row: &WireRow) -> Name {
-    (row.table.clone(), row.key.clone())
-}
-
-fn wire_row(name: &Name, ver: u64, value: Option<String>) -> WireRow {
-    WireRow {
-        table: name.0.clone(),
-        part: String::new(),
-        key: name.1.clone(),
-        tombstone: value.is_none(),
-        value,
-        ver,
-    }
-}
-
 impl Platform {
     /// Waits as the faults say; `Err` if the store is down or turns calls away.
     async fn suffer(&self) -> std::result::Result<(), Json> {
@@ -240,8 +129,8 @@
         self.begun.elapsed().as_millis() as u64
     }
 
-    fn page(&self, rows: Vec<WireRow>, has_more: bool, ver: u64) -> Json {
-        json(&WirePage {
+    fn page(&self, rows: Vec<Row>, has_more: bool, ver: u64) -> Json {
+        json(&Page {
             rows,
             has_more,
             ver,
@@ -265,7 +154,7 @@
     if let Err(refusal) = platform.suffer().await {
         return refusal;
     }
-    let Some(transaction) = read::<WireTransaction>(data).await else {
+    let Some(transaction) = read::<Transaction>(data).await else {
         return empty(Status::BadRequest);
     };
     let is_lost = platform.loses_answer();
@@ -313,7 +202,7 @@
     stored.reads += 1;
     let limit = range.limit.unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
     let first = (range.table.clone(), range.from.unwrap_or_default());
-    let mut rows: Vec<WireRow> = stored
+    let mut rows: Vec<Row> = stored
         .rows
         .range(first..)
         .take_while(|((table, key), _)| {
--- /dev/null
+++ b/crates/standin/src/platform/stored.rs
@@ -0,0 +1,118 @@
+//! The rows of the store, their history, and how they are written in bodies.
+
+use std::collections::BTreeMap;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// A row's table and key.
+pub(super) type Name = (String, String);
+
+#[derive(Debug, Default)]
+pub(super) struct Stored {
+    pub(super) rows: BTreeMap<Name, (u64, String)>,
+    /// Every change with its version and the value, nothing for a removal.
+    pub(super) history: Vec<(u64, Name, Option<String>)>,
+    /// The history begins after this version.
+    pub(super) forgotten: u64,
+    pub(super) version: u64,
+    pub(super) objects: IndexMap<String, Vec<u8>>,
+    pub(super) reads: u64,
+    pub(super) writes: u64,
+}
+
+/// A row as it is written in bodies.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Row {
+    pub(super) table: String,
+    #[serde(rename = "part", default)]
+    pub(super) part: String,
+    pub(super) key: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) value: Option<String>,
+    #[serde(default)]
+    pub(super) ver: u64,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(super) tombstone: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Transaction {
+    #[serde(default)]
+    pub(super) expected_rev: Vec<Row>,
+    #[serde(default)]
+    pub(super) upserts: Vec<Row>,
+    #[serde(default)]
+    pub(super) remove: Vec<Row>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct Page {
+    pub(super) rows: Vec<Row>,
+    pub(super) has_more: bool,
+    pub(super) ver: u64,
+    pub(super) now_ms: u64,
+}
+
+impl Stored {
+    pub(super) fn change(&mut self, name: Name, value: Option<String>) {
+        match &value {
+            Some(value) => {
+                self.rows
+                    .insert(name.clone(), (self.version, value.clone()));
+            }
+            None => {
+                self.rows.remove(&name);
+            }
+        }
+        self.history.push((self.version, name, value));
+    }
+
+    /// Applies a transaction if all rows have the versions that it expects.
+    pub(super) fn apply(&mut self, transaction: &Transaction) -> bool {
+        self.writes += 1;
+        let holds = transaction.expected_rev.iter().all(|expected| {
+            let row = self.rows.get(&name(expected));
+            row.map_or(0, |(version, _)| *version) == expected.ver
+        });
+        if !holds {
+            return false;
+        }
+        self.version += 1;
+        for row in &transaction.upserts {
+            self.change(name(row), Some(row.value.clone().unwrap_or_default()));
+        }
+        for row in &transaction.remove {
+            self.change(name(row), None);
+        }
+        true
+    }
+
+    pub(super) fn changes(&self, table: &str, since: u64) -> Vec<Row> {
+        let newer = self
+            .history
+            .iter()
+            .filter(|(version, name, _)| *version > since && name.0 == table);
+        newer
+            .map(|(version, name, value)| wire_row(name, *version, value.clone()))
+            .collect()
+    }
+}
+
+pub(super) fn name(row: &Row) -> Name {
+    (row.table.clone(), row.key.clone())
+}
+
+pub(super) fn wire_row(name: &Name, ver: u64, value: Option<String>) -> Row {
+    Row {
+        table: name.0.clone(),
+        part: String::new(),
+        key: name.1.clone(),
+        tombstone: value.is_none(),
+        value,
+        ver,
+    }
+}
