--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -37,7 +37,7 @@
 
 /// A request that is being served.
 #[derive(Debug)]
-pub struct Service {
+pub struct Serving {
     gateway: Arc<Gateway>,
     job: Job,
     tried: Vec<Key>,
@@ -59,25 +59,25 @@
 /// Serves a request to its end, or to the head of a streamed answer.
 pub async fn serve(gateway: Arc<Gateway>, job: Job) -> Response<Body> {
     gateway.earn_retry(&job.pool);
-    let mut service = Service::new(gateway, job);
+    let mut serving = Serving::new(gateway, job);
     loop {
-        let answer = match service.next(None).await {
+        let answer = match serving.next(None).await {
             Ok(answer) => answer,
-            Err(failure) => return service.fail(failure),
+            Err(failure) => return serving.fail(failure),
         };
-        let is_stream = service.job.route.kind.is_stream();
+        let is_stream = serving.job.route.kind.is_stream();
         if is_stream && answer.head.status.is_success() {
-            return stream::respond(service, *answer);
+            return stream::respond(serving, *answer);
         }
-        match service.read_whole(*answer).await {
-            Ok(Some(response)) => return service.deliver(response),
+        match serving.read_whole(*answer).await {
+            Ok(Some(response)) => return serving.deliver(response),
             Ok(None) => {}
-            Err(failure) => return service.fail(failure),
+            Err(failure) => return serving.fail(failure),
         }
     }
 }
 
-impl Service {
+impl Serving {
     fn new(gateway: Arc<Gateway>, job: Job) -> Self {
         Self {
             gateway,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,7 +12,7 @@
 use sardinemux_core::roster::Evidence;
 use tokio::time::{self, Instant};
 
-use crate::answer::{Body, Broken, Service};
+use crate::answer::{Body, Broken, Serving};
 use crate::attempt::Answer;
 use crate::prelude::*;
 
@@ -21,15 +21,15 @@
 const GAP_MS: u64 = 1_500;
 
 /// Returns the response to a caller for a streamed answer.
-pub fn respond(service: Service, answer: Answer) -> Response<Body> {
-    service.note_answer(answer.head.status);
+pub fn respond(serving: Serving, answer: Answer) -> Response<Body> {
+    serving.note_answer(answer.head.status);
     let head = answer.head.clone();
     let mut response = Response::new(Body::default());
-    service.copy_head(head, &mut response);
-    let is_resumable = service.job().route.kind == Kind::Stream { is_resumable: true };
+    serving.copy_head(head, &mut response);
+    let is_resumable = serving.job().route.kind == Kind::Stream { is_resumable: true };
     *response.body_mut() = match is_resumable {
-        true => resumable(service, answer),
-        false => once(service, answer),
+        true => resumable(serving, answer),
+        false => once(serving, answer),
     };
     response
 }
@@ -53,19 +53,19 @@
     Broken { reason }
 }
 
-fn log_broken(service: &Service, broken: Broken, last_event: Option<u64>) {
+fn log_broken(serving: &Serving, broken: Broken, last_event: Option<u64>) {
     log::warn!(
-        request_id:% = service.job().id_text(), reason = broken.reason.name(),
+        request_id:% = serving.job().id_text(), reason = broken.reason.name(),
         last_event = last_event.unwrap_or_default();
         "stream broke off"
     );
 }
 
 /// Passes on a stream that must not be run again.
-fn once(service: Service, mut answer: Answer) -> Body {
+fn once(serving: Serving, mut answer: Answer) -> Body {
     let pieces = stream! {
         loop {
-            match piece(&mut answer, service.job().deadline).await {
+            match piece(&mut answer, serving.job().deadline).await {
                 Ok(Some(data)) => yield Ok(Frame::data(data)),
                 Ok(None) => {
                     answer.complete();
@@ -74,7 +74,7 @@
                 Err(broken) => {
                     answer.account.note(Evidence::Faulty);
                     drop(answer);
-                    log_broken(&service, broken, None);
+                    log_broken(&serving, broken, None);
                     yield Err(broken);
                     return;
                 }
@@ -85,14 +85,14 @@
 }
 
 /// Passes on whole events, and goes on elsewhere after the last one when the stream breaks off.
-fn resumable(mut service: Service, mut answer: Answer) -> Body {
+fn resumable(mut serving: Serving, mut answer: Answer) -> Body {
     let pieces = stream! {
-        let mut progress = Progress::after(service.job().last_event);
+        let mut progress = Progress::after(serving.job().last_event);
         loop {
             let mut splitter = Splitter::default();
             let broken = loop {
                 let gap = Instant::now() + Duration::from_millis(GAP_MS);
-                let until = gap.min(service.job().deadline);
+                let until = gap.min(serving.job().deadline);
                 match piece(&mut answer, until).await {
                     Ok(Some(data)) => {
                         if splitter.push(&data).is_err() {
@@ -116,8 +116,8 @@
             };
             answer.account.note(Evidence::Faulty);
             drop(answer);
-            log_broken(&service, broken, progress.last());
-            answer = match resume(&mut service, broken, progress.last()).await {
+            log_broken(&serving, broken, progress.last());
+            answer = match resume(&mut serving, broken, progress.last()).await {
                 Ok(next) => next,
                 Err(broken) => {
                     yield Err(broken);
@@ -143,14 +143,14 @@
 }
 
 async fn resume(
-    service: &mut Service,
+    serving: &mut Serving,
     cause: Broken,
     last_event: Option<u64>,
 ) -> std::result::Result<Answer, Broken> {
     loop {
-        let may_repeat = service.may_repeat(cause.reason);
+        let may_repeat = serving.may_repeat(cause.reason);
         may_repeat.map_err(|failure| broken(failure.reason))?;
-        let next = service.next(last_event).await;
+        let next = serving.next(last_event).await;
         let next = next.map_err(|failure| broken(failure.reason))?;
         if next.head.status.is_success() {
             return Ok(*next);
