Keep reports within a datagram, and a short grace period from underflowing

Cause: a gateway with more busy targets than a datagram holds would have sent no report at all, so that the others took it for silent; found on reading. It now reports the busiest 64. A grace period under 300 ms was subtracted from unchecked.

--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -120,13 +120,17 @@
     condition.running + reported.max(stated)
 }
 
-/// Returns what this router has in flight, by target; targets without work are left out.
-pub fn running(roster: &Roster) -> IndexMap<SmolStr, u32> {
+/// Returns what this router has in flight, by target, for at most `most` targets: the busiest, whose load matters
+/// most to others. Targets without work are left out.
+pub fn running(roster: &Roster, most: usize) -> IndexMap<SmolStr, u32> {
     let busy = roster.table.iter().filter_map(|(key, target)| {
         let running = roster.conditions.get(&key)?.running;
         (running > 0).then(|| (target.id.clone(), running))
     });
-    busy.collect()
+    let mut busy: IndexMap<SmolStr, u32> = busy.collect();
+    busy.sort_by(|_, left, _, right| right.cmp(left));
+    busy.truncate(most);
+    busy
 }
 
 struct Candidate {
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -168,6 +168,20 @@
     assert_eq!(query::load(&roster, keys[0], 3_000), 0);
 }
 
+/// Load: more busy targets than a report holds. The busiest are told of, so that the report is never too large to send.
+#[test]
+fn verify_busiest_targets_are_reported() {
+    let (mut roster, keys) = roster(100);
+    for (index, key) in keys.iter().enumerate() {
+        for _ in 0..=index / 10 {
+            assert!(command::start(&mut roster, *key, 0.0, 0));
+        }
+    }
+    let reported = query::running(&roster, 10);
+    assert_eq!(reported.len(), 10);
+    assert!(reported.values().all(|running| *running == 10));
+}
+
 #[test]
 fn verify_faulty_target_rests_longer_each_time() {
     let (mut roster, keys) = roster(1);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -34,6 +34,9 @@
 /// The largest datagram that is sent or read, in bytes; loopback and the instances' links carry it unsplit.
 const DATAGRAM_MAX: usize = 1_400;
 
+/// The targets of one report. With names of up to 16 bytes they fit into a datagram.
+const REPORTED_MAX: usize = 64;
+
 /// How long a question for news waits for some: a reader that stops answering must be noticed well inside the two
 /// seconds in which a leaving target must be known.
 const NEWS: Duration = Duration::from_millis(600);
@@ -188,7 +191,7 @@
 }
 
 fn report(gateway: &Gateway) -> Report {
-    let running = query::running(&gateway.roster.lock());
+    let running = query::running(&gateway.roster.lock(), REPORTED_MAX);
     let views = gateway.views.lock();
     let newest = |topic: Topic| views.get(&topic).map_or(0, |view| view.log.newest());
     Report {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -90,7 +90,8 @@
         }
     }
     let begun = Instant::now();
-    let last = begun + Duration::from_millis(gateway.settings.grace_ms) - EXIT;
+    let grace = Duration::from_millis(gateway.settings.grace_ms);
+    let last = begun + grace.saturating_sub(EXIT);
     gateway.drain.set(Phase::Leaving);
     log::info!(running = gateway.drain.running(); "gateway stops");
     tokio::spawn(async move {
