--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -25,7 +25,7 @@
 const HEAD_LEAST: usize = 8_192;
 
 /// The pause after a connection could not be accepted, as descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts callers for ever.
 ///
@@ -87,6 +87,7 @@
     request: Request<Incoming>,
 ) -> std::result::Result<Response<Body>, Infallible> {
     let running = gateway.drain.enter();
+    let id = request.headers().get(&gateway.dialect.request_id).cloned();
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let read = match watch.is_ambiguous() {
         true => Err(Rejection::Malformed),
@@ -96,7 +97,11 @@
     let mut response = match read {
         Ok(job) => answer::serve(gateway.clone(), job).await,
         Err(rejection) => {
-            log::info!(reason:% = rejection, version = gateway.catalog.read().version(); "rejected");
+            log::info!(
+                request_id:% = request::text(id.as_ref()), reason:% = rejection,
+                version = gateway.catalog.read().version();
+                "rejected"
+            );
             answer::reject(rejection)
         }
     };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -61,7 +61,7 @@
 impl Job {
     /// Returns the caller's name of this attempt, for logs.
     pub fn id_text(&self) -> Cow<'_, str> {
-        String::from_utf8_lossy(self.id.as_bytes())
+        text(Some(&self.id))
     }
 
     /// Returns the time that is left.
@@ -197,8 +197,24 @@
     }
 }
 
+/// Returns a header's value for logs; empty where there is none.
+pub fn text(value: Option<&HeaderValue>) -> Cow<'_, str> {
+    value.map_or(Cow::Borrowed(""), |value| {
+        String::from_utf8_lossy(value.as_bytes())
+    })
+}
+
+/// Reads a number; one that cannot be read counts as absent.
 fn number(value: Option<&HeaderValue>) -> Option<u64> {
-    value?.to_str().ok()?.trim().parse().ok()
+    let value = value?;
+    let number = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    if number.is_none() {
+        log::info!(value:% = text(Some(value)); "a number in a header cannot be read");
+    }
+    number
 }
 
 /// The caller's own deadline or the route's time-out, whichever comes first.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -16,6 +16,7 @@
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 
+use crate::caller::ACCEPT_PAUSE;
 use crate::errors::ListenSnafu;
 use crate::prelude::*;
 
@@ -39,7 +40,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!(address:% = address, error:% = error; "a connection was not accepted");
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
