Let the next gateway read the store when it turns a reader away, by topic

Nobody took over, as a reader that is turned away still ranked first; the others waited 2.5 s for somebody to follow. Those that then read the list of targets alone were reported as followers of everything, so that the others asked them for the operators' entries, were told nothing, and each question put off reading the store by another 2.5 s. The key revoked at 3.03 s was unknown in zone b until 7.56 s.

Now each topic has a standing of its own in the reports (idle, following, lost). A gateway reads if all that rank before it in its zone are lost. The widest link ranks first, as a reader passes every change on. Readers that try in vain together slow down, so that an outage is not met with a call of every gateway. Gateways listen for two rounds of reports before their first read.

--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -1,50 +1,144 @@
 //! Which gateways read the store, and whom the others follow.
 //!
-//! Load it answers: a change of one row that every gateway of a large fleet would read by itself. One gateway of each
-//! availability zone reads; all reckon alike which one, so that no message is needed to agree.
+//! Load it answers: a change of one row that every gateway of a large fleet would read by itself, and a store that
+//! turns some gateways away while it serves others. One gateway of each availability zone reads a topic; all reckon
+//! alike which one, so that no message is needed to agree. A gateway that the store turns away says so, and the
+//! next one takes over.
+
+use std::cmp::Reverse;
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 use crate::hash;
 
-/// What is known of another gateway.
+/// How long a gateway that hears nobody who follows the store waits before it reads by itself, in milliseconds: the
+/// time in which a silent reader's successor shows itself.
+const ALONE_MS: u64 = 1_200;
+
+/// The spread of that wait over the gateways, in milliseconds, so that they do not all read at once.
+const ALONE_SPREAD_MS: u64 = 800;
+
+/// The first pause after a failed call, in milliseconds; doubled with each further one.
+const PAUSE_MS: u64 = 100;
+
+/// The longest pause between calls, in milliseconds: a part of the two seconds within which changes must be known.
+const PAUSE_MAX_MS: u64 = 800;
+
+/// The readers of one availability zone that may try in vain at the full rate. With more of them, each tries less
+/// often, so that an outage of the store is not met with a call of every gateway.
+const LOST_READERS: u64 = 2;
+
+/// How a gateway stands to the store, for one topic.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    /// It does not read the store.
+    #[default]
+    Idle,
+    /// The store answers it.
+    Following,
+    /// It tries to read the store, in vain.
+    Lost,
+}
+
+/// What is known of a gateway, for one topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Peer<'a> {
     /// Its name.
     pub name: &'a str,
     /// Its availability zone.
     pub zone: &'a str,
-    /// Whether it follows the store itself.
-    pub is_following: bool,
+    /// The bandwidth of its link, in Mbit/s: a reader passes every change on to its whole zone.
+    pub link_mbps: u32,
+    /// How it stands to the store.
+    pub standing: Standing,
     /// The version of the newest entry that it knows.
     pub newest: u64,
 }
 
-fn rank(name: &str) -> u64 {
-    hash::of(&[b"reader", name.as_bytes()])
+impl Peer<'_> {
+    fn rank(&self) -> (Reverse<u32>, u64) {
+        let spread = hash::of(&[b"reader", self.name.as_bytes()]);
+        (Reverse(self.link_mbps), spread)
+    }
 }
 
-/// Returns whether a gateway is the one of its zone that reads the store. `peers` are those that were heard lately.
+/// Returns whether gateway `me` is the one of its zone that reads the store: every one that ranks before it has lost
+/// the store. `peers` are the others that were heard lately.
 ///
 /// # Examples
 ///
 /// ```
-/// use sardinemux_core::readers;
+/// use sardinemux_core::readers::{self, Peer, Standing};
 ///
-/// assert!(readers::is_reader("g1", "z1", std::iter::empty()));
+/// let peer = |name, link_mbps, standing| Peer { name, zone: "z1", link_mbps, standing, newest: 0 };
+/// let me = peer("g1", 100, Standing::Idle);
+/// assert!(!readers::is_reader(me, [peer("g2", 200, Standing::Idle)].into_iter()));
+/// assert!(readers::is_reader(me, [peer("g2", 200, Standing::Lost)].into_iter()));
 /// ```
-pub fn is_reader<'a>(name: &str, zone: &str, mut peers: impl Iterator<Item = Peer<'a>>) -> bool {
-    let mine = rank(name);
-    peers.all(|peer| peer.zone != zone || rank(peer.name) > mine)
+pub fn is_reader<'a>(me: Peer<'_>, mut peers: impl Iterator<Item = Peer<'a>>) -> bool {
+    peers.all(|peer| {
+        peer.zone != me.zone || peer.standing == Standing::Lost || peer.rank() > me.rank()
+    })
+}
+
+/// Returns whether gateway `me` must read the store although another one ranks before it: nobody else follows the
+/// store, and it has waited for `waited_ms` since somebody last did. One that reads already goes on until a better one
+/// follows the store.
+pub fn is_alone<'a>(
+    me: Peer<'_>,
+    mut peers: impl Iterator<Item = Peer<'a>>,
+    waited_ms: u64,
+) -> bool {
+    let is_following = |peer: &Peer<'_>| peer.standing == Standing::Following;
+    if is_following(&me) {
+        return peers.all(|peer| !is_following(&peer) || peer.rank() > me.rank());
+    }
+    let spread_ms = hash::of(&[b"alone", me.name.as_bytes()]) % ALONE_SPREAD_MS;
+    waited_ms >= ALONE_MS + spread_ms && !peers.any(|peer| is_following(&peer))
 }
 
 /// Returns the peer to follow: one that follows the store itself, of the own zone if possible.
 pub fn best<'a>(zone: &str, peers: impl Iterator<Item = Peer<'a>>) -> Option<Peer<'a>> {
-    let readers = peers.filter(|peer| peer.is_following);
-    readers.min_by_key(|peer| (peer.zone != zone, rank(peer.name)))
+    let readers = peers.filter(|peer| peer.standing == Standing::Following);
+    readers.min_by_key(|peer| (peer.zone != zone, peer.rank()))
 }
 
-/// Returns the peer that follows the store and knows the most, if that is more than `newest`. The path of a gateway to
-/// the store, or of the one that it follows, may have fallen silent without a reset.
-pub fn ahead<'a>(newest: u64, peers: impl Iterator<Item = Peer<'a>>) -> Option<Peer<'a>> {
-    let readers = peers.filter(|peer| peer.is_following && peer.newest > newest);
-    readers.max_by_key(|peer| peer.newest)
+/// How far gateway `me` is with a topic.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// The version of the newest entry that it knows.
+    pub newest: u64,
+    /// The version of the store up to which it knows every entry.
+    pub complete: u64,
+}
+
+/// Returns the peer that knows the most, if that is more than `progress`. The path of a gateway to the store, or of the
+/// one that it follows, may have fallen silent without a reset, and a reader may have lost the store right after it
+/// read a change.
+pub fn ahead<'a>(progress: Progress, peers: impl Iterator<Item = Peer<'a>>) -> Option<Peer<'a>> {
+    let knows_more = |peer: &Peer<'_>| match peer.standing {
+        Standing::Following => peer.newest > progress.newest,
+        Standing::Idle | Standing::Lost => peer.newest > progress.complete,
+    };
+    peers.filter(knows_more).max_by_key(|peer| peer.newest)
+}
+
+/// Returns the pause after some failed calls in a row, in milliseconds, at random, while `lost` gateways of the
+/// zone, this one among them, try in vain.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::readers;
+///
+/// assert!(readers::pause_ms(1, 1, &mut rand::rng()) <= 200);
+/// assert!(readers::pause_ms(9, 20, &mut rand::rng()) >= 4_000);
+/// ```
+pub fn pause_ms(failures: u32, lost: usize, random: &mut impl Rng) -> u64 {
+    let most = (PAUSE_MS << failures.min(6)).min(PAUSE_MAX_MS);
+    let crowd = (lost as u64).div_ceil(LOST_READERS).max(1);
+    let most = most * crowd;
+    random.random_range(most / 2..=most)
 }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -1,10 +1,12 @@
 //! Tests of attempts at a request, and of who reads the store.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use rstest::rstest;
 use sardinemux_core::attempts::{self, Attempts};
 use sardinemux_core::catalog::{Kind, Route};
 use sardinemux_core::outcome::Outcome;
-use sardinemux_core::readers::{self, Peer};
+use sardinemux_core::readers::{self, Peer, Progress, Standing};
 
 const RESUMABLE: Kind = Kind::Stream { is_resumable: true };
 const ONCE: Kind = Kind::Stream {
@@ -68,38 +70,148 @@
     names.iter().enumerate().map(|(index, name)| Peer {
         name,
         zone: ["z0", "z1", "z2"][index % 3],
-        is_following: true,
+        link_mbps: 100,
+        standing: Standing::Following,
         newest: index as u64,
     })
 }
 
-/// All gateways reckon alike: one of each zone reads.
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|index| format!("g{index}")).collect()
+}
+
+fn others<'a>(all: &[Peer<'a>], me: Peer<'a>) -> impl Iterator<Item = Peer<'a>> {
+    let all = all.to_vec();
+    all.into_iter().filter(move |peer| peer.name != me.name)
+}
+
+/// Returns the gateways of a fleet that read the store.
+fn reading<'a>(all: &[Peer<'a>]) -> Vec<Peer<'a>> {
+    let reading = all
+        .iter()
+        .filter(|me| readers::is_reader(**me, others(all, **me)));
+    reading.copied().collect()
+}
+
+/// All gateways reckon alike: one of each zone reads, the one with the widest link.
 #[test]
 fn verify_one_gateway_of_each_zone_reads() {
-    let names: Vec<String> = (0..90).map(|index| format!("g{index}")).collect();
-    for zone in ["z0", "z1", "z2"] {
-        let own = peers(&names).filter(|peer| peer.zone == zone);
-        let readers = own.filter(|me| {
-            let others = peers(&names).filter(|peer| peer.name != me.name);
-            readers::is_reader(me.name, zone, others)
-        });
-        assert_eq!(readers.count(), 1);
+    let names = names(90);
+    let mut all: Vec<Peer<'_>> = peers(&names).collect();
+    let zones: Vec<&str> = reading(&all).iter().map(|peer| peer.zone).collect();
+    assert_eq!(zones.len(), 3);
+    all[42].link_mbps = 200;
+    let names: Vec<&str> = reading(&all).iter().map(|peer| peer.name).collect();
+    assert_eq!(names.len(), 3);
+    assert!(names.contains(&"g42"), "{names:?}");
+}
+
+/// Load: the store turns away a third of the gateways, among them the readers of all zones. Each that is turned away
+/// says so, and within a few rounds of reports another one of its zone is served.
+#[test]
+fn verify_reader_that_is_turned_away_has_a_successor() {
+    let names = names(90);
+    let mut all: Vec<Peer<'_>> = peers(&names)
+        .map(|peer| Peer {
+            standing: Standing::Idle,
+            ..peer
+        })
+        .collect();
+    let first = reading(&all);
+    let is_served = |name: &str| !first.iter().any(|peer| peer.name == name);
+    for _round in 0..2 {
+        for peer in reading(&all) {
+            let known = all.iter_mut().find(|known| known.name == peer.name);
+            known.unwrap().standing = match is_served(peer.name) {
+                true => Standing::Following,
+                false => Standing::Lost,
+            };
+        }
     }
+    let following = all
+        .iter()
+        .filter(|peer| peer.standing == Standing::Following);
+    assert_eq!(following.count(), 3);
+}
+
+/// A gateway that hears nobody who follows the store reads by itself, at a moment of its own, until a better one does.
+#[test]
+fn verify_gateway_that_hears_no_reader_reads_by_itself() {
+    let names = names(30);
+    let idle: Vec<Peer<'_>> = peers(&names)
+        .map(|peer| Peer {
+            standing: Standing::Idle,
+            ..peer
+        })
+        .collect();
+    let alone = |waited_ms: u64| {
+        let alone = idle
+            .iter()
+            .filter(|me| readers::is_alone(**me, others(&idle, **me), waited_ms));
+        alone.count()
+    };
+    assert_eq!(alone(1_000), 0);
+    // Few begin at once, and all have begun within the two seconds in which changes must be known.
+    assert!((1..10).contains(&alone(1_400)), "{}", alone(1_400));
+    assert_eq!(alone(2_000), 30);
+    let all: Vec<Peer<'_>> = peers(&names).collect();
+    let going_on = all
+        .iter()
+        .filter(|me| readers::is_alone(**me, others(&all, **me), 0));
+    assert_eq!(going_on.count(), 1);
 }
 
 #[test]
 fn verify_follower_prefers_its_zone_and_leaves_the_silent() {
-    let names: Vec<String> = (0..6).map(|index| format!("g{index}")).collect();
+    let names = names(6);
     let best = readers::best("z1", peers(&names)).map(|peer| peer.zone);
     assert_eq!(best, Some("z1"));
     let others = peers(&names).map(|peer| Peer {
-        is_following: peer.zone == "z2",
+        standing: match peer.zone == "z2" {
+            true => Standing::Following,
+            false => Standing::Lost,
+        },
         ..peer
     });
     let best = readers::best("z1", others).map(|peer| peer.zone);
     assert_eq!(best, Some("z2"));
     assert_eq!(readers::best("z1", std::iter::empty()), None);
-    let ahead = readers::ahead(3, peers(&names)).map(|peer| peer.newest);
-    assert_eq!(ahead, Some(5));
-    assert_eq!(readers::ahead(5, peers(&names)), None);
+}
+
+/// A gateway that follows the store is asked if it has a newer entry; one that does not, only if that entry is newer
+/// than everything that was taken in.
+#[rstest]
+#[case::behind(3, 3, Some(5))]
+#[case::complete_beyond(3, 9, Some(5))]
+#[case::level(5, 5, None)]
+fn verify_gateway_that_is_ahead_is_asked(
+    #[case] newest: u64,
+    #[case] complete: u64,
+    #[case] expected: Option<u64>,
+) {
+    let names = names(6);
+    let progress = Progress { newest, complete };
+    let ahead = readers::ahead(progress, peers(&names)).map(|peer| peer.newest);
+    assert_eq!(ahead, expected);
+    let lost = peers(&names).map(|peer| Peer {
+        standing: Standing::Lost,
+        ..peer
+    });
+    let ahead = readers::ahead(progress, lost).map(|peer| peer.newest);
+    assert_eq!(ahead, expected.filter(|newest| *newest > complete));
+}
+
+/// Load: an outage of the store of which every gateway of a zone has learnt by a call of its own. Together they call
+/// it no more often than a few would.
+#[test]
+fn verify_outage_is_not_met_by_all_gateways() {
+    let mut random = rand::rng();
+    let mut calls_s = |lost: usize| {
+        let pauses = (0..lost).map(|_| readers::pause_ms(9, lost, &mut random));
+        pauses.map(|ms| 1_000.0 / ms as f64).sum::<f64>()
+    };
+    assert!(calls_s(2) < 5.1);
+    let mut random = rand::rng();
+    let calls_s = (0..30).map(|_| 1_000.0 / readers::pause_ms(9, 30, &mut random) as f64);
+    assert!(calls_s.sum::<f64>() < 5.1);
 }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -8,9 +8,8 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use rand::Rng;
 use sardinemux_core::catalog::Catalog;
-use sardinemux_core::readers;
+use sardinemux_core::readers::{self, Peer, Progress, Standing};
 use sardinemux_core::roster::{command, query, Announcement};
 use tokio::time;
 
@@ -19,18 +18,15 @@
 use crate::relay::{Log, News};
 use crate::source::{self, Batch, Entry, Fact, Source, Topic};
 
-/// The first pause after a failed call, in milliseconds; doubled with each further one.
-const PAUSE_MS: u64 = 100;
-
-/// The longest pause between calls, in milliseconds: a part of the second or two within which changes must be known.
-const PAUSE_MAX_MS: u64 = 800;
+/// The pause before the list of gateways is read again after a failure.
+const MEMBERS_RETRY: Duration = Duration::from_millis(800);
 
 /// How often a gateway that follows nobody looks for one to follow.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// How long a gateway that need not read the store waits for one that does, in milliseconds, before it reads the
-/// store itself.
-const ALONE_MS: u64 = 2_500;
+/// How long a gateway listens for others after its start before it reads the store, in milliseconds: two rounds of
+/// reports. Many gateways start at once, and most need not read.
+const LISTEN_MS: u64 = 600;
 
 /// The shortest time between two reads of the store. Changes come in bursts, each call is priced, and the bounds
 /// are seconds.
@@ -55,16 +51,25 @@
     is_own_outage: bool,
     /// Whether the next list is the first after an outage of the store itself.
     is_relisting: bool,
-    /// When another gateway was last followed, or the store last asked.
-    asked_ms: u64,
+    /// When another gateway that follows the store last answered, or the store itself.
+    heard_ms: u64,
     /// The evacuated zones, by key of their entry.
     pub evacuated: IndexMap<SmolStr, SmolStr>,
 }
 
 impl View {
+    /// Returns how this gateway stands to the store.
+    pub fn standing(&self) -> Standing {
+        match (self.followed_since_ms, self.lost_since_ms) {
+            (Some(_), _) => Standing::Following,
+            (None, Some(_)) => Standing::Lost,
+            (None, None) => Standing::Idle,
+        }
+    }
+
     /// Returns whether this gateway follows the store itself.
     pub fn is_following(&self) -> bool {
-        self.followed_since_ms.is_some()
+        self.standing() == Standing::Following
     }
 }
 
@@ -102,7 +107,8 @@
             Err(error) => {
                 note_loss(&gateway, topic, &error);
                 failures += 1;
-                Duration::from_millis(pause_ms(failures))
+                let lost = lost_readers(&gateway, topic);
+                Duration::from_millis(readers::pause_ms(failures, lost, &mut rand::rng()))
             }
         };
         time::sleep(pause).await;
@@ -118,14 +124,11 @@
             time::sleep(LOOK).await;
             continue;
         };
-        let now_ms = gateway.now_ms();
-        with_view(&gateway, topic, |view| view.asked_ms = now_ms);
         match peers::news(&gateway, address, topic).await {
-            Ok(news) if news.is_following => {
-                avoided = None;
+            Ok(news) => {
+                avoided = (!news.is_following).then_some(address);
                 take_news(&gateway, topic, news);
             }
-            Ok(_) => avoided = Some(address),
             Err(error) => {
                 log::info!(peer:% = address, topic = topic.name(), error:% = error; "a gateway told nothing");
                 avoided = Some(address);
@@ -142,15 +145,19 @@
     avoided: Option<SocketAddr>,
 ) -> Option<SocketAddr> {
     let now_ms = gateway.now_ms();
-    let (is_following, newest) = with_view(gateway, topic, |view| {
-        (view.is_following(), view.log.newest())
+    let (is_following, progress) = with_view(gateway, topic, |view| {
+        let progress = Progress {
+            newest: view.log.newest(),
+            complete: view.log.version(),
+        };
+        (view.is_following(), progress)
     });
     let members = gateway.members.lock();
     let peers = || {
         let heard = members.heard(topic, now_ms);
         heard.filter(|peer| members.address(peer.name) != avoided)
     };
-    let chosen = readers::ahead(newest, peers()).or_else(|| match is_following {
+    let chosen = readers::ahead(progress, peers()).or_else(|| match is_following {
         true => None,
         false => readers::best(&gateway.settings.zone, peers()),
     });
@@ -169,7 +176,7 @@
             }
             Err(error) => {
                 log::warn!(error:% = error; "the list of gateways was not read");
-                Duration::from_millis(PAUSE_MAX_MS)
+                MEMBERS_RETRY
             }
         };
         time::sleep(pause).await;
@@ -180,23 +187,34 @@
     action(gateway.views.lock().entry(topic).or_default())
 }
 
-/// Returns whether this gateway is to read the store now: it is the first of its zone, or it has found nobody to
-/// follow for a while.
+/// Returns whether this gateway is to read the store now.
 fn reads_store(gateway: &Gateway, topic: Topic) -> bool {
     let now_ms = gateway.now_ms();
+    if now_ms < LISTEN_MS {
+        return false;
+    }
+    let (standing, heard_ms) = with_view(gateway, topic, |view| (view.standing(), view.heard_ms));
     let settings = &gateway.settings;
-    let is_reader = {
-        let members = gateway.members.lock();
-        let peers = members.heard(topic, now_ms);
-        readers::is_reader(&settings.name, &settings.zone, peers)
+    let me = Peer {
+        name: &settings.name,
+        zone: &settings.zone,
+        link_mbps: settings.link_mbps,
+        standing,
+        newest: 0,
     };
-    with_view(gateway, topic, |view| {
-        let is_alone = now_ms.saturating_sub(view.asked_ms) >= ALONE_MS;
-        if is_alone {
-            view.asked_ms = now_ms;
-        }
-        is_reader || is_alone
-    })
+    let members = gateway.members.lock();
+    let peers = || members.heard(topic, now_ms);
+    let waited_ms = now_ms.saturating_sub(heard_ms);
+    readers::is_reader(me, peers()) || readers::is_alone(me, peers(), waited_ms)
+}
+
+/// Returns how many gateways of the zone try to read the store in vain, this one among them.
+fn lost_readers(gateway: &Gateway, topic: Topic) -> usize {
+    let members = gateway.members.lock();
+    let peers = members.heard(topic, gateway.now_ms());
+    let lost =
+        peers.filter(|peer| peer.zone == gateway.settings.zone && peer.standing == Standing::Lost);
+    1 + lost.count()
 }
 
 fn leave_store(gateway: &Gateway, topic: Topic) {
@@ -211,11 +229,6 @@
     with_view(gateway, topic, |view| view.store_since)
 }
 
-fn pause_ms(failures: u32) -> u64 {
-    let most = (PAUSE_MS << failures.min(6)).min(PAUSE_MAX_MS);
-    rand::rng().random_range(most / 2..=most)
-}
-
 fn count(gateway: &Gateway, topic: Topic, result: &source::Result<Batch>) {
     let outcome = match result {
         Ok(_) => "answered",
@@ -231,6 +244,7 @@
 pub fn note_contact(gateway: &Gateway, topic: Topic) {
     let now_ms = gateway.now_ms();
     with_view(gateway, topic, |view| {
+        view.heard_ms = now_ms;
         view.followed_since_ms.get_or_insert(now_ms);
         if let Some(since_ms) = view.lost_since_ms.take() {
             view.is_relisting = !view.is_own_outage;
@@ -288,9 +302,15 @@
 /// Takes in what another gateway said.
 pub fn take_news(gateway: &Gateway, topic: Topic, news: News) {
     let News {
-        is_complete, batch, ..
+        is_following,
+        is_complete,
+        batch,
     } = news;
+    let now_ms = gateway.now_ms();
     let news = with_view(gateway, topic, |view| {
+        if is_following {
+            view.heard_ms = now_ms;
+        }
         view.log.take(&batch, is_complete, false)
     });
     apply(gateway, topic, news);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use indexmap::IndexMap;
-use sardinemux_core::readers::Peer;
+use sardinemux_core::readers::{Peer, Standing};
 use sardinemux_core::roster::{command, query};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
@@ -62,18 +62,17 @@
     /// When it last sent a report; none if it is only listed.
     heard_ms: Option<u64>,
     zone: SmolStr,
-    is_following: bool,
-    operators: u64,
-    targets: u64,
+    link_mbps: u32,
+    operators: Position,
+    targets: Position,
 }
 
 impl Contact {
-    /// Returns the newest entry that the gateway knows.
-    fn newest(&self, topic: Topic) -> u64 {
+    fn position(&self, topic: Topic) -> Position {
         match topic {
             Topic::Operators => self.operators,
             Topic::Targets => self.targets,
-            Topic::Members => 0,
+            Topic::Members => Position::default(),
         }
     }
 
@@ -101,9 +100,9 @@
                     address,
                     heard_ms: None,
                     zone: SmolStr::default(),
-                    is_following: false,
-                    operators: 0,
-                    targets: 0,
+                    link_mbps: 0,
+                    operators: Position::default(),
+                    targets: Position::default(),
                 };
                 self.contacts.insert(name, contact);
             }
@@ -116,7 +115,7 @@
             address: report.member.address,
             heard_ms: Some(now_ms),
             zone: report.zone.clone(),
-            is_following: report.followed_ms > 0,
+            link_mbps: report.link_mbps,
             operators: report.operators,
             targets: report.targets,
         };
@@ -139,11 +138,15 @@
             .contacts
             .iter()
             .filter(move |(_, contact)| contact.is_heard(now_ms, SILENT_MS));
-        heard.map(move |(name, contact)| Peer {
-            name,
-            zone: &contact.zone,
-            is_following: contact.is_following,
-            newest: contact.newest(topic),
+        heard.map(move |(name, contact)| {
+            let Position { standing, newest } = contact.position(topic);
+            Peer {
+                name,
+                zone: &contact.zone,
+                link_mbps: contact.link_mbps,
+                standing,
+                newest,
+            }
         })
     }
 
@@ -171,6 +174,15 @@
     since: Option<u64>,
 }
 
+/// How far a gateway is with one topic.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Position {
+    /// How it stands to the store.
+    pub standing: Standing,
+    /// The version of the newest entry that it knows.
+    pub newest: u64,
+}
+
 /// What a gateway says of itself, several times a second.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Report {
@@ -182,10 +194,12 @@
     pub zone: SmolStr,
     /// For how long it has followed the store's list of targets without a break, in milliseconds.
     pub followed_ms: u64,
-    /// The newest entry of the operators that it knows.
-    pub operators: u64,
-    /// The newest entry of the targets that it knows.
-    pub targets: u64,
+    /// The bandwidth of its link, in Mbit/s.
+    pub link_mbps: u32,
+    /// How far it is with the operators' entries.
+    pub operators: Position,
+    /// How far it is with the targets.
+    pub targets: Position,
     /// Its requests in flight, by target.
     pub running: IndexMap<SmolStr, u32>,
 }
@@ -193,7 +207,13 @@
 fn report(gateway: &Gateway) -> Report {
     let running = query::running(&gateway.roster.lock(), REPORTED_MAX);
     let views = gateway.views.lock();
-    let newest = |topic: Topic| views.get(&topic).map_or(0, |view| view.log.newest());
+    let position = |topic: Topic| {
+        let view = views.get(&topic);
+        view.map_or_else(Position::default, |view| Position {
+            standing: view.standing(),
+            newest: view.log.newest(),
+        })
+    };
     Report {
         member: Member {
             name: gateway.settings.name.clone(),
@@ -204,8 +224,9 @@
         followed_ms: views
             .get(&Topic::Targets)
             .map_or(0, |view| knowledge::followed_ms(view, gateway.now_ms())),
-        operators: newest(Topic::Operators),
-        targets: newest(Topic::Targets),
+        link_mbps: gateway.settings.link_mbps,
+        operators: position(Topic::Operators),
+        targets: position(Topic::Targets),
         running,
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,8 @@
     pub peer_address: SocketAddr,
     /// Other gateways to ask while the store cannot be reached; their port is that of `peer_address`.
     pub seeds: Vec<SocketAddr>,
+    /// The bandwidth of the instance's link, in Mbit/s; the widest link of a zone reads the store for the others.
+    pub link_mbps: u32,
     /// The store.
     pub store_address: SocketAddr,
     /// How long a stopping process may live, in milliseconds.
@@ -38,7 +40,7 @@
 const GRACE_MAX_MS: u64 = 600_000;
 
 /// The keys of the settings file.
-pub const KEYS: [Key; 12] = [
+pub const KEYS: [Key; 13] = [
     Key::new(
         "instance",
         "name",
@@ -88,6 +90,13 @@
         Some(""),
         "Gateways to ask while the store is away; only their IP numbers are used.",
     ),
+    Key::new(
+        "instance",
+        "link_mbps",
+        Kind::Fraction { most: 1_000_000 },
+        Some("1000"),
+        "The bandwidth of the instance's link, in Mbit/s.",
+    ),
     Key::new("store", "address", Kind::Address, None, "The store."),
     Key::new(
         "limits",
@@ -134,6 +143,7 @@
             metrics_address: values.address("instance", "metrics")?,
             peer_address: values.address("instance", "peers")?,
             seeds: values.addresses("instance", "seeds")?,
+            link_mbps: values.fraction("instance", "link_mbps")? as u32,
             store_address: values.address("store", "address")?,
             grace_ms: values.number("limits", "grace")?,
             retry_ratio: values.fraction("limits", "retry_ratio")?,
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -59,6 +59,7 @@
         metrics_address: address(2),
         peer_address: address(3),
         seeds: Vec::new(),
+        link_mbps: 1_000,
         store_address: address(4),
         grace_ms: 8_000,
         retry_ratio: 0.2,
