Tell followers what changed of the catalogue; ask anew after standing still; reload bounds at SIGHUP

On a link of 10 Mbit/s, versions in quick succession wait for one another. Now a gateway that has a version is told what changed since. - A process that was suspended or stopped acted on what it had believed before. Its beats are now compared by the clock that counts suspension; afterwards it drops kept connections and reports, asks anew at once, and requests wait up to 400 ms for that. - SIGHUP changed nothing. Bounds and seeds are now read again; others are named as waiting for the next start. Besides, the retry budget of a gateway was divided by the gateways known at its first request, itself left out, for ever.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -2,6 +2,8 @@
 //!
 //! A [`Definition`] is what operators write and peers pass on; a [`Catalog`] is the same with its indexes.
 
+pub mod patch;
+
 use std::sync::Arc;
 
 use indexmap::IndexMap;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod placement;
 pub mod prelude;
 pub mod prompt;
+pub mod pulse;
 pub mod readers;
 pub mod retry;
 pub mod roster;
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Takes other bounds, as the number of routers that share them changes.
+    pub fn adjust(&mut self, settings: Settings) {
+        self.settings = settings;
+        self.saved = self.saved.min(settings.saved_max);
+    }
+
     /// Notes a first attempt.
     pub fn earn(&mut self) {
         self.saved = (self.saved + self.settings.earned).min(self.settings.saved_max);
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -195,6 +195,16 @@
     roster.reports.insert(router, Report { running, at_ms });
 }
 
+/// Sets the multiple of its pool's mean load that a target may carry.
+pub fn set_load_multiple(roster: &mut Roster, load_multiple: f64) {
+    roster.settings.load_multiple = load_multiple;
+}
+
+/// Forgets what other routers said of their work, as it may be old.
+pub fn forget_reports(roster: &mut Roster) {
+    roster.reports.clear();
+}
+
 /// Drops what is too old to count: reports, and targets that were not listed again in time. Returns the
 /// targets that were dropped.
 pub fn age(roster: &mut Roster, now_ms: u64) -> Vec<SmolStr> {
--- /dev/null
+++ b/crates/core/tests/patch.rs
@@ -0,0 +1,106 @@
+//! Tests of what gateways are told of a catalogue that changed.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use proptest::prelude::*;
+use sardinemux_core::catalog::patch::History;
+use sardinemux_core::catalog::{Definition, Organisation, Route};
+
+fn definition(version: u64, routes: &[(u8, u64)], organisations: &[(u8, u8)]) -> Definition {
+    let routes = routes.iter().map(|(name, timeout_ms)| Route {
+        name: format!("r{name}").into(),
+        timeout_ms: *timeout_ms,
+        ..Route::default()
+    });
+    let organisations = organisations.iter().map(|(name, key)| Organisation {
+        name: format!("o{name}").into(),
+        keys: vec![format!("k{key}").into()],
+        priority: None,
+    });
+    Definition {
+        version,
+        routes: routes.collect(),
+        organisations: organisations.collect(),
+        ..Definition::default()
+    }
+}
+
+/// The order of routes and organisations does not matter.
+fn sorted(mut definition: Definition) -> Definition {
+    definition
+        .routes
+        .sort_by(|left, right| left.name.cmp(&right.name));
+    definition
+        .organisations
+        .sort_by(|left, right| left.name.cmp(&right.name));
+    definition
+}
+
+fn versions() -> impl Strategy<Value = Vec<Definition>> {
+    let routes = prop::collection::btree_map(0..6_u8, 0..3_u64, 0..6);
+    let organisations = prop::collection::btree_map(0..4_u8, 0..3_u8, 0..4);
+    let versions = prop::collection::vec((routes, organisations), 2..8);
+    versions.prop_map(|versions| {
+        let versions = versions.into_iter().enumerate();
+        let versions = versions.map(|(index, (routes, organisations))| {
+            let routes: Vec<_> = routes.into_iter().collect();
+            let organisations: Vec<_> = organisations.into_iter().collect();
+            definition(10 + 3 * index as u64, &routes, &organisations)
+        });
+        versions.collect()
+    })
+}
+
+proptest! {
+    /// Whatever version a gateway has, what it is told brings it to the newest, also if it got a later one meanwhile.
+    #[test]
+    fn verify_any_version_is_brought_up_to_date(versions in versions()) {
+        let mut history = History::default();
+        history.note(&Definition::default(), &versions[0]);
+        for pair in versions.windows(2) {
+            history.note(&pair[0], &pair[1]);
+        }
+        let newest = versions.last().unwrap();
+        for (index, asked) in versions.iter().enumerate() {
+            let patch = history.patch(asked.version, newest).unwrap();
+            for held in &versions[index..] {
+                let result = patch.apply(held).unwrap();
+                prop_assert_eq!(sorted(result), sorted(newest.clone()));
+            }
+            for older in &versions[..index] {
+                prop_assert!(patch.apply(older).is_none());
+            }
+        }
+    }
+}
+
+/// Load: one route of 200 changes and one is dropped. What a gateway is told does not grow with the catalogue.
+#[test]
+fn verify_one_change_is_told_alone() {
+    let routes: Vec<(u8, u64)> = (0..200).map(|name| (name, 1)).collect();
+    let former = definition(4, &routes, &[(1, 1), (2, 2)]);
+    let mut changed = routes.clone();
+    changed[7].1 = 2;
+    changed.remove(9);
+    let present = definition(6, &changed, &[(1, 1)]);
+    let mut history = History::default();
+    history.note(&Definition::default(), &former);
+    history.note(&former, &present);
+    let patch = history.patch(4, &present).unwrap();
+    assert_eq!(patch.routes.len(), 1);
+    assert_eq!(patch.dropped_routes, ["r9"]);
+    assert!(patch.organisations.is_empty());
+    assert_eq!(patch.dropped_organisations, ["o2"]);
+}
+
+/// Whoever has no version yet, or one from before this gateway began, gets the whole catalogue.
+#[test]
+fn verify_unknown_version_gets_the_whole() {
+    let present = definition(9, &[(1, 1)], &[]);
+    let mut history = History::default();
+    history.note(&Definition::default(), &present);
+    assert!(history.patch(0, &present).is_none());
+    assert!(history.patch(8, &present).is_none());
+    assert!(history.patch(10, &present).is_none());
+    assert!(history.patch(9, &present).unwrap().routes.is_empty());
+}
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -154,6 +154,11 @@
         links.push(Idle { link, until });
     }
 
+    /// Closes all connections.
+    pub fn clear(&mut self) {
+        self.idle.clear();
+    }
+
     /// Closes the connections that are kept no longer, and those of targets that are gone.
     pub fn tidy(&mut self, is_known: impl Fn(Key) -> bool) {
         let now = Instant::now();
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -53,6 +53,8 @@
     is_relisting: bool,
     /// When another gateway that follows the store last answered, or the store itself.
     heard_ms: u64,
+    /// How often the process had stood still when what is known was last asked for.
+    confirmed: u64,
     /// The evacuated zones, by key of their entry.
     pub evacuated: IndexMap<SmolStr, SmolStr>,
 }
@@ -76,6 +78,7 @@
 /// Follows one topic at the store for ever, while it is this gateway's turn to.
 pub async fn follow_store(gateway: Arc<Gateway>, source: Arc<Source>, topic: Topic) {
     let mut failures: u32 = 0;
+    let mut wakes = gateway.wakes.subscribe();
     loop {
         if !reads_store(&gateway, topic) {
             leave_store(&gateway, topic);
@@ -83,15 +86,22 @@
             continue;
         }
         let since = store_since(&gateway, topic);
-        let result = match since {
-            Some(since) => (source.watch)(topic, since).await,
-            None => (source.list)(topic).await,
+        let asked = *wakes.borrow_and_update();
+        let reading = match since {
+            Some(since) => (source.watch)(topic, since),
+            None => (source.list)(topic),
+        };
+        let result = tokio::select! {
+            result = reading => result,
+            // The sender lives as long as the gateway. What was asked before is asked anew.
+            _ = wakes.changed() => continue,
         };
         count(&gateway, topic, &result);
         let pause = match result {
             Ok(batch) => {
                 failures = 0;
                 note_contact(&gateway, topic);
+                confirm(&gateway, topic, asked);
                 let is_quiet = batch.entries.is_empty();
                 apply_store(&gateway, topic, batch, since.is_none());
                 match is_quiet {
@@ -118,14 +128,25 @@
 /// Follows one topic at other gateways for ever, while this one does not follow the store.
 pub async fn follow_peers(gateway: Arc<Gateway>, topic: Topic) {
     let mut avoided = None;
+    let mut wakes = gateway.wakes.subscribe();
     loop {
         let Some(address) = peer_to_follow(&gateway, topic, avoided) else {
             avoided = None;
             time::sleep(LOOK).await;
             continue;
         };
-        match peers::news(&gateway, address, topic).await {
+        let asked = *wakes.borrow_and_update();
+        let waits = with_view(&gateway, topic, |view| view.confirmed == asked);
+        let asking = peers::news(&gateway, address, topic, waits);
+        let result = tokio::select! {
+            result = asking => result,
+            _ = wakes.changed() => continue,
+        };
+        match result {
             Ok(news) => {
+                if news.is_following {
+                    confirm(&gateway, topic, asked);
+                }
                 avoided = (!news.is_following).then_some(address);
                 take_news(&gateway, topic, news);
             }
@@ -258,6 +279,26 @@
     });
 }
 
+fn confirm(gateway: &Gateway, topic: Topic, asked: u64) {
+    with_view(gateway, topic, |view| view.confirmed = asked);
+}
+
+/// Returns whether the operators' entries and the targets were asked for after the process stood still `wakes` times.
+pub fn is_confirmed(gateway: &Gateway, wakes: u64) -> bool {
+    let is_confirmed = |topic: Topic| with_view(gateway, topic, |view| view.confirmed >= wakes);
+    is_confirmed(Topic::Operators) && is_confirmed(Topic::Targets)
+}
+
+/// Forgets how far the store was followed, so that its lists are read again.
+pub fn doubt(gateway: &Gateway) {
+    for topic in [Topic::Operators, Topic::Targets] {
+        with_view(gateway, topic, |view| {
+            view.store_since = None;
+            view.followed_since_ms = None;
+        });
+    }
+}
+
 /// Returns for how long this gateway has followed a topic at the store without a break, in milliseconds.
 pub fn followed_ms(view: &View, now_ms: u64) -> u64 {
     let since_ms = view.followed_since_ms;
@@ -304,8 +345,11 @@
     let News {
         is_following,
         is_complete,
-        batch,
+        mut batch,
     } = news;
+    if !complete(gateway, &mut batch) {
+        return;
+    }
     let now_ms = gateway.now_ms();
     let news = with_view(gateway, topic, |view| {
         if is_following {
@@ -335,7 +379,7 @@
             Some(Fact::Unreadable(reason)) => {
                 log::warn!(key:% = entry.key, version = entry.version, reason:% = reason; "unreadable entry, the former one stays in force");
             }
-            Some(Fact::Target(_) | Fact::Member(_)) => {}
+            Some(Fact::Patch(_) | Fact::Target(_) | Fact::Member(_)) => {}
             None => {
                 evacuated.shift_remove(&entry.key);
             }
@@ -359,9 +403,52 @@
         .metrics
         .catalog_version
         .set(catalog.version() as i64);
+    let mut history = gateway.history.lock();
+    history.note(held.definition(), catalog.definition());
     *held = Arc::new(catalog);
 }
 
+/// Puts what changed of the catalogue in place of the whole, for a gateway that has version `held` in force.
+pub fn shorten(gateway: &Gateway, batch: &mut Batch, held: u64) {
+    let catalog = gateway.catalog();
+    for entry in &mut batch.entries {
+        let is_present = match &entry.fact {
+            Some(Fact::Catalog(definition)) => definition.version == catalog.version(),
+            _ => false,
+        };
+        let patch = match is_present {
+            true => gateway.history.lock().patch(held, catalog.definition()),
+            false => None,
+        };
+        if let Some(patch) = patch {
+            entry.fact = Some(Fact::Patch(Arc::new(patch)));
+        }
+    }
+}
+
+/// Puts the whole catalogue in place of what changed; drops what does not fit the version in force, so that the
+/// whole is asked for next.
+fn complete(gateway: &Gateway, batch: &mut Batch) -> bool {
+    let catalog = gateway.catalog();
+    let mut is_whole = true;
+    batch.entries.retain_mut(|entry| {
+        let Some(Fact::Patch(patch)) = &entry.fact else {
+            return true;
+        };
+        let definition = patch.apply(catalog.definition());
+        if definition.is_none() {
+            log::warn!(
+                version = patch.version, since = patch.since, held = catalog.version();
+                "a change of the catalogue does not fit the version in force"
+            );
+        }
+        is_whole &= definition.is_some();
+        entry.fact = definition.map(|definition| Fact::Catalog(Arc::new(definition)));
+        entry.fact.is_some()
+    });
+    is_whole
+}
+
 fn set_evacuated(gateway: &Gateway, evacuated: IndexMap<SmolStr, SmolStr>) {
     let zones: IndexSet<SmolStr> = evacuated.values().cloned().collect();
     let catalog = gateway.catalog();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod status;
 pub mod stream;
 pub mod tables;
+pub mod wake;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,6 +26,7 @@
 use crate::prelude::*;
 use crate::relay::News;
 use crate::source::{Batch, Member, Topic};
+use crate::wake;
 
 /// The time between two reports to each other gateway: half of what a streamed answer takes, so that loads of
 /// other gateways are about right, for some 200 bytes each.
@@ -172,6 +173,10 @@
     topic: Topic,
     /// The version up to which the asker knows the topic.
     since: Option<u64>,
+    /// The version of the catalogue that the asker has in force; zero for none.
+    catalog: u64,
+    /// Whether the asker waits for news where there is none yet.
+    waits: bool,
 }
 
 /// How far a gateway is with one topic.
@@ -247,6 +252,7 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {
+                wake::beat(&gateway);
                 send_reports(&gateway, &socket, round).await;
                 gateway.tidy();
                 round += 1;
@@ -292,12 +298,13 @@
     addresses
 }
 
-fn seeds(gateway: &Gateway) -> impl Iterator<Item = SocketAddr> + '_ {
+fn seeds(gateway: &Gateway) -> Vec<SocketAddr> {
     let own = gateway.settings.peer_address;
-    let seeds = gateway.settings.seeds.iter();
-    seeds
-        .map(move |seed| SocketAddr::new(seed.ip(), own.port()))
-        .filter(move |address| *address != own)
+    let seeds = gateway.seeds.read();
+    let addresses = seeds
+        .iter()
+        .map(|seed| SocketAddr::new(seed.ip(), own.port()));
+    addresses.filter(|address| *address != own).collect()
 }
 
 fn take_report(gateway: &Gateway, bytes: &[u8], sender: SocketAddr) {
@@ -327,18 +334,30 @@
     command::note_report(&mut roster, name, report.running, now_ms);
 }
 
-/// Asks another gateway for news of a topic, and waits for some.
+/// Asks another gateway for news of a topic, and waits for some if `waits` says so.
 ///
 /// # Errors
 ///
 /// As [`Client::call`], and `Error::Decode` for an answer that cannot be read.
-pub async fn news(gateway: &Gateway, address: SocketAddr, topic: Topic) -> Result<News> {
+pub async fn news(
+    gateway: &Gateway,
+    address: SocketAddr,
+    topic: Topic,
+    waits: bool,
+) -> Result<News> {
     let since = {
         let views = gateway.views.lock();
         let log = views.get(&topic).map(|view| &view.log);
         log.filter(|log| log.is_filled()).map(|log| log.version())
     };
-    let question = rmp_serde::to_vec(&Question { topic, since }).context(EncodeSnafu)?;
+    let catalog = gateway.catalog.read().version();
+    let question = Question {
+        topic,
+        since,
+        catalog,
+        waits,
+    };
+    let question = rmp_serde::to_vec(&question).context(EncodeSnafu)?;
     let request = Request::post("/news")
         .header(hyper::header::HOST, address.to_string())
         .body(Full::from(question))
@@ -358,15 +377,16 @@
             let found = view.log.since(question.since);
             (found, view.is_following(), view.log.subscribe())
         };
-        let (is_complete, batch) = match found {
+        let (is_complete, mut batch) = match found {
             Some(found) => found,
-            None if time::Instant::now() < until && is_following => {
+            None if question.waits && is_following && time::Instant::now() < until => {
                 // Running out of time is looked at above, with the news.
                 let _ = time::timeout_at(until, changed.changed()).await;
                 continue;
             }
             None => (false, Batch::default()),
         };
+        knowledge::shorten(gateway, &mut batch, question.catalog);
         return News {
             is_following,
             is_complete,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,7 +7,6 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::{self, Instant};
 
-use crate::dialect::Dialect;
 use crate::drain::Phase;
 use crate::errors::SignalSnafu;
 use crate::prelude::*;
@@ -27,13 +26,15 @@
 /// The pause before a failed entry into the list of gateways is repeated.
 const ENLIST_PAUSE: Duration = Duration::from_secs(1);
 
+/// Reads the settings again.
+pub type Reload = Box<dyn Fn() -> Result<Settings> + Send + Sync>;
+
 /// Runs a gateway until it is told to stop and nothing runs any more.
 ///
 /// # Errors
 ///
 /// `Error::Listen` if an address cannot be bound, `Error::Signal` if signals cannot be received.
-pub async fn run(settings: Settings, dialect: Dialect, source: Source) -> Result<()> {
-    let gateway = Arc::new(Gateway::new(settings, dialect)?);
+pub async fn run(gateway: Arc<Gateway>, source: Source, reload: Reload) -> Result<()> {
     let source = Arc::new(source);
     log::info!(
         name:% = gateway.settings.name, zone:% = gateway.settings.zone,
@@ -56,7 +57,7 @@
         status::listen(gateway.clone(), settings.metrics_address, status::metrics),
         status::listen(gateway.clone(), settings.peer_address, peers::answer),
         peers::run(gateway.clone()),
-        stop(gateway.clone(), source.clone()),
+        stop(gateway.clone(), source.clone(), reload),
     )?;
     Ok(())
 }
@@ -78,7 +79,7 @@
 }
 
 /// Waits for a signal to stop, and then until nothing runs; ends the process.
-async fn stop(gateway: Arc<Gateway>, source: Arc<Source>) -> Result<()> {
+async fn stop(gateway: Arc<Gateway>, source: Arc<Source>, reload: Reload) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
     let mut hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
@@ -86,11 +87,14 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => log::info!("reload asked for; no setting changes while running"),
+            _ = hangup.recv() => match reload() {
+                Ok(settings) => gateway.reload(&settings),
+                Err(error) => log::error!(error:% = error; "settings not reloaded, the former ones stay"),
+            },
         }
     }
     let begun = Instant::now();
-    let grace = Duration::from_millis(gateway.settings.grace_ms);
+    let grace = Duration::from_millis(gateway.bounds.read().grace_ms);
     let last = begun + grace.saturating_sub(EXIT);
     gateway.drain.set(Phase::Leaving);
     log::info!(running = gateway.drain.running(); "gateway stops");
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 /// The settings of a gateway.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The name of the instance.
     pub name: SmolStr,
@@ -26,6 +26,13 @@
     pub link_mbps: u32,
     /// The store.
     pub store_address: SocketAddr,
+    /// Bounds that may change while the process runs.
+    pub bounds: Bounds,
+}
+
+/// Bounds of a deployment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
     /// How long a stopping process may live, in milliseconds.
     pub grace_ms: u64,
     /// Retries that each request earns, for all gateways together.
@@ -145,10 +152,26 @@
             seeds: values.addresses("instance", "seeds")?,
             link_mbps: values.fraction("instance", "link_mbps")? as u32,
             store_address: values.address("store", "address")?,
-            grace_ms: values.number("limits", "grace")?,
-            retry_ratio: values.fraction("limits", "retry_ratio")?,
-            retry_extra: values.fraction("limits", "retry_extra")?,
-            load_multiple: values.fraction("limits", "load_multiple")?,
+            bounds: Bounds {
+                grace_ms: values.number("limits", "grace")?,
+                retry_ratio: values.fraction("limits", "retry_ratio")?,
+                retry_extra: values.fraction("limits", "retry_extra")?,
+                load_multiple: values.fraction("limits", "load_multiple")?,
+            },
         })
     }
+
+    /// Returns the settings without those that may change while the process runs.
+    pub fn fixed(&self) -> Self {
+        Self {
+            seeds: Vec::new(),
+            bounds: Bounds {
+                grace_ms: 0,
+                retry_ratio: 0.0,
+                retry_extra: 0.0,
+                load_multiple: 0.0,
+            },
+            ..self.clone()
+        }
+    }
 }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use futures_util::future::BoxFuture;
+use sardinemux_core::catalog::patch::Patch;
 use sardinemux_core::catalog::Definition;
 use sardinemux_core::roster::Announcement;
 use serde::{Deserialize, Serialize};
@@ -47,6 +48,8 @@
 pub enum Fact {
     /// The catalogue in force.
     Catalog(Arc<Definition>),
+    /// What changed of the catalogue since a version that the asker said it has.
+    Patch(Arc<Patch>),
     /// An availability zone that gets no new work.
     Evacuated(SmolStr),
     /// A target.
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -1,17 +1,22 @@
 //! The tables that all tasks of a gateway share, and the order in which they are locked.
 //!
-//! Lock order: `catalog`, `roster`, `members`, `views`, and then the rest, of which no two are held together. No lock
+//! Lock order: `catalog`, `history`, `roster`, `members`, `views`, and then the rest, of which no two are held together. No lock
 //! is held while waiting for anything else.
 
+use std::net::SocketAddr;
+
 use indexmap::IndexMap;
 use parking_lot::{Mutex, RwLock};
+use sardinemux_core::catalog::patch::History;
 use sardinemux_core::catalog::Catalog;
 use sardinemux_core::prompt::Holders;
+use sardinemux_core::pulse::Pulse;
 use sardinemux_core::retry::{self, Budget};
 use sardinemux_core::roster::{self, Roster};
 use sardinemux_core::target::Key;
 use sardinemux_core::{cold, roster::query};
 use sardinemux_host::clock::Clock;
+use tokio::sync::watch;
 
 use crate::connections::{self, Shelf};
 use crate::dialect::Dialect;
@@ -20,7 +25,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Members;
 use crate::prelude::*;
-use crate::settings::Settings;
+use crate::settings::{Bounds, Settings};
 use crate::source::Topic;
 
 /// The part of the deployment's retry budget that is used: arrivals are counted at the targets, in windows that
@@ -41,6 +46,8 @@
     pub clock: Clock,
     /// The catalogue in force.
     pub catalog: RwLock<Arc<Catalog>>,
+    /// What changed between the versions of the catalogue.
+    pub history: Mutex<History>,
     /// The targets.
     pub roster: Mutex<Roster>,
     /// The other gateways.
@@ -53,6 +60,14 @@
     pub retries: Mutex<IndexMap<SmolStr, Budget>>,
     /// Idle connections to targets.
     pub shelf: Mutex<Shelf>,
+    /// Notices that the process stood still.
+    pub pulse: Mutex<Pulse>,
+    /// How often the process stood still.
+    pub wakes: watch::Sender<u64>,
+    /// The bounds in force.
+    pub bounds: RwLock<Bounds>,
+    /// Other gateways to ask while no gateway is known.
+    pub seeds: RwLock<Vec<SocketAddr>>,
     /// Counts what runs.
     pub drain: Arc<Drain>,
     /// The metrics.
@@ -67,25 +82,47 @@
     /// `Error::Metric` if a metric cannot be made.
     pub fn new(settings: Settings, dialect: Dialect) -> Result<Self> {
         let roster = roster::Settings {
-            load_multiple: settings.load_multiple * LOAD_PART,
+            load_multiple: settings.bounds.load_multiple * LOAD_PART,
             ..roster::Settings::default()
         };
         Ok(Self {
             dialect,
             clock: Clock::default(),
             catalog: RwLock::default(),
+            history: Mutex::default(),
             roster: Mutex::new(Roster::new(roster)),
             members: Mutex::default(),
             views: Mutex::default(),
             holders: Mutex::default(),
             retries: Mutex::default(),
             shelf: Mutex::default(),
+            pulse: Mutex::default(),
+            wakes: watch::Sender::new(0),
+            bounds: RwLock::new(settings.bounds),
+            seeds: RwLock::new(settings.seeds.clone()),
             drain: Arc::default(),
             metrics: Metrics::new()?,
             settings,
         })
     }
 
+    /// Puts settings in force that may change while the process runs: bounds and seeds.
+    pub fn reload(&self, settings: &Settings) {
+        let load_multiple = settings.bounds.load_multiple * LOAD_PART;
+        roster::command::set_load_multiple(&mut self.roster.lock(), load_multiple);
+        *self.bounds.write() = settings.bounds;
+        *self.seeds.write() = settings.seeds.clone();
+        let bounds = settings.bounds;
+        log::info!(
+            grace_ms = bounds.grace_ms, retry_ratio = bounds.retry_ratio, retry_extra = bounds.retry_extra,
+            load_multiple = bounds.load_multiple, seeds = settings.seeds.len();
+            "settings reloaded"
+        );
+        if settings.fixed() != self.settings.fixed() {
+            log::warn!("a setting that names addresses or the instance changed; it takes effect at the next start");
+        }
+    }
+
     /// Returns the milliseconds since this process began.
     pub fn now_ms(&self) -> u64 {
         self.clock.now_ms()
@@ -138,16 +175,18 @@
     }
 
     fn with_budget<T>(&self, pool: &SmolStr, action: impl FnOnce(&mut Budget) -> T) -> T {
-        let gateways = self.members.lock().names().count().max(1) as f64;
+        let gateways = (self.members.lock().names().count() + 1) as f64;
+        let bounds = *self.bounds.read();
         let settings = retry::Settings {
-            earned: self.settings.retry_ratio * RETRY_PART,
-            saved_max: (self.settings.retry_extra * RETRY_PART / gateways).max(1.0),
+            earned: bounds.retry_ratio * RETRY_PART,
+            saved_max: (bounds.retry_extra * RETRY_PART / gateways).max(1.0),
             ..retry::Settings::default()
         };
         let mut retries = self.retries.lock();
         let budget = retries
             .entry(pool.clone())
             .or_insert_with(|| Budget::new(settings));
+        budget.adjust(settings);
         action(budget)
     }
 
--- a/crates/gateway/tests/knowledge.rs
+++ b/crates/gateway/tests/knowledge.rs
@@ -7,10 +7,12 @@
 
 use harness::{announcement, dialect, settings};
 use rstest::rstest;
+use sardinemux_core::catalog::{Definition, Route};
 use sardinemux_core::roster::query;
 use sardinemux_gateway::knowledge;
 use sardinemux_gateway::prelude::*;
-use sardinemux_gateway::source::{self, Batch, Entry, Topic};
+use sardinemux_gateway::relay::News;
+use sardinemux_gateway::source::{self, Batch, Entry, Fact, Topic};
 
 fn gateway() -> Gateway {
     Gateway::new(settings(), dialect()).unwrap()
@@ -80,3 +82,73 @@
     knowledge::apply_store(&gateway, Topic::Targets, batch, false);
     assert!(!is_in_use(&gateway, "e1"));
 }
+
+fn definition(version: u64, routes: u64) -> Definition {
+    let routes = (0..routes).map(|index| Route {
+        name: format!("r{index}").into(),
+        host: "test.example".into(),
+        prefix: format!("/r{index}/").into(),
+        timeout_ms: 1_000,
+        ..Route::default()
+    });
+    Definition {
+        version,
+        routes: routes.collect(),
+        ..Definition::default()
+    }
+}
+
+fn configure(gateway: &Gateway, definition: Definition) {
+    let version = definition.version;
+    let entry = Entry {
+        key: "config".into(),
+        fact: Some(Fact::Catalog(Arc::new(definition))),
+        version,
+        may_return: false,
+    };
+    let batch = Batch {
+        entries: vec![entry],
+        version,
+    };
+    knowledge::apply_store(gateway, Topic::Operators, batch, version == 1);
+}
+
+fn told(teller: &Gateway, asker: &Gateway) -> News {
+    let since = {
+        let views = asker.views.lock();
+        let view = views.get(&Topic::Operators);
+        view.map(|view| view.log.version())
+    };
+    let (is_complete, mut batch) = {
+        let mut views = teller.views.lock();
+        let view = views.entry(Topic::Operators).or_default();
+        view.log.since(since).unwrap()
+    };
+    knowledge::shorten(teller, &mut batch, asker.catalog().version());
+    News {
+        is_following: true,
+        is_complete,
+        batch,
+    }
+}
+
+/// Load: one route of hundreds changes, and the reader of a zone tells all others. A follower that has the version
+/// before gets the change alone, and a new one the whole.
+#[test]
+fn verify_follower_is_told_what_changed_of_the_catalogue() {
+    let (reader, follower) = (gateway(), gateway());
+    configure(&reader, definition(1, 300));
+    let news = told(&reader, &follower);
+    let whole = rmp_serde::to_vec(&news).unwrap().len();
+    knowledge::take_news(&follower, Topic::Operators, news);
+    assert_eq!(follower.catalog().version(), 1);
+    configure(&reader, definition(5, 301));
+    let news = told(&reader, &follower);
+    let part = rmp_serde::to_vec(&news).unwrap().len();
+    assert!(part * 50 < whole, "{part} of {whole} bytes");
+    knowledge::take_news(&follower, Topic::Operators, news);
+    let catalog = follower.catalog();
+    assert_eq!(catalog.version(), 5);
+    assert!(catalog.route("test.example", "/r300/").is_some());
+    assert!(catalog.route("test.example", "/r299/").is_some());
+}
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -10,13 +10,12 @@
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 use sardinemux_core::catalog::Definition;
-use sardinemux_gateway::run;
 use sardinemux_gateway::settings::Settings;
 use sardinemux_gateway::source::{self, Batch, Entry, Fact, Member, Source, Topic};
 use smol_str::SmolStr;
 use tokio::time;
 
-use super::harness::{self, dialect, exchange};
+use super::harness::{self, exchange};
 
 /// How long a watch of the store lasts without news.
 const WATCH: Duration = Duration::from_millis(500);
@@ -28,6 +27,8 @@
     turned_away: IndexSet<(SmolStr, Topic)>,
     /// The gateways that were served, by topic, with the number of their calls.
     served: IndexMap<(SmolStr, Topic), usize>,
+    /// Raised when open watches fall silent.
+    silenced: u64,
 }
 
 /// A store in this process.
@@ -49,6 +50,11 @@
         topic.insert(key.into(), entry);
     }
 
+    /// Lets open watches fall silent for good; new calls are answered.
+    pub fn silence(&self) {
+        self.0.lock().silenced += 1;
+    }
+
     /// Turns away every gateway that was served a topic so far.
     pub fn turn_away_readers(&self, topic: Topic) -> usize {
         let mut rows = self.0.lock();
@@ -88,7 +94,11 @@
 
     async fn watch(&self, name: &SmolStr, topic: Topic, since: u64) -> source::Result<Batch> {
         let until = time::Instant::now() + WATCH;
+        let silenced = self.0.lock().silenced;
         loop {
+            if self.0.lock().silenced != silenced {
+                std::future::pending::<()>().await;
+            }
             let batch = self.read(name, topic, since)?;
             if !batch.entries.is_empty() || time::Instant::now() >= until {
                 return Ok(batch);
@@ -97,7 +107,8 @@
         }
     }
 
-    fn source(&self, name: &SmolStr) -> Source {
+    /// Returns the store as one gateway reads it.
+    pub fn source(&self, name: &SmolStr) -> Source {
         let (lists, watches, enlists) = (self.clone(), self.clone(), self.clone());
         let (lister, watcher) = (name.clone(), name.clone());
         Source {
@@ -142,7 +153,7 @@
             };
             metrics.push(settings.metrics_address);
             let source = store.source(&settings.name);
-            tokio::spawn(run::run(settings, dialect(), source));
+            harness::spawn(settings, source);
         }
         let fleet = Self { store, metrics };
         fleet.wait_for_version(1).await;
@@ -165,8 +176,13 @@
 
 /// Returns an empty catalogue of a version.
 pub fn catalog(version: u64) -> Fact {
-    Fact::Catalog(Arc::new(Definition {
+    catalog_of(Definition {
         version,
         ..Definition::default()
-    }))
+    })
+}
+
+/// Returns a catalogue.
+pub fn catalog_of(definition: Definition) -> Fact {
+    Fact::Catalog(Arc::new(definition))
 }
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -14,8 +14,9 @@
 use sardinemux_core::roster::Announcement;
 use sardinemux_core::target::{self, Target};
 use sardinemux_gateway::dialect::Dialect;
+use sardinemux_gateway::prelude::Gateway;
 use sardinemux_gateway::run;
-use sardinemux_gateway::settings::Settings;
+use sardinemux_gateway::settings::{Bounds, Settings};
 use sardinemux_gateway::source::{Batch, Entry, Fact, Source, Topic};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -61,13 +62,23 @@
         seeds: Vec::new(),
         link_mbps: 1_000,
         store_address: address(4),
-        grace_ms: 8_000,
-        retry_ratio: 0.2,
-        retry_extra: 50.0,
-        load_multiple: 2.0,
+        bounds: Bounds {
+            grace_ms: 8_000,
+            retry_ratio: 0.2,
+            retry_extra: 50.0,
+            load_multiple: 2.0,
+        },
     }
 }
 
+/// Starts a gateway in a task.
+pub fn spawn(settings: Settings, source: Source) -> Arc<Gateway> {
+    let gateway = Arc::new(Gateway::new(settings.clone(), dialect()).unwrap());
+    let reload = move || Ok(settings.clone());
+    tokio::spawn(run::run(gateway.clone(), source, Box::new(reload)));
+    gateway
+}
+
 /// Returns the announcement of a target.
 pub fn announcement(id: &str, address: &str) -> Announcement {
     let target = Target {
@@ -115,7 +126,8 @@
     }
 }
 
-fn definition() -> Definition {
+/// Returns a catalogue with a route of each kind.
+pub fn definition() -> Definition {
     let stream = |is_resumable| Kind::Stream { is_resumable };
     Definition {
         version: 1,
@@ -352,7 +364,7 @@
         let source = source(targets.collect(), has_catalog);
         let settings = settings();
         let (callers, ready) = (settings.caller_address, settings.ready_address);
-        tokio::spawn(run::run(settings, dialect(), source));
+        spawn(settings, source);
         while TcpStream::connect(callers).await.is_err() {
             time::sleep(Duration::from_millis(10)).await;
         }
--- /dev/null
+++ b/crates/gateway/tests/wake.rs
@@ -0,0 +1,87 @@
+//! Tests of what a gateway does after it stood still, and after its settings changed.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+#[path = "support/fleet.rs"]
+mod fleet;
+#[path = "support/harness.rs"]
+mod harness;
+
+use std::time::Duration;
+
+use fleet::{catalog_of, Store};
+use harness::{settings, spawn, Act, Script};
+use sardinemux_core::roster::query;
+use sardinemux_gateway::prelude::*;
+use sardinemux_gateway::settings::{Bounds, Settings};
+use sardinemux_gateway::source::{Fact, Topic};
+use sardinemux_gateway::wake;
+use tokio::time;
+
+async fn wait_for(what: impl Fn() -> bool) {
+    while !what() {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// The store's word that a target leaves was written while the gateway stood still, and the watch that should have
+/// told is silent. A request right after the gateway goes on does not reach that target.
+#[tokio::test]
+async fn verify_gateway_that_stood_still_asks_before_it_sends() {
+    let targets = [
+        Script::start(Act::Answer).await,
+        Script::start(Act::Answer).await,
+    ];
+    let store = Store::default();
+    store.put(
+        Topic::Operators,
+        "config",
+        Some(catalog_of(harness::definition())),
+    );
+    for (index, target) in targets.iter().enumerate() {
+        let id = format!("t{index}");
+        let announcement = harness::announcement(&id, &target.address.to_string());
+        store.put(Topic::Targets, &id, Some(Fact::Target(announcement)));
+    }
+    let settings = settings();
+    let gateway = spawn(settings.clone(), store.source(&settings.name));
+    wait_for(|| gateway.is_ready()).await;
+    wait_for(|| query::key(&gateway.roster.lock(), "t1").is_some()).await;
+    store.silence();
+    store.put(Topic::Targets, "t0", None);
+    wake::wake(&gateway);
+    for _ in 0..8 {
+        let request = harness::request("GET", "/safe/", "", "");
+        let answer = harness::exchange(settings.caller_address, &request).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert_eq!(targets[0].arrivals(), 0);
+    assert_eq!(targets[1].arrivals(), 8);
+}
+
+/// Bounds and seeds change while the gateway runs; its name and addresses do not.
+#[tokio::test]
+async fn verify_bounds_change_while_the_gateway_runs() {
+    let former = settings();
+    let gateway = Gateway::new(former.clone(), harness::dialect()).unwrap();
+    let changed = Settings {
+        name: "another".into(),
+        seeds: vec!["127.0.0.1:9".parse().unwrap()],
+        bounds: Bounds {
+            grace_ms: 3_000,
+            retry_extra: 0.0,
+            retry_ratio: 0.0,
+            ..former.bounds
+        },
+        ..former.clone()
+    };
+    let pool = SmolStr::from("p");
+    assert!(gateway.spend_retry(&pool));
+    gateway.reload(&changed);
+    assert_eq!(gateway.bounds.read().grace_ms, 3_000);
+    assert_eq!(gateway.seeds.read().len(), 1);
+    assert_eq!(gateway.settings.name, former.name);
+    // One retry is always left to each gateway; what was saved up under the former bounds is not.
+    assert!(gateway.spend_retry(&pool));
+    assert!(!gateway.spend_retry(&pool));
+}
--- a/crates/host/src/program.rs
+++ b/crates/host/src/program.rs
@@ -91,7 +91,8 @@
     given.or(variable).unwrap_or_default()
 }
 
-fn all_keys(program: &Program) -> Vec<Key> {
+/// Returns all keys of a program's settings file.
+pub fn all_keys(program: &Program) -> Vec<Key> {
     COMMON_KEYS.iter().chain(program.keys).copied().collect()
 }
 
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -259,6 +259,11 @@
         Ok(Self { file, values })
     }
 
+    /// Returns the name of the file.
+    pub fn file(&self) -> &str {
+        &self.file
+    }
+
     fn value(&self, section: &str, name: &str) -> Result<&(Kind, SmolStr)> {
         let key = (SmolStr::from(section), SmolStr::from(name));
         self.values.get(&key).context(MissingSnafu {
