Pass over targets that are gone; bound each kind of log line; tell one request's story from the logs

The bound of four was meant for targets that receive a request and turn it away, which costs from the retry budget. Targets that are not reached are now counted apart, up to 12. Test: eight crashed targets and one that lives; both cases fail with the former code.

The last quarter of the queue is kept for warnings and errors, and answers that are no success are warnings. The lines that were dropped are a metric. The answer's line names the candidates, those held back while cold, and the load that decided.

sardinemux-explain prints a request's story over the logs of all gateways, with what they learnt around it.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -10,6 +10,11 @@
 /// The targets that may turn one request away before its caller is told to come back.
 const TURNED_AWAY_MAX: u32 = 4;
 
+/// The targets to which no connection is made before the caller is told to come back. Each that refuses costs a round
+/// trip of some 6 ms, so that this many still leave time within an objective of 100 ms; when a part of a pool
+/// crashes, several in a row may be gone before the platform's list says so.
+const UNREACHED_MAX: u32 = 12;
+
 /// A repeatable request is tried elsewhere after this multiple of its objective without a first byte.
 const SILENCE_OBJECTIVES: u64 = 2;
 
@@ -31,14 +36,16 @@
 pub struct Attempts {
     /// The targets on which it may have run.
     pub ran: u32,
-    /// The targets that provably did not run it.
+    /// The targets that received it and provably did not run it.
     pub turned_away: u32,
+    /// The targets to which no connection was made.
+    pub unreached: u32,
 }
 
 impl Attempts {
     /// Returns whether the request may be sent again after "not run".
     pub fn may_go_on(&self) -> bool {
-        self.turned_away <= TURNED_AWAY_MAX
+        self.turned_away <= TURNED_AWAY_MAX && self.unreached <= UNREACHED_MAX
     }
 
     /// Returns whether a request that may have run may run once more.
@@ -50,8 +57,8 @@
     /// use sardinemux_core::catalog::{Kind, Route};
     ///
     /// let route = Route { kind: Kind::Safe, attempts_max: 2, ..Route::default() };
-    /// assert!(Attempts { ran: 1, turned_away: 0 }.may_run_again(&route));
-    /// assert!(!Attempts { ran: 2, turned_away: 0 }.may_run_again(&route));
+    /// assert!(Attempts { ran: 1, ..Attempts::default() }.may_run_again(&route));
+    /// assert!(!Attempts { ran: 2, ..Attempts::default() }.may_run_again(&route));
     /// ```
     pub fn may_run_again(&self, route: &Route) -> bool {
         route.kind.is_repeatable() && self.ran < route.attempts_max
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -49,6 +49,19 @@
     assert_eq!(attempts.outcome(), Outcome::NotRun);
 }
 
+/// Load: a quarter of a pool has crashed at once and is still listed, and the targets that a request prefers are
+/// among them. It goes on to one that lives; if none does, its caller hears of it.
+#[test]
+fn verify_request_passes_over_targets_that_are_gone() {
+    let gone = |unreached| Attempts {
+        unreached,
+        ..Attempts::default()
+    };
+    assert!(gone(10).may_go_on());
+    assert!(!gone(20).may_go_on());
+    assert_eq!(gone(20).outcome(), Outcome::NotRun);
+}
+
 /// Load: a thousand callers are refused at once. They come back spread over the time that they wait, and none is
 /// asked to wait for more than a third of what it has left.
 #[test]
--- /dev/null
+++ b/crates/explain/src/story.rs
@@ -0,0 +1,138 @@
+//! Which lines belong to a request's story: its own, and what its gateways learnt around it of the targets, the catalogue
+//! and the dependencies that it met.
+
+use std::fmt;
+
+use indexmap::IndexSet;
+use smol_str::SmolStr;
+
+use crate::line::Line;
+
+/// How long before a request's first line its gateways' other lines may explain it, in milliseconds: the longest bound
+/// within which operators expect a change to be in force.
+const BEFORE_MS: u64 = 6_000;
+
+/// How long after its last line, in milliseconds: a target's end shows a moment after its connections break.
+const AFTER_MS: u64 = 1_000;
+
+/// What gateways learn that touches every request.
+const COMMON: [&str; 11] = [
+    "catalogue in force",
+    "evacuated zones",
+    "store lost",
+    "store regained",
+    "a gateway told nothing",
+    "gateway starts",
+    "gateway stops",
+    "gateway ends",
+    "settings reloaded",
+    "the process stood still, asking anew",
+    "log lines dropped",
+];
+
+/// A request's story.
+#[derive(Clone, Debug, Default)]
+pub struct Story {
+    /// The request.
+    pub id: SmolStr,
+    /// The lines, in order.
+    pub lines: Vec<Line>,
+    /// Lines that were left out around them, as far as other lines say so.
+    pub left_out: u64,
+}
+
+/// Picks a request's story out of all lines; empty if no line is about it.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_explain::line::Line;
+/// use sardinemux_explain::story;
+///
+/// let lines = [
+///     r#"{"event":"target is no longer listed","target_id":"t1","time_ms":40}"#,
+///     r#"{"event":"attempt failed","request_id":"r","target_id":"t1","reason":"cut","time_ms":50}"#,
+///     r#"{"event":"answered","request_id":"other","time_ms":60}"#,
+/// ];
+/// let lines = lines.iter().filter_map(|text| Line::parse(text, "g1.log"));
+/// let story = story::find("r", lines.collect());
+/// assert_eq!(story.lines.len(), 2);
+/// ```
+pub fn find(id: &str, mut lines: Vec<Line>) -> Story {
+    lines.sort_by_key(|line| line.time_ms);
+    let is_own = |line: &Line| line.text("request_id") == Some(id);
+    let own: Vec<&Line> = lines.iter().filter(|line| is_own(line)).collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        return Story::default();
+    };
+    let from_ms = first.time_ms.saturating_sub(BEFORE_MS);
+    let to_ms = last.time_ms + AFTER_MS;
+    let sources: IndexSet<&SmolStr> = own.iter().map(|line| &line.source).collect();
+    let targets: IndexSet<&str> = own
+        .iter()
+        .filter_map(|line| line.text("target_id"))
+        .filter(|target| !target.is_empty())
+        .collect();
+    let is_near =
+        |line: &Line| sources.contains(&line.source) && (from_ms..=to_ms).contains(&line.time_ms);
+    let is_about_target = |line: &Line| {
+        let target = line.text("target_id");
+        line.text("request_id").is_none() && target.is_some_and(|target| targets.contains(target))
+    };
+    let is_common = |line: &Line| COMMON.contains(&line.event.as_str());
+    let near = lines.iter().filter(|line| is_near(line));
+    let left_out = near.filter_map(|line| line.number("left_out").or(line.number("count")));
+    Story {
+        id: id.into(),
+        left_out: left_out.sum(),
+        lines: lines
+            .iter()
+            .filter(|line| {
+                is_own(line) || (is_near(line) && (is_common(line) || is_about_target(line)))
+            })
+            .cloned()
+            .collect(),
+    }
+}
+
+impl Story {
+    fn is_own(&self, line: &Line) -> bool {
+        line.text("request_id") == Some(&self.id)
+    }
+}
+
+impl fmt::Display for Story {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let first = self.lines.iter().find(|line| self.is_own(line));
+        let begin_ms = first.map_or(0, |line| line.time_ms);
+        for line in &self.lines {
+            let mark = match self.is_own(line) {
+                true => '*',
+                false => ' ',
+            };
+            let offset_ms = i128::from(line.time_ms) - i128::from(begin_ms);
+            write!(
+                formatter,
+                "{mark} {offset_ms:>+7} ms  {}  {}",
+                line.source, line.event
+            )?;
+            for (name, value) in &line.fields {
+                if name != "level" && name != "request_id" {
+                    let text = value
+                        .as_str()
+                        .map_or_else(|| value.to_string(), str::to_owned);
+                    write!(formatter, "  {name}={text}")?;
+                }
+            }
+            writeln!(formatter)?;
+        }
+        if self.left_out > 0 {
+            writeln!(
+                formatter,
+                "{} lines of these gateways were left out around this time",
+                self.left_out
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/explain/tests/story.rs
@@ -0,0 +1,46 @@
+//! Tests of which lines make up a request's story.
+
+use rstest::rstest;
+use sardinemux_explain::line::Line;
+use sardinemux_explain::story;
+
+/// Two gateways: the request was refused at the first, as a target had left and the store was lost, and another attempt
+/// of the caller at the second has an id of its own.
+const LINES: [&str; 10] = [
+    r#"0.1 g1 {"event":"store lost","level":"warn","time_ms":1000,"topic":"targets"}"#,
+    r#"0.2 g1 {"event":"target announced","target_id":"t1","time_ms":9000}"#,
+    r#"0.3 g1 {"event":"target is no longer listed","target_id":"t1","time_ms":9500}"#,
+    r#"0.4 g1 {"event":"target is no longer listed","target_id":"t9","time_ms":9500}"#,
+    r#"0.5 g1 {"event":"attempt failed","request_id":"r1","target_id":"t1","reason":"refused","time_ms":10000}"#,
+    r#"0.6 g1 {"event":"answered","request_id":"r1","status":503,"target_id":"t1","time_ms":10010,"left_out":4}"#,
+    r#"0.7 g1 {"event":"answered","request_id":"r2","status":200,"target_id":"t1","time_ms":10020}"#,
+    r#"0.8 g2 {"event":"store lost","time_ms":10000}"#,
+    r#"0.9 g1 {"event":"store regained","time_ms":10500,"away_ms":9500}"#,
+    "a line of something else",
+];
+
+fn lines() -> Vec<Line> {
+    let lines = LINES.iter().filter_map(|text| Line::parse(text, "all.log"));
+    lines.collect()
+}
+
+#[rstest]
+#[case::refused("r1", &["target announced", "target is no longer listed", "attempt failed", "answered", "store regained"])]
+#[case::unknown("r3", &[])]
+fn verify_story_has_what_explains_the_request(#[case] id: &str, #[case] expected: &[&str]) {
+    let story = story::find(id, lines());
+    let events: Vec<&str> = story.lines.iter().map(|line| line.event.as_str()).collect();
+    assert_eq!(events, expected);
+    let is_other = |line: &Line| line.source == "g2" || line.text("target_id") == Some("t9");
+    assert!(!story.lines.iter().any(is_other));
+}
+
+#[test]
+fn verify_story_says_that_lines_are_missing() {
+    let text = story::find("r1", lines()).to_string();
+    assert!(text.contains("*      +0 ms  g1  attempt failed"), "{text}");
+    assert!(
+        text.contains("4 lines of these gateways were left out"),
+        "{text}"
+    );
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -41,12 +41,24 @@
     gateway: Arc<Gateway>,
     job: Job,
     tried: Vec<Key>,
+    choice: Choice,
     last_target: SmolStr,
     attempts: Attempts,
     reason: Reason,
     fallback: Option<Response<Bytes>>,
 }
 
+/// What the last choice of a target was made from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Choice {
+    /// The targets that could have got the request.
+    candidates: usize,
+    /// Those before the chosen one that are cold and bear nothing more just now.
+    held_back: usize,
+    /// The requests on the chosen one, as far as this gateway knew.
+    load: u32,
+}
+
 /// Why no further target is tried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Failure {
@@ -83,6 +95,7 @@
             gateway,
             job,
             tried: Vec::new(),
+            choice: Choice::default(),
             last_target: SmolStr::default(),
             attempts: Attempts::default(),
             reason: Reason::NoTarget,
@@ -139,7 +152,7 @@
         }
     }
 
-    fn choose(&self) -> Option<(Account, Target)> {
+    fn choose(&mut self) -> Option<(Account, Target)> {
         let job = &self.job;
         let now_ms = self.gateway.now_ms();
         let ranks = {
@@ -151,8 +164,20 @@
             };
             query::rank(&self.gateway.roster.lock(), wish, now_ms)
         };
-        let mut ranks = ranks.into_iter();
-        ranks.find_map(|key| attempt::start(&self.gateway, key))
+        let mut held_back = 0;
+        let started = ranks.iter().find_map(|key| {
+            let started = attempt::start(&self.gateway, *key);
+            held_back += usize::from(started.is_none());
+            started
+        });
+        let key = started.as_ref().map(|(account, _)| account.key);
+        let load = key.map(|key| query::load(&self.gateway.roster.lock(), key, now_ms));
+        self.choice = Choice {
+            candidates: ranks.len(),
+            held_back,
+            load: load.unwrap_or_default(),
+        };
+        started
     }
 
     /// Returns until when the head of the answer must come.
@@ -172,7 +197,10 @@
         has_arrived: bool,
     ) -> std::result::Result<(), Failure> {
         self.reason = reason;
-        self.attempts.turned_away += 1;
+        match has_arrived {
+            true => self.attempts.turned_away += 1,
+            false => self.attempts.unreached += 1,
+        }
         let may_go_on =
             self.attempts.may_go_on() && (!has_arrived || self.gateway.spend_retry(&self.job.pool));
         match may_go_on {
@@ -280,10 +308,21 @@
             .first_byte_s
             .with_label_values(&[class])
             .observe(elapsed.as_secs_f64());
-        log::info!(
+        let level = match status.is_success() {
+            true => log::Level::Info,
+            false => log::Level::Warn,
+        };
+        let Choice {
+            candidates,
+            held_back,
+            load,
+        } = self.choice;
+        log::log!(
+            level,
             request_id:% = job.id_text(), route:% = job.route.name, organisation = organisation.unwrap_or("none"),
             pool:% = job.pool, target_id:% = self.last_target, status = status.as_u16(), tried = self.tried.len(), ran = self.attempts.ran,
-            elapsed_ms = elapsed.as_millis() as u64, version = catalog.version();
+            candidates = candidates, held_back = held_back, load = load,
+            elapsed_ms = elapsed.as_millis() as u64, left_ms = job.left().as_millis() as u64, version = catalog.version();
             "answered"
         );
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,8 @@
     pub catalog_version: IntGauge,
     /// Reports of other gateways that were taken in.
     pub reports: IntCounter,
+    /// Log lines that were dropped.
+    pub log_drops: IntGauge,
 }
 
 impl Metrics {
@@ -105,16 +107,21 @@
                     "gateway_peer_reports_total",
                     "Reports of other gateways taken in",
                 )?,
+                log_drops: IntGauge::new(
+                    "gateway_log_lines_dropped",
+                    "Log lines dropped as the writer could not keep up",
+                )?,
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 7] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.catalog_version.clone()),
             Box::new(metrics.reports.clone()),
+            Box::new(metrics.log_drops.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).context(MetricSnafu)?;
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -85,6 +85,8 @@
     gateway: Arc<Gateway>,
     _request: Request<Incoming>,
 ) -> std::result::Result<Response<Full<Bytes>>, Infallible> {
+    let dropped = sardinemux_host::logs::dropped();
+    gateway.metrics.log_drops.set(dropped as i64);
     let mut bytes = Vec::new();
     let families = gateway.metrics.registry.gather();
     if let Err(error) = TextEncoder::new().encode(&families, &mut bytes) {
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -85,6 +85,22 @@
     }
 }
 
+/// Load: most targets of a pool crashed at once and are still listed. A request passes over them to the one that lives,
+/// also one that must not repeat, as nothing reached them.
+#[rstest]
+#[case::safe("GET", "/safe/")]
+#[case::unsafe_request("POST", "/unsafe/")]
+#[tokio::test]
+async fn verify_request_passes_over_crashed_targets(#[case] method: &str, #[case] path: &str) {
+    let gone: Vec<Script> = (0..8).map(|_| Script::gone()).collect();
+    let lives = Script::start(Act::Answer).await;
+    let targets: Vec<&Script> = gone.iter().chain([&lives]).collect();
+    let gateway = Running::start(&targets, true).await;
+    let answer = gateway.call(method, path, "", "").await;
+    assert!(answer.ends_with("\r\n\r\nanswer"), "{answer}");
+    assert_eq!(lives.arrivals(), 1);
+}
+
 /// What a target answered is delivered where nothing better can be had.
 #[tokio::test]
 async fn verify_own_error_is_delivered() {
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -250,6 +250,15 @@
         Self { address, seen }
     }
 
+    /// Returns a target that has crashed: nobody listens at its address.
+    pub fn gone() -> Self {
+        let port = Port::bind("127.0.0.1:0").unwrap();
+        Self {
+            address: port.local_addr().unwrap(),
+            seen: Arc::default(),
+        }
+    }
+
     /// Returns how many requests arrived.
     pub fn arrivals(&self) -> usize {
         self.seen.lock().requests.len()
--- a/crates/host/src/logs.rs
+++ b/crates/host/src/logs.rs
@@ -1,29 +1,47 @@
 //! Structured logs on standard output: one JSON object a line, which never make the program wait.
 //!
 //! Lines go through a bounded queue to one writer thread. When the queue is full, lines are dropped and
-//! counted; the count follows as a line of its own.
+//! counted; the count follows as a line of its own. The last part of the queue is kept for warnings and errors. The
+//! rate of each kind of line is bounded too.
+
+pub mod rate;
 
 use std::io::{self, Write};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use env_logger::fmt::Formatter;
 use env_logger::{Builder, Env, Target};
 use log::kv::{Key, Value, VisitSource};
-use log::Record;
+use log::{Level, Record};
+use parking_lot::Mutex;
 use serde_json::{Map, Value as Json};
 
+use rate::Rate;
+
 /// The lines that may wait for the writer; some 200 bytes each.
 const QUEUE_LINES: usize = 1_024;
 
+/// The lines that may wait for the writer when a routine line comes; the rest is for warnings and errors.
+const ROUTINE_LINES: usize = QUEUE_LINES / 4 * 3;
+
 /// How long [`flush`] lets the writer catch up.
 const FLUSH: Duration = Duration::from_millis(20);
 
 /// Lines that were dropped since the last one that says so.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
+/// All lines that were dropped because the writer could not keep up.
+static DROPPED_SUM: AtomicU64 = AtomicU64::new(0);
+
+/// Lines that wait for the writer.
+static WAITING: AtomicUsize = AtomicUsize::new(0);
+
+/// How many lines of each kind were written in the present second.
+static RATE: Mutex<Option<Rate>> = Mutex::new(None);
+
 /// Libraries whose own lines say nothing of the product.
 const QUIET: &str = "rocket=off,hyper=off,_=off,rocket::server=off";
 
@@ -33,8 +51,10 @@
 
 impl Write for Queue {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.sender.try_send(line.to_vec()) {
-            DROPPED.fetch_add(1, Ordering::Relaxed);
+        WAITING.fetch_add(1, Ordering::Relaxed);
+        if self.sender.try_send(line.to_vec()).is_err() {
+            WAITING.fetch_sub(1, Ordering::Relaxed);
+            drop_line();
         }
         Ok(line.len())
     }
@@ -44,6 +64,16 @@
     }
 }
 
+fn drop_line() {
+    DROPPED.fetch_add(1, Ordering::Relaxed);
+    DROPPED_SUM.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Returns how many lines were dropped since the process began because the writer could not keep up.
+pub fn dropped() -> u64 {
+    DROPPED_SUM.load(Ordering::Relaxed)
+}
+
 /// Starts the log at a level; the environment variable `RUST_LOG` outweighs it.
 pub fn init(level: &str) {
     let (sender, receiver) = sync_channel(QUEUE_LINES);
@@ -65,6 +95,7 @@
 fn write_lines(receiver: &Receiver<Vec<u8>>) {
     let mut output = io::stdout();
     while let Ok(line) = receiver.recv() {
+        WAITING.fetch_sub(1, Ordering::Relaxed);
         let dropped = DROPPED.swap(0, Ordering::Relaxed);
         let note = match dropped {
             0 => Ok(()),
@@ -97,12 +128,29 @@
 fn format_line(output: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
     let time_ms = elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64);
+    let is_routine = record.level() > Level::Warn;
+    if is_routine && WAITING.load(Ordering::Relaxed) >= ROUTINE_LINES {
+        drop_line();
+        return Ok(());
+    }
+    let kind = record.args().as_str().unwrap_or_default();
+    let noted = {
+        let mut rate = RATE.lock();
+        let rate = rate.get_or_insert_with(Rate::default);
+        rate.note(record.level(), kind, time_ms / 1_000)
+    };
+    let Some(left_out) = noted else {
+        return Ok(());
+    };
     let mut fields = Fields(Map::new());
     fields.0.insert("time_ms".to_owned(), Json::from(time_ms));
     let level = record.level().as_str().to_lowercase();
     fields.0.insert("level".to_owned(), Json::from(level));
     let event = record.args().to_string();
     fields.0.insert("event".to_owned(), Json::from(event));
+    if left_out > 0 {
+        fields.0.insert("left_out".to_owned(), Json::from(left_out));
+    }
     if let Err(error) = record.key_values().visit(&mut fields) {
         fields
             .0
