Prove the gateway's promises with real processes: stops, kills, freezes, cut and silent paths to the store

A stand-in for the platform's replicas (numbered streams, prompt parts with fetch, load, cold, truthful not-run, faults) and a fleet of real gateways before it, each with a path to the store of its own through the fault-injecting proxy. Callers keep their connections and check every byte; the promises are checked from what they were told and what the replicas counted, by code that shares nothing with the gateway.

--- /dev/null
+++ b/crates/proof/src/gateways.rs
@@ -0,0 +1,408 @@
+//! A fleet of gateways on the loopback interface: the real `sardinemux-front` processes before replicas and a store that
+//! speak the users' platform's protocol, with a fault-injecting proxy between them.
+
+pub mod caller;
+pub mod check;
+pub mod load;
+pub mod operator;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use reqwest::Client;
+use sardinemux_platform::store::Store;
+use sardinemux_standin::platform;
+use sardinemux_standin::proxy::Fault;
+use sardinemux_standin::replica::{Faults, Stats};
+use serde::de::DeserializeOwned;
+use snafu::{OptionExt, ResultExt};
+
+use crate::client::{self, until};
+use crate::errors::{IoSnafu, NoProcessSnafu, Result};
+use crate::ports;
+use crate::process::Process;
+
+/// Numbers the fleets of one process.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
+/// The time limit of the operator's calls to the store: above what the stand-in's slowness adds.
+const STORE_CALL: Duration = Duration::from_secs(5);
+
+/// The pool of the replicas that stream.
+pub const ENGINES: &str = "engines";
+
+/// The pool of the replicas of a plain service.
+pub const SERVICES: &str = "services";
+
+/// What a fleet of gateways is made of.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The gateways.
+    pub gateways: usize,
+    /// The availability zones.
+    pub zones: usize,
+    /// The replicas that stream.
+    pub engines: usize,
+    /// The replicas of a plain service.
+    pub services: usize,
+    /// Further arguments of the replicas.
+    pub replica_arguments: Vec<String>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            gateways: 4,
+            zones: 2,
+            engines: 4,
+            services: 2,
+            replica_arguments: Vec::new(),
+        }
+    }
+}
+
+/// A gateway with its addresses.
+#[derive(Clone, Debug)]
+pub struct GatewayPlace {
+    /// Its name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness is asked for.
+    pub ready: SocketAddr,
+    /// Where metrics are shown.
+    pub metrics: SocketAddr,
+    /// Where other gateways connect.
+    pub peers: SocketAddr,
+    /// Its own path to the store, through the proxy.
+    pub store: SocketAddr,
+}
+
+/// A replica with its addresses.
+#[derive(Clone, Debug)]
+pub struct ReplicaPlace {
+    /// Its id in the store's list.
+    pub id: String,
+    /// Its pool.
+    pub pool: &'static str,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The address that is listed: the proxy's.
+    pub listed: SocketAddr,
+}
+
+/// A fleet of gateways.
+pub struct Fleet {
+    /// What it is made of.
+    pub settings: Settings,
+    /// The gateways.
+    pub gateways: Vec<GatewayPlace>,
+    /// The replicas, those that stream first.
+    pub replicas: Vec<ReplicaPlace>,
+    /// The store, past the proxy.
+    pub store: Store,
+    store_address: SocketAddr,
+    proxy: SocketAddr,
+    client: Client,
+    processes: Mutex<IndexMap<String, Process>>,
+    version: AtomicU64,
+    folder: PathBuf,
+}
+
+fn zone(index: usize, zones: usize) -> String {
+    format!("z{}", index % zones.max(1) + 1)
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every gateway is ready.
+    ///
+    /// # Errors
+    ///
+    /// What went wrong at the start.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let fleet = Self::lay_out(settings)?;
+        let address = fleet.store_address.to_string();
+        let arguments = ["platform", "--address", &address, "--list-lag-ms", "0"];
+        fleet.start_standin("platform", &arguments, &[])?;
+        let mut pairs = Vec::new();
+        for (listen, upstream) in fleet.proxy_pairs() {
+            pairs.extend(["--pair".to_owned(), format!("{listen}={upstream}")]);
+        }
+        let control = fleet.proxy.to_string();
+        fleet.start_standin("proxy", &["proxy", "--control", &control], &pairs)?;
+        for index in 0..fleet.replicas.len() {
+            fleet.start_replica(index)?;
+        }
+        until("an answer of the store", || async {
+            fleet.store.table("op").await.is_ok()
+        })
+        .await?;
+        for index in 0..fleet.replicas.len() {
+            fleet.list(index, false).await?;
+        }
+        fleet.configure(&operator::Desired::default()).await?;
+        for index in 0..fleet.gateways.len() {
+            fleet.start_gateway(index)?;
+        }
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    fn lay_out(settings: Settings) -> Result<Self> {
+        let number = FLEETS.fetch_add(1, Ordering::SeqCst);
+        let folder =
+            std::env::temp_dir().join(format!("sardinemux-front-{}-{number}", std::process::id()));
+        let what = folder.display().to_string();
+        fs::create_dir_all(&folder).context(IoSnafu { what })?;
+        let mut gateways = Vec::new();
+        for index in 0..settings.gateways {
+            let own = ports::free(5)?;
+            gateways.push(GatewayPlace {
+                name: format!("g{index}"),
+                zone: zone(index, settings.zones),
+                callers: own[0],
+                ready: own[1],
+                metrics: own[2],
+                peers: own[3],
+                store: own[4],
+            });
+        }
+        let mut replicas = Vec::new();
+        for index in 0..settings.engines + settings.services {
+            let own = ports::free(2)?;
+            replicas.push(ReplicaPlace {
+                id: format!("t{index}"),
+                pool: match index < settings.engines {
+                    true => ENGINES,
+                    false => SERVICES,
+                },
+                zone: zone(index, settings.zones),
+                address: own[0],
+                listed: own[1],
+            });
+        }
+        let store_address = ports::free(1)?[0];
+        Ok(Self {
+            store: Store::new(store_address, STORE_CALL),
+            store_address,
+            proxy: ports::free(1)?[0],
+            client: client::build()?,
+            processes: Mutex::default(),
+            version: AtomicU64::new(0),
+            settings,
+            gateways,
+            replicas,
+            folder,
+        })
+    }
+
+    fn proxy_pairs(&self) -> impl Iterator<Item = (SocketAddr, SocketAddr)> + '_ {
+        let gateways = self.gateways.iter();
+        let stores = gateways.map(|gateway| (gateway.store, self.store_address));
+        let replicas = self.replicas.iter();
+        stores.chain(replicas.map(|replica| (replica.listed, replica.address)))
+    }
+
+    fn start_process(&self, name: &str, program: &str, arguments: Vec<String>) -> Result<()> {
+        let process = Process::start(name, program, &arguments, &self.folder)?;
+        self.processes.lock().insert(name.to_owned(), process);
+        Ok(())
+    }
+
+    fn start_standin(&self, name: &str, arguments: &[&str], more: &[String]) -> Result<()> {
+        let arguments = arguments.iter().map(|argument| (*argument).to_owned());
+        let all = arguments.chain(more.iter().cloned()).collect();
+        self.start_process(name, "sardinemux-standin", all)
+    }
+
+    /// Starts a replica's process.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Start` if the binary is missing.
+    pub fn start_replica(&self, index: usize) -> Result<()> {
+        let ReplicaPlace { id, address, .. } = &self.replicas[index];
+        let address = address.to_string();
+        let arguments = ["replica", "--address", &address, "--id", id];
+        self.start_standin(id, &arguments, &self.settings.replica_arguments)
+    }
+
+    /// Writes a gateway's settings and returns the file.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Io` if they cannot be written.
+    pub fn write_settings(&self, index: usize, grace_ms: u64) -> Result<String> {
+        let place = &self.gateways[index];
+        let text = format!(
+            "[program]\nthreads = 1\n\n[instance]\nname = {}\nzone = {}\ncallers = {}\nready = {}\n\
+             metrics = {}\npeers = {}\n\n[store]\naddress = {}\n\n[limits]\ngrace = {grace_ms}ms\n\
+             retry_extra = 60\n",
+            place.name, place.zone, place.callers, place.ready, place.metrics, place.peers, place.store,
+        );
+        let file = self.folder.join(format!("{}.ini", place.name));
+        let what = file.display().to_string();
+        fs::write(&file, text).context(IoSnafu { what: what.clone() })?;
+        Ok(what)
+    }
+
+    /// Starts a gateway's process.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Start` if the binary is missing, `Error::Io` if its settings cannot be written.
+    pub fn start_gateway(&self, index: usize) -> Result<()> {
+        let file = self.write_settings(index, 8_000)?;
+        let arguments = vec!["--settings".to_owned(), file];
+        self.start_process(&self.gateways[index].name, "sardinemux-front", arguments)
+    }
+
+    /// Returns whether a gateway says that it is ready.
+    pub async fn is_ready(&self, index: usize) -> bool {
+        let url = format!("http://{}/v1/ready", self.gateways[index].ready);
+        let answer = self.client.get(&url).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Waits until every gateway that runs is ready.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Late` if one is not.
+    pub async fn wait_ready(&self) -> Result<()> {
+        for (index, gateway) in self.gateways.iter().enumerate() {
+            let is_running = self.processes.lock().contains_key(&gateway.name);
+            if is_running {
+                until(&format!("readiness of {}", gateway.name), || {
+                    self.is_ready(index)
+                })
+                .await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends a signal, or does something else, to a process.
+    ///
+    /// # Errors
+    ///
+    /// `Error::NoProcess` if there is none, or the action's error.
+    pub fn signal(&self, name: &str, send: impl Fn(&Process) -> Result<()>) -> Result<()> {
+        let processes = self.processes.lock();
+        send(processes.get(name).context(NoProcessSnafu { name })?)
+    }
+
+    /// Asks a process to end gracefully, and waits until it has.
+    ///
+    /// # Errors
+    ///
+    /// `Error::NoProcess` if there is none, `Error::Late` if it goes on.
+    pub async fn terminate(&self, name: &str) -> Result<()> {
+        self.signal(name, Process::terminate)?;
+        let process = self.processes.lock().shift_remove(name);
+        process.context(NoProcessSnafu { name })?.ended().await
+    }
+
+    /// Kills a process.
+    pub fn kill(&self, name: &str) {
+        self.processes.lock().shift_remove(name);
+    }
+
+    /// Sets what the proxy does to connections to an address.
+    ///
+    /// # Errors
+    ///
+    /// As for [`client::post`].
+    pub async fn set_fault(&self, listen: SocketAddr, fault: Fault) -> Result<()> {
+        let url = format!(
+            "http://{}/standin/faults?port={}",
+            self.proxy,
+            listen.port()
+        );
+        client::post(&self.client, &url, &fault).await
+    }
+
+    /// Sets what is wrong with the store.
+    ///
+    /// # Errors
+    ///
+    /// As for [`client::post`].
+    pub async fn set_store_faults(&self, faults: platform::Faults) -> Result<()> {
+        let url = format!("http://{}/standin/faults", self.store_address);
+        client::post(&self.client, &url, &faults).await
+    }
+
+    /// Lets the store forget its history.
+    ///
+    /// # Errors
+    ///
+    /// As for [`client::send`].
+    pub async fn forget_history(&self) -> Result<()> {
+        let url = format!("http://{}/standin/forget", self.store_address);
+        client::send(&url, self.client.post(&url)).await
+    }
+
+    /// Sets what is wrong with a replica.
+    ///
+    /// # Errors
+    ///
+    /// As for [`client::post`].
+    pub async fn set_replica_faults(&self, index: usize, faults: Faults) -> Result<()> {
+        let url = format!("http://{}/standin/faults", self.replicas[index].address);
+        client::post(&self.client, &url, &faults).await
+    }
+
+    async fn read<T: DeserializeOwned>(&self, url: &str) -> Result<T> {
+        client::json(url, self.client.get(url)).await
+    }
+
+    /// Returns what a replica has counted.
+    ///
+    /// # Errors
+    ///
+    /// As for [`client::json`].
+    pub async fn stats(&self, index: usize) -> Result<Stats> {
+        let url = format!("http://{}/standin/stats", self.replicas[index].address);
+        self.read(&url).await
+    }
+
+    /// Returns the calls that the store has answered.
+    ///
+    /// # Errors
+    ///
+    /// As for [`client::json`].
+    pub async fn store_stats(&self) -> Result<platform::Stats> {
+        let url = format!("http://{}/standin/stats", self.store_address);
+        self.read(&url).await
+    }
+
+    /// Returns the folder of the logs.
+    pub fn folder(&self) -> &PathBuf {
+        &self.folder
+    }
+
+    /// Returns the number of the next version of the desired state.
+    fn next_version(&self) -> u64 {
+        self.version.fetch_add(3, Ordering::SeqCst) + 3
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.processes.lock().clear();
+        // Logs are kept only for a run that failed.
+        if !std::thread::panicking() && std::env::var_os("SARDINEMUX_KEEP_LOGS").is_none() {
+            // A folder that cannot be removed is left to the system's own tidying.
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proof/src/gateways/caller.rs
@@ -0,0 +1,224 @@
+//! A caller that checks its whole answer. It keeps its connection until the other end closes it.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use sardinemux_standin::replica::{answer, name, unix_ms};
+use tokio::net::TcpStream;
+use tokio::time;
+
+use super::operator::HOST;
+
+/// How long a caller waits for an answer, in milliseconds.
+pub const DEADLINE_MS: u64 = 4_000;
+
+/// How long it waits for a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// How long it waits beyond its deadline before it counts an answer as missing.
+const MARGIN: Duration = Duration::from_secs(2);
+
+/// Numbers the requests of one process.
+static NEXT: AtomicU64 = AtomicU64::new(0);
+
+/// What may be repeated of a request, and how it is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// May run any number of times.
+    Read,
+    /// May run at most once.
+    Write,
+    /// A stream that runs at most once.
+    StreamOnce,
+    /// A stream that another replica may continue.
+    StreamAgain,
+}
+
+/// All kinds.
+pub const KINDS: [Kind; 4] = [Kind::Read, Kind::Write, Kind::StreamOnce, Kind::StreamAgain];
+
+impl Kind {
+    fn route(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Write => "write",
+            Self::StreamOnce => "stream-once",
+            Self::StreamAgain => "stream-again",
+        }
+    }
+
+    /// Returns whether a request may run more than once.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, Self::Read | Self::StreamAgain)
+    }
+
+    fn is_stream(self) -> bool {
+        matches!(self, Self::StreamOnce | Self::StreamAgain)
+    }
+}
+
+/// What a caller was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// No connection was made; nothing was sent.
+    Unreached,
+    /// A whole answer, as the replica gave it.
+    Whole,
+    /// A failure, with its status.
+    Failed {
+        /// The status.
+        status: u16,
+    },
+    /// The connection ended before the answer did, after this many bytes of its body.
+    Cut {
+        /// The bytes.
+        bytes: usize,
+    },
+    /// Nothing came in time.
+    Silence,
+    /// A success that is not the whole answer to this request, though it looks complete or carries other bytes.
+    Wrong,
+}
+
+/// A request and what became of it.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Its id.
+    pub id: String,
+    /// Its kind.
+    pub kind: Kind,
+    /// The gateway's index.
+    pub gateway: usize,
+    /// When it was sent, in Unix milliseconds.
+    pub sent_ms: u64,
+    /// How long it took, in milliseconds.
+    pub took_ms: u64,
+    /// What the caller was told.
+    pub told: Told,
+}
+
+/// A caller of one gateway.
+#[derive(Debug)]
+pub struct Caller {
+    gateway: usize,
+    address: SocketAddr,
+    key: String,
+    events: u64,
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Caller {
+    /// Creates a caller; nothing is sent yet. Streams have this many events.
+    pub fn new(gateway: usize, address: SocketAddr, key: &str, events: u64) -> Self {
+        Self {
+            gateway,
+            address,
+            key: key.to_owned(),
+            events,
+            sender: None,
+        }
+    }
+
+    /// Sends a request whose prompt shares a part named after `subject`, and checks the answer.
+    pub async fn call(&mut self, kind: Kind, subject: u64) -> Outcome {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{:08x}{number:08x}", std::process::id());
+        let sent_ms = unix_ms();
+        let limit = Duration::from_millis(DEADLINE_MS) + MARGIN;
+        let told = time::timeout(limit, self.exchange(kind, subject, &id)).await;
+        let told = told.unwrap_or(Told::Silence);
+        if told != Told::Whole && !matches!(told, Told::Failed { .. }) {
+            self.sender = None;
+        }
+        Outcome {
+            id,
+            kind,
+            gateway: self.gateway,
+            sent_ms,
+            took_ms: unix_ms().saturating_sub(sent_ms),
+            told,
+        }
+    }
+
+    async fn connect(&mut self) -> Option<&mut SendRequest<Full<Bytes>>> {
+        let is_open = match &mut self.sender {
+            Some(sender) => sender.ready().await.is_ok(),
+            None => false,
+        };
+        if !is_open {
+            let stream = time::timeout(CONNECT, TcpStream::connect(self.address)).await;
+            let stream = stream.ok()?.ok()?;
+            let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+            tokio::spawn(connection);
+            self.sender = Some(sender);
+        }
+        self.sender.as_mut()
+    }
+
+    fn request(&self, kind: Kind, subject: u64, id: &str) -> Option<Request<Full<Bytes>>> {
+        let request = Request::post(format!("/{}/", kind.route()))
+            .header("host", HOST)
+            .header("api-key", &self.key)
+            .header(name::REQUEST, id)
+            .header(name::DEADLINE, DEADLINE_MS);
+        let request = match kind.is_stream() {
+            true => request.header(name::PROMPT, format!("s{subject}:400,{id}:50")),
+            false => request,
+        };
+        request.body(Full::from("body")).ok()
+    }
+
+    async fn exchange(&mut self, kind: Kind, subject: u64, id: &str) -> Told {
+        let Some(request) = self.request(kind, subject, id) else {
+            return Told::Unreached;
+        };
+        let Some(sender) = self.connect().await else {
+            return Told::Unreached;
+        };
+        let response = match sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                return match error.take_message() {
+                    Some(_) => Told::Unreached,
+                    None => Told::Cut { bytes: 0 },
+                }
+            }
+        };
+        let expected = match kind.is_stream() {
+            true => (1..=self.events).map(answer::event).collect(),
+            false => answer::text(id),
+        };
+        judge(response, &expected, id).await
+    }
+}
+
+async fn judge(response: Response<Incoming>, expected: &str, id: &str) -> Told {
+    let (head, mut body) = response.into_parts();
+    let mut bytes = Vec::new();
+    let is_clean = loop {
+        match body.frame().await {
+            Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    let status = head.status.as_u16();
+    if !head.status.is_success() {
+        return Told::Failed { status };
+    }
+    let echoed = head.headers.get(name::REQUEST);
+    let is_own =
+        echoed.is_some_and(|echoed| echoed == id) && head.headers.contains_key(name::STAMP);
+    match (is_own && expected.as_bytes().starts_with(&bytes), is_clean) {
+        (false, _) => Told::Wrong,
+        (true, false) => Told::Cut { bytes: bytes.len() },
+        (true, true) if bytes.len() == expected.len() => Told::Whole,
+        (true, true) => Told::Wrong,
+    }
+}
--- /dev/null
+++ b/crates/proof/src/gateways/check.rs
@@ -0,0 +1,164 @@
+//! The promises, checked from what callers were told and what replicas counted. Nothing here knows how a gateway works.
+
+use std::fmt;
+
+use indexmap::IndexMap;
+use sardinemux_standin::replica::Stats;
+
+use super::caller::{Outcome, Told};
+
+/// The statuses that promise that nothing ran.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// The statuses of an answer to a request that the operators do not allow.
+const DENIED: [u16; 3] = [401, 403, 404];
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Breach {
+    /// A request that must not repeat ran more than once.
+    Twice {
+        /// The request.
+        id: String,
+    },
+    /// A request was said not to have run, and had.
+    FalseNotRun {
+        /// The request.
+        id: String,
+    },
+    /// A caller got other bytes, or an answer that looked complete and was not.
+    Wrong {
+        /// The request.
+        id: String,
+    },
+    /// A proper request was denied.
+    Denied {
+        /// The request.
+        id: String,
+        /// The status.
+        status: u16,
+    },
+    /// A replica ran a request that nobody sent.
+    Unasked {
+        /// The request.
+        id: String,
+    },
+    /// A planned change cut a request off.
+    CutOff {
+        /// The request.
+        id: String,
+    },
+    /// A replica got work after it had left.
+    Left {
+        /// The replica.
+        replica: String,
+        /// How long after the users' bound, in milliseconds.
+        late_ms: u64,
+    },
+    /// A revoked key was still in use after the users' bound.
+    Revoked {
+        /// The request.
+        id: String,
+    },
+    /// Too few requests are served after all faults have ended.
+    Unrecovered {
+        /// Those that were served.
+        served: usize,
+        /// Those that were sent.
+        sent: usize,
+    },
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Twice { id } => write!(formatter, "{id} ran more than once"),
+            Self::FalseNotRun { id } => write!(formatter, "{id} was said not to have run"),
+            Self::Wrong { id } => write!(formatter, "{id} got a wrong answer"),
+            Self::Denied { id, status } => write!(formatter, "{id} was denied with {status}"),
+            Self::Unasked { id } => write!(formatter, "{id} ran, and nobody sent it"),
+            Self::CutOff { id } => write!(formatter, "{id} was cut off by planned work"),
+            Self::Left { replica, late_ms } => {
+                write!(formatter, "{replica} got work {late_ms} ms too late")
+            }
+            Self::Revoked { id } => write!(formatter, "{id} was served with a revoked key"),
+            Self::Unrecovered { served, sent } => {
+                write!(
+                    formatter,
+                    "{served} of {sent} requests served after the faults"
+                )
+            }
+        }
+    }
+}
+
+/// Returns the runs of each request, over all replicas.
+pub fn runs(stats: &[Stats]) -> IndexMap<String, u32> {
+    let mut runs: IndexMap<String, u32> = IndexMap::new();
+    for (id, count) in stats.iter().flat_map(|stats| &stats.runs) {
+        *runs.entry(id.clone()).or_default() += count;
+    }
+    runs
+}
+
+/// Returns the promises that hold at any time and were broken.
+pub fn always(outcomes: &[Outcome], stats: &[Stats]) -> Vec<Breach> {
+    let mut runs = runs(stats);
+    let mut breaches = Vec::new();
+    for outcome in outcomes {
+        let id = outcome.id.clone();
+        let ran = runs.swap_remove(&id).unwrap_or(0);
+        if !outcome.kind.is_repeatable() && ran > 1 {
+            breaches.push(Breach::Twice { id: id.clone() });
+        }
+        match outcome.told {
+            Told::Wrong => breaches.push(Breach::Wrong { id }),
+            Told::Failed { status } if NOT_RUN.contains(&status) && ran > 0 => {
+                if !outcome.kind.is_repeatable() {
+                    breaches.push(Breach::FalseNotRun { id });
+                }
+            }
+            Told::Failed { status } if DENIED.contains(&status) => {
+                breaches.push(Breach::Denied { id, status });
+            }
+            _ => {}
+        }
+    }
+    breaches.extend(runs.into_keys().map(|id| Breach::Unasked { id }));
+    breaches
+}
+
+/// Returns the requests that ran and were cut off, or never answered, though only planned work was under way. A request
+/// that crosses the end of its connection and is not passed on does not count.
+pub fn planned(outcomes: &[Outcome], stats: &[Stats]) -> Vec<Breach> {
+    let runs = runs(stats);
+    let cut = outcomes.iter().filter(|outcome| match outcome.told {
+        Told::Cut { .. } => runs.contains_key(&outcome.id),
+        told => told == Told::Silence,
+    });
+    cut.map(|outcome| Breach::CutOff {
+        id: outcome.id.clone(),
+    })
+    .collect()
+}
+
+/// Returns the work that a replica got later than `bound_ms` after it was confirmed to be leaving, and before `until_ms`;
+/// times in Unix milliseconds.
+pub fn left(
+    replica: &str,
+    stats: &Stats,
+    confirmed_ms: u64,
+    bound_ms: u64,
+    until_ms: u64,
+) -> Vec<Breach> {
+    let due_ms = confirmed_ms + bound_ms;
+    let late = stats
+        .begun_ms
+        .iter()
+        .filter(|begun_ms| (due_ms + 1..until_ms).contains(*begun_ms));
+    late.map(|begun_ms| Breach::Left {
+        replica: replica.to_owned(),
+        late_ms: begun_ms - due_ms,
+    })
+    .collect()
+}
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod errors;
 pub mod fleet;
+pub mod gateways;
 pub mod matrix;
 pub mod ports;
 pub mod process;
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -82,7 +82,7 @@
         let child = Command::new(&path)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().context(IoSnafu { what: name })?)
             .stderr(log)
             .spawn()
             .context(StartSnafu {
@@ -131,6 +131,15 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Tells the process that its settings changed.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Signal` if it has ended.
+    pub fn hang_up(&self) -> Result<()> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod errors;
 pub mod platform;
 pub mod proxy;
+pub mod replica;
 pub mod serve;
 pub mod service;
 pub mod text;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,7 +6,7 @@
 use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
 use sardinemux_host::arguments::{get_number, get_text, number, text};
 use sardinemux_standin::errors::{Error, Result};
-use sardinemux_standin::{engine, platform, proxy, service};
+use sardinemux_standin::{engine, platform, proxy, replica, service};
 
 fn address(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
@@ -60,6 +60,29 @@
         .about("A plain service that counts every run")
         .arg(address("address", "Where it listens"))
         .arg(number("work-ms", "10", "The time that a call takes"));
+    let replica = Command::new("replica")
+        .about("A replica of the users' platform: a model engine or a plain service")
+        .arg(address("address", "Where it listens"))
+        .arg(text("id", "replica", "Its id in the platform's list"))
+        .arg(number("slots", "8", "The requests that run at once"))
+        .arg(number("queue", "16", "The requests that may wait"))
+        .arg(number(
+            "work-ms",
+            "10",
+            "The time that a whole answer takes",
+        ))
+        .arg(number("events", "20", "The events of a stream"))
+        .arg(number("event-ms", "10", "The time between two events"))
+        .arg(number(
+            "cache-tokens",
+            "60000",
+            "The tokens of prompts that are kept",
+        ))
+        .arg(number(
+            "tokens-per-ms",
+            "55",
+            "Prompt tokens read in a millisecond",
+        ));
     let platform = Command::new("platform")
         .about("Instance list, table and object store")
         .arg(address("address", "Where it listens"))
@@ -84,7 +107,7 @@
                 .value_parser(value_parser!(u64))
                 .help("Worker threads"),
         )
-        .subcommands([engine, service, platform, proxy])
+        .subcommands([engine, service, replica, platform, proxy])
 }
 
 fn socket(matches: &ArgMatches, name: &str) -> SocketAddr {
@@ -153,6 +176,20 @@
             };
             service::run(settings).await
         }
+        Some(("replica", matches)) => {
+            let settings = replica::Settings {
+                id: get_text(matches, "id"),
+                address: socket(matches, "address"),
+                slots: get_number(matches, "slots") as u32,
+                queue: get_number(matches, "queue") as u32,
+                work_ms: get_number(matches, "work-ms"),
+                events: get_number(matches, "events"),
+                event_ms: get_number(matches, "event-ms"),
+                cache_tokens: get_number(matches, "cache-tokens"),
+                tokens_per_ms: get_number(matches, "tokens-per-ms"),
+            };
+            match replica::run(settings).await? {}
+        }
         Some(("platform", matches)) => {
             let settings = platform::Settings {
                 address: socket(matches, "address"),
--- /dev/null
+++ b/crates/standin/src/replica/answer.rs
@@ -0,0 +1,142 @@
+//! What a replica answers. Every byte follows from the caller's id, so that a caller can check its whole answer.
+
+use std::time::{Duration, Instant};
+
+use async_stream::stream;
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+use tokio::time;
+
+use super::{no_bytes, Lost, Running, Settings};
+
+/// The body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, Lost>;
+
+/// The repetitions of the id in a whole answer.
+const REPEATED: usize = 20;
+
+/// A request that runs.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The caller's id.
+    pub id: String,
+    /// The last event that the caller has.
+    pub last_event: u64,
+    /// When it arrived.
+    pub begun: Instant,
+    /// How long the caller waits.
+    pub limit: Duration,
+}
+
+/// Returns the text of a whole answer.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_standin::replica::answer;
+///
+/// assert!(answer::text("r1").starts_with("r1;r1;"));
+/// ```
+pub fn text(id: &str) -> String {
+    format!("{id};").repeat(REPEATED)
+}
+
+/// Returns one event of a stream.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_standin::replica::answer;
+///
+/// assert_eq!(answer::event(3), "id: 3\ndata: event 3\n\n");
+/// ```
+pub fn event(number: u64) -> String {
+    format!("id: {number}\ndata: event {number}\n\n")
+}
+
+pub(super) fn set(headers: &mut HeaderMap, name: &str, value: &str) {
+    // The names are constants, and ids that came in a header fit into one.
+    if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_str(value)) {
+        headers.insert(name, value);
+    }
+}
+
+pub(super) fn empty(status: StatusCode) -> Response<Body> {
+    let body = no_bytes().map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
+
+pub(super) fn json<T: Serialize>(value: &T) -> Response<Body> {
+    let text = serde_json::to_string(value).unwrap_or_default();
+    let mut response = whole(StatusCode::OK, &text, false);
+    set(
+        response.headers_mut(),
+        CONTENT_TYPE.as_str(),
+        "application/json",
+    );
+    response
+}
+
+/// A whole answer; one that breaks states its full length and ends after half.
+pub(super) fn whole(status: StatusCode, text: &str, breaks: bool) -> Response<Body> {
+    let bytes = Bytes::copy_from_slice(text.as_bytes());
+    let half = bytes.slice(..bytes.len() / 2);
+    let pieces = stream! {
+        if breaks {
+            yield Ok(Frame::data(half));
+            yield Err(Lost);
+        } else {
+            yield Ok(Frame::data(bytes));
+        }
+    };
+    let mut response = Response::new(StreamBody::new(pieces).boxed_unsync());
+    *response.status_mut() = status;
+    set(
+        response.headers_mut(),
+        CONTENT_LENGTH.as_str(),
+        &text.len().to_string(),
+    );
+    response
+}
+
+/// A stream of events; one that breaks ends in the middle of an event.
+pub(super) fn stream(
+    settings: &Settings,
+    work: Work,
+    mut running: Running,
+    breaks: bool,
+) -> Response<Body> {
+    let pause = Duration::from_millis(settings.event_ms);
+    let events = settings.events;
+    let pieces = stream! {
+        for number in work.last_event + 1..=events {
+            time::sleep(pause).await;
+            if work.begun.elapsed() > work.limit {
+                yield Err(Lost);
+                return;
+            }
+            let event = event(number);
+            if breaks && number > events / 2 {
+                yield Ok(Frame::data(Bytes::copy_from_slice(&event.as_bytes()[..5])));
+                yield Err(Lost);
+                return;
+            }
+            yield Ok(Frame::data(Bytes::from(event)));
+        }
+        running.complete();
+    };
+    let mut response = Response::new(StreamBody::new(pieces).boxed_unsync());
+    set(
+        response.headers_mut(),
+        CONTENT_TYPE.as_str(),
+        "text/event-stream",
+    );
+    response
+}
--- /dev/null
+++ b/crates/standin/src/replica/parts.rs
@@ -0,0 +1,121 @@
+//! The parts of prompts that a replica keeps.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use tokio::time;
+
+/// How long the fetch of a list of parts may take.
+const FETCH: Duration = Duration::from_millis(200);
+
+/// One part of a prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Names it.
+    pub id: String,
+    /// Its tokens.
+    pub tokens: u64,
+}
+
+/// Reads `ID:TOKENS` entries; one that cannot be read ends the list.
+pub fn parse(text: &str) -> Vec<Part> {
+    let parts = text.split(',').map_while(|part| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some(Part {
+            id: id.to_owned(),
+            tokens: tokens.parse().ok()?,
+        })
+    });
+    parts.collect()
+}
+
+/// The list of kept parts as it is written in bodies.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct List {
+    /// Each entry is an empty text, the id, the tokens and the model.
+    pub held: Vec<(String, String, u64, String)>,
+}
+
+/// Parts in the order of their use, within a bound of tokens.
+#[derive(Debug)]
+pub struct Parts {
+    most: u64,
+    held: u64,
+    parts: IndexMap<String, u64>,
+}
+
+impl Parts {
+    /// Creates an empty cache.
+    pub fn new(most: u64) -> Self {
+        Self {
+            most,
+            held: 0,
+            parts: IndexMap::new(),
+        }
+    }
+
+    /// Returns the tokens that need not be read: a part counts only with all before it.
+    pub fn kept(&self, prompt: &[Part]) -> u64 {
+        let kept = prompt
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.id));
+        kept.map(|part| part.tokens).sum()
+    }
+
+    /// Keeps the parts of a prompt; those that were used longest ago yield.
+    pub fn store(&mut self, prompt: &[Part]) {
+        for part in prompt {
+            if let Some(tokens) = self.parts.shift_remove(&part.id) {
+                self.held -= tokens;
+            }
+            self.parts.insert(part.id.clone(), part.tokens);
+            self.held += part.tokens;
+        }
+        while self.held > self.most {
+            let Some((_, tokens)) = self.parts.shift_remove_index(0) else {
+                return;
+            };
+            self.held -= tokens;
+        }
+    }
+
+    /// Returns all parts.
+    pub fn list(&self) -> List {
+        let held = self
+            .parts
+            .iter()
+            .map(|(id, tokens)| (String::new(), id.clone(), *tokens, "m".to_owned()));
+        List {
+            held: held.collect(),
+        }
+    }
+}
+
+/// Returns the tokens of a prompt that the replica at an address keeps; none if it does not answer.
+pub async fn fetch(address: &str, prompt: &[Part]) -> u64 {
+    let list = time::timeout(FETCH, list_of(address)).await;
+    let list = list.ok().flatten().unwrap_or_default();
+    let mut parts = Parts::new(u64::MAX);
+    for (_, id, tokens, _) in list.held {
+        parts.store(&[Part { id, tokens }]);
+    }
+    parts.kept(prompt)
+}
+
+async fn list_of(address: &str) -> Option<List> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let request = Request::get("/v1/kv-list").header("host", address);
+    let request = request.body(Full::<Bytes>::default()).ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    let bytes = response.into_body().collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&bytes).ok()
+}
