--- a/crates/proof/src/gateways/check.rs
+++ b/crates/proof/src/gateways/check.rs
@@ -113,10 +113,10 @@
         }
         match outcome.told {
             Told::Wrong => breaches.push(Breach::Wrong { id }),
-            Told::Failed { status } if NOT_RUN.contains(&status) && ran > 0 => {
-                if !outcome.kind.is_repeatable() {
-                    breaches.push(Breach::FalseNotRun { id });
-                }
+            Told::Failed { status }
+                if NOT_RUN.contains(&status) && ran > 0 && !outcome.kind.is_repeatable() =>
+            {
+                breaches.push(Breach::FalseNotRun { id });
             }
             Told::Failed { status } if DENIED.contains(&status) => {
                 breaches.push(Breach::Denied { id, status });
