--- a/crates/proof/src/errors.rs
+++ b/crates/proof/src/errors.rs
@@ -45,6 +45,20 @@
         /// The state.
         state: String,
     },
+    /// A request cannot be put together.
+    #[snafu(display("a request cannot be put together: {source}"))]
+    Create {
+        /// The cause.
+        source: hyper::http::Error,
+    },
+    /// An exchange broke off.
+    #[snafu(display("the exchange with {address} broke off: {source}"))]
+    Exchange {
+        /// The other end.
+        address: std::net::SocketAddr,
+        /// The cause.
+        source: hyper::Error,
+    },
     /// A call failed.
     #[snafu(display("{url} failed: {source}"))]
     Call {
--- a/crates/proof/src/gateways.rs
+++ b/crates/proof/src/gateways.rs
@@ -1,6 +1,7 @@
 //! A fleet of gateways on the loopback interface: the real `sardinemux-front` processes before replicas and a store that
 //! speak the users' platform's protocol, with a fault-injecting proxy between them.
 
+pub mod added;
 pub mod caller;
 pub mod check;
 pub mod load;
