Split following from believing in the gateway, and the tools' start; tally what others met at a request's targets

Three tools repeated how a runtime is built and an error becomes an exit status (now host::tool). sardinemux-explain adds, for each target of the request, how other requests went there at all gateways, which tells a target's fault from a path's.

--- a/crates/explain/src/story.rs
+++ b/crates/explain/src/story.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
 use crate::line::Line;
@@ -30,6 +30,20 @@
     "log lines dropped",
 ];
 
+/// How other requests went at a target around the same time, at all gateways: failures at one gateway are its path's, at
+/// all of them the target's.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// The target.
+    pub target: SmolStr,
+    /// The gateways at which other requests reached it.
+    pub gateways: usize,
+    /// Their answers.
+    pub answered: usize,
+    /// Their failures, by reason.
+    pub failed: IndexMap<SmolStr, usize>,
+}
+
 /// A request's story.
 #[derive(Clone, Debug, Default)]
 pub struct Story {
@@ -39,6 +53,34 @@
     pub lines: Vec<Line>,
     /// Lines that were left out around them, as far as other lines say so.
     pub left_out: u64,
+    /// What other requests met at its targets.
+    pub tallies: Vec<Tally>,
+}
+
+fn tally(target: &str, id: &str, lines: &[Line], range_ms: (u64, u64)) -> Tally {
+    let mut tally = Tally {
+        target: target.into(),
+        ..Tally::default()
+    };
+    let mut gateways = IndexSet::new();
+    let others = lines.iter().filter(|line| {
+        let is_other = line.text("request_id").is_some_and(|other| other != id);
+        let is_near = (range_ms.0..=range_ms.1).contains(&line.time_ms);
+        is_other && is_near && line.text("target_id") == Some(target)
+    });
+    for line in others {
+        match (line.event.as_str(), line.number("status")) {
+            ("attempt failed", _) => {
+                let reason = line.text("reason").unwrap_or("unknown");
+                *tally.failed.entry(reason.into()).or_default() += 1;
+            }
+            ("answered", Some(200..=299)) => tally.answered += 1,
+            _ => continue,
+        }
+        gateways.insert(&line.source);
+    }
+    tally.gateways = gateways.len();
+    tally
 }
 
 /// Picks a request's story out of all lines; empty if no line is about it.
@@ -82,9 +124,13 @@
     let is_common = |line: &Line| COMMON.contains(&line.event.as_str());
     let near = lines.iter().filter(|line| is_near(line));
     let left_out = near.filter_map(|line| line.number("left_out").or(line.number("count")));
+    let tallies = targets
+        .iter()
+        .map(|target| tally(target, id, &lines, (from_ms, to_ms)));
     Story {
         id: id.into(),
         left_out: left_out.sum(),
+        tallies: tallies.collect(),
         lines: lines
             .iter()
             .filter(|line| {
@@ -126,6 +172,24 @@
             }
             writeln!(formatter)?;
         }
+        for tally in &self.tallies {
+            let failed: Vec<String> = tally
+                .failed
+                .iter()
+                .map(|(reason, count)| format!("{count} {reason}"))
+                .collect();
+            writeln!(
+                formatter,
+                "others at {}, over {} gateways: {} answered, failed: {}",
+                tally.target,
+                tally.gateways,
+                tally.answered,
+                match failed.is_empty() {
+                    true => "none".to_owned(),
+                    false => failed.join(", "),
+                }
+            )?;
+        }
         if self.left_out > 0 {
             writeln!(
                 formatter,
--- a/crates/explain/tests/story.rs
+++ b/crates/explain/tests/story.rs
@@ -33,6 +33,8 @@
     assert_eq!(events, expected);
     let is_other = |line: &Line| line.source == "g2" || line.text("target_id") == Some("t9");
     assert!(!story.lines.iter().any(is_other));
+    let answered: usize = story.tallies.iter().map(|tally| tally.answered).sum();
+    assert_eq!(answered, usize::from(!expected.is_empty()));
 }
 
 #[test]
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,39 +1,17 @@
-//! Following the source: the catalogue, evacuated zones, targets and gateways, through outages.
+//! What a gateway believes of the catalogue, evacuated zones, targets and gateways, and how words of the store and of
+//! other gateways change it, through outages.
 //!
-//! One gateway of each zone lists a topic at the store and then watches it; the others follow that gateway. After an
-//! outage the list is read again; targets that it no longer names stay in use for a moment, since entries lapse
-//! while the store is away.
-
-use std::net::SocketAddr;
-use std::time::Duration;
+//! After an outage the list is read again; targets that it no longer names stay in use for a moment, since entries
+//! lapse while the store is away.
 
 use indexmap::{IndexMap, IndexSet};
 use sardinemux_core::catalog::Catalog;
-use sardinemux_core::readers::{self, Peer, Progress, Standing};
+use sardinemux_core::readers::Standing;
 use sardinemux_core::roster::{command, query, Announcement};
-use tokio::time;
 
-use crate::peers;
 use crate::prelude::*;
 use crate::relay::{Log, News};
-use crate::source::{self, Batch, Entry, Fact, Source, Topic};
-
-/// The pause before the list of gateways is read again after a failure.
-const MEMBERS_RETRY: Duration = Duration::from_millis(800);
-
-/// How often a gateway that follows nobody looks for one to follow.
-const LOOK: Duration = Duration::from_millis(50);
-
-/// How long a gateway listens for others after its start before it reads the store, in milliseconds: two rounds of
-/// reports. Many gateways start at once, and most need not read.
-const LISTEN_MS: u64 = 600;
-
-/// The shortest time between two reads of the store. Changes come in bursts, each call is priced, and the bounds
-/// are seconds.
-const READ_PAUSE: Duration = Duration::from_millis(150);
-
-/// The time between two reads of the list of gateways; reports tell of changes between them.
-const MEMBERS_PAUSE: Duration = Duration::from_secs(30);
+use crate::source::{self, Batch, Entry, Fact, Topic};
 
 /// What was heard of one topic.
 #[derive(Clone, Debug, Default)]
@@ -41,20 +19,20 @@
     /// Everything that was heard.
     pub log: Log,
     /// The version from which the store is to be watched; none if the whole list is to be read.
-    store_since: Option<u64>,
+    pub(crate) store_since: Option<u64>,
     /// Since when the store has answered without a break.
-    followed_since_ms: Option<u64>,
+    pub(crate) followed_since_ms: Option<u64>,
     /// Since when the store has given no answer.
-    lost_since_ms: Option<u64>,
+    pub(crate) lost_since_ms: Option<u64>,
     /// Whether another gateway followed the store all through the present outage: the store was there, and this
     /// gateway's path to it was not.
     is_own_outage: bool,
     /// Whether the next list is the first after an outage of the store itself.
     is_relisting: bool,
     /// When another gateway that follows the store last answered, or the store itself.
-    heard_ms: u64,
+    pub(crate) heard_ms: u64,
     /// How often the process had stood still when what is known was last asked for.
-    confirmed: u64,
+    pub(crate) confirmed: u64,
     /// The evacuated zones, by key of their entry.
     pub evacuated: IndexMap<SmolStr, SmolStr>,
 }
@@ -75,192 +53,14 @@
     }
 }
 
-/// Follows one topic at the store for ever, while it is this gateway's turn to.
-pub async fn follow_store(gateway: Arc<Gateway>, source: Arc<Source>, topic: Topic) {
-    let mut failures: u32 = 0;
-    let mut wakes = gateway.wakes.subscribe();
-    loop {
-        if !reads_store(&gateway, topic) {
-            leave_store(&gateway, topic);
-            time::sleep(LOOK).await;
-            continue;
-        }
-        let since = store_since(&gateway, topic);
-        let asked = *wakes.borrow_and_update();
-        let reading = match since {
-            Some(since) => (source.watch)(topic, since),
-            None => (source.list)(topic),
-        };
-        let result = tokio::select! {
-            result = reading => result,
-            // The sender lives as long as the gateway. What was asked before is asked anew.
-            _ = wakes.changed() => continue,
-        };
-        count(&gateway, topic, &result);
-        let pause = match result {
-            Ok(batch) => {
-                failures = 0;
-                note_contact(&gateway, topic);
-                confirm(&gateway, topic, asked);
-                let is_quiet = batch.entries.is_empty();
-                apply_store(&gateway, topic, batch, since.is_none());
-                match is_quiet {
-                    true => Duration::ZERO,
-                    false => READ_PAUSE,
-                }
-            }
-            Err(source::Error::Forgotten { since }) => {
-                log::info!(topic = topic.name(), since = since; "history is gone, listing anew");
-                forget_version(&gateway, topic);
-                Duration::ZERO
-            }
-            Err(error) => {
-                note_loss(&gateway, topic, &error);
-                failures += 1;
-                let lost = lost_readers(&gateway, topic);
-                Duration::from_millis(readers::pause_ms(failures, lost, &mut rand::rng()))
-            }
-        };
-        time::sleep(pause).await;
-    }
-}
-
-/// Follows one topic at other gateways for ever, while this one does not follow the store.
-pub async fn follow_peers(gateway: Arc<Gateway>, topic: Topic) {
-    let mut avoided = None;
-    let mut wakes = gateway.wakes.subscribe();
-    loop {
-        let Some(address) = peer_to_follow(&gateway, topic, avoided) else {
-            avoided = None;
-            time::sleep(LOOK).await;
-            continue;
-        };
-        let asked = *wakes.borrow_and_update();
-        let waits = with_view(&gateway, topic, |view| view.confirmed == asked);
-        let asking = peers::news(&gateway, address, topic, waits);
-        let result = tokio::select! {
-            result = asking => result,
-            _ = wakes.changed() => continue,
-        };
-        match result {
-            Ok(news) => {
-                if news.is_following {
-                    confirm(&gateway, topic, asked);
-                }
-                avoided = (!news.is_following).then_some(address);
-                take_news(&gateway, topic, news);
-            }
-            Err(error) => {
-                log::info!(peer:% = address, topic = topic.name(), error:% = error; "a gateway told nothing");
-                avoided = Some(address);
-            }
-        }
-    }
-}
-
-/// Returns the gateway to ask for news: one that is ahead, or, for a gateway that does not follow the store, any
-/// that does.
-fn peer_to_follow(
+pub(crate) fn with_view<T>(
     gateway: &Gateway,
     topic: Topic,
-    avoided: Option<SocketAddr>,
-) -> Option<SocketAddr> {
-    let now_ms = gateway.now_ms();
-    let (is_following, progress) = with_view(gateway, topic, |view| {
-        let progress = Progress {
-            newest: view.log.newest(),
-            complete: view.log.version(),
-        };
-        (view.is_following(), progress)
-    });
-    let members = gateway.members.lock();
-    let peers = || {
-        let heard = members.heard(topic, now_ms);
-        heard.filter(|peer| members.address(peer.name) != avoided)
-    };
-    let chosen = readers::ahead(progress, peers()).or_else(|| match is_following {
-        true => None,
-        false => readers::best(&gateway.settings.zone, peers()),
-    });
-    members.address(chosen?.name)
-}
-
-/// Reads the list of gateways now and then, after this one is in it: of any two, the later reader finds the other.
-pub async fn follow_members(gateway: Arc<Gateway>, source: Arc<Source>) {
-    loop {
-        let result = (source.list)(Topic::Members).await;
-        count(&gateway, Topic::Members, &result);
-        let pause = match result {
-            Ok(batch) => {
-                apply_members(&gateway, batch.entries);
-                MEMBERS_PAUSE
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "the list of gateways was not read");
-                MEMBERS_RETRY
-            }
-        };
-        time::sleep(pause).await;
-    }
-}
-
-fn with_view<T>(gateway: &Gateway, topic: Topic, action: impl FnOnce(&mut View) -> T) -> T {
+    action: impl FnOnce(&mut View) -> T,
+) -> T {
     action(gateway.views.lock().entry(topic).or_default())
 }
 
-/// Returns whether this gateway is to read the store now.
-fn reads_store(gateway: &Gateway, topic: Topic) -> bool {
-    let now_ms = gateway.now_ms();
-    if now_ms < LISTEN_MS {
-        return false;
-    }
-    let (standing, heard_ms) = with_view(gateway, topic, |view| (view.standing(), view.heard_ms));
-    let settings = &gateway.settings;
-    let me = Peer {
-        name: &settings.name,
-        zone: &settings.zone,
-        link_mbps: settings.link_mbps,
-        standing,
-        newest: 0,
-    };
-    let members = gateway.members.lock();
-    let peers = || members.heard(topic, now_ms);
-    let waited_ms = now_ms.saturating_sub(heard_ms);
-    readers::is_reader(me, peers()) || readers::is_alone(me, peers(), waited_ms)
-}
-
-/// Returns how many gateways of the zone try to read the store in vain, this one among them.
-fn lost_readers(gateway: &Gateway, topic: Topic) -> usize {
-    let members = gateway.members.lock();
-    let peers = members.heard(topic, gateway.now_ms());
-    let lost =
-        peers.filter(|peer| peer.zone == gateway.settings.zone && peer.standing == Standing::Lost);
-    1 + lost.count()
-}
-
-fn leave_store(gateway: &Gateway, topic: Topic) {
-    with_view(gateway, topic, |view| {
-        view.followed_since_ms = None;
-        view.lost_since_ms = None;
-        view.store_since = None;
-    });
-}
-
-fn store_since(gateway: &Gateway, topic: Topic) -> Option<u64> {
-    with_view(gateway, topic, |view| view.store_since)
-}
-
-fn count(gateway: &Gateway, topic: Topic, result: &source::Result<Batch>) {
-    let outcome = match result {
-        Ok(_) => "answered",
-        Err(source::Error::Forgotten { .. }) => "forgotten",
-        Err(source::Error::Refused { .. }) => "refused",
-        Err(source::Error::Unanswered { .. }) => "unanswered",
-    };
-    let calls = &gateway.metrics.store_calls;
-    calls.with_label_values(&[topic.name(), outcome]).inc();
-}
-
 /// Notes an answer of the store.
 pub fn note_contact(gateway: &Gateway, topic: Topic) {
     let now_ms = gateway.now_ms();
@@ -279,7 +79,7 @@
     });
 }
 
-fn confirm(gateway: &Gateway, topic: Topic, asked: u64) {
+pub(crate) fn confirm(gateway: &Gateway, topic: Topic, asked: u64) {
     with_view(gateway, topic, |view| view.confirmed = asked);
 }
 
@@ -326,7 +126,7 @@
     });
 }
 
-fn forget_version(gateway: &Gateway, topic: Topic) {
+pub(crate) fn forget_version(gateway: &Gateway, topic: Topic) {
     with_view(gateway, topic, |view| view.store_since = None);
 }
 
@@ -498,7 +298,7 @@
     command::announce(roster, announcement, now_ms);
 }
 
-fn apply_members(gateway: &Gateway, entries: Vec<Entry>) {
+pub(crate) fn apply_members(gateway: &Gateway, entries: Vec<Entry>) {
     let mut members = gateway.members.lock();
     for entry in entries {
         match entry.fact {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dialect;
 pub mod drain;
 pub mod errors;
+pub mod follow;
 pub mod framing;
 pub mod knowledge;
 pub mod metrics;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,7 +12,7 @@
 use crate::prelude::*;
 use crate::settings::Settings;
 use crate::source::{Member, Source, Topic};
-use crate::{caller, knowledge, peers, status};
+use crate::{caller, follow, peers, status};
 
 /// How long a stopping gateway goes on accepting: the balancer asks once a second and needs two misses.
 const LEAVE: Duration = Duration::from_millis(2_600);
@@ -42,12 +42,8 @@
         "gateway starts"
     );
     for topic in [Topic::Operators, Topic::Targets] {
-        tokio::spawn(knowledge::follow_store(
-            gateway.clone(),
-            source.clone(),
-            topic,
-        ));
-        tokio::spawn(knowledge::follow_peers(gateway.clone(), topic));
+        tokio::spawn(follow::store(gateway.clone(), source.clone(), topic));
+        tokio::spawn(follow::others(gateway.clone(), topic));
     }
     tokio::spawn(enlist(gateway.clone(), source.clone()));
     let settings = &gateway.settings;
@@ -75,7 +71,7 @@
         log::warn!(error:% = error; "not entered into the list of gateways");
         time::sleep(ENLIST_PAUSE).await;
     }
-    knowledge::follow_members(gateway, source).await;
+    follow::members(gateway, source).await;
 }
 
 /// Waits for a signal to stop, and then until nothing runs; ends the process.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod reply;
 pub mod server;
 pub mod settings;
+pub mod tool;
--- a/crates/proof/src/bin/sardinemux-added.rs
+++ b/crates/proof/src/bin/sardinemux-added.rs
@@ -4,10 +4,11 @@
 
 use clap::Command;
 use sardinemux_host::arguments::{get_number, number};
+use sardinemux_host::tool;
 use sardinemux_proof::errors::Result;
 use sardinemux_proof::gateways::{added, Fleet, Settings};
 
-async fn run(requests: usize) -> Result<()> {
+async fn run(requests: usize) -> Result<bool> {
     let fleet = Fleet::start(Settings {
         gateways: 1,
         zones: 1,
@@ -27,7 +28,7 @@
         let at = |quantile: f64| histogram.value_at_quantile(quantile);
         println!("| {way} | {} | {} | {} |", at(0.5), at(0.95), at(0.99));
     }
-    Ok(())
+    Ok(true)
 }
 
 fn main() -> ExitCode {
@@ -36,21 +37,6 @@
         .about("Prints the time that a gateway adds to the first byte of an answer")
         .arg(number("requests", "2000", "The requests each way"))
         .get_matches();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let result = match runtime {
-        Ok(runtime) => runtime.block_on(run(get_number(&matches, "requests") as usize)),
-        Err(error) => {
-            eprintln!("sardinemux-added: the runtime cannot be built: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("sardinemux-added: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    let requests = get_number(&matches, "requests") as usize;
+    tool::run("sardinemux-added", 1, run(requests))
 }
--- a/crates/proof/src/bin/sardinemux-soak.rs
+++ b/crates/proof/src/bin/sardinemux-soak.rs
@@ -5,9 +5,13 @@
 
 use clap::{Arg, Command};
 use sardinemux_host::arguments::{get_number, number};
+use sardinemux_host::tool;
 use sardinemux_proof::errors::Result;
 use sardinemux_proof::soak::{self, Settings};
 
+/// The threads of the load and the checks.
+const THREADS: usize = 2;
+
 fn command() -> Command {
     Command::new("sardinemux-soak")
         .version(env!("CARGO_PKG_VERSION"))
@@ -81,23 +85,5 @@
 fn main() -> ExitCode {
     env_logger::init();
     let matches = command().get_matches();
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build();
-    let result = match runtime {
-        Ok(runtime) => runtime.block_on(run_all(&matches)),
-        Err(error) => {
-            eprintln!("sardinemux-soak: the runtime cannot be built: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    match result {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(error) => {
-            eprintln!("sardinemux-soak: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    tool::run("sardinemux-soak", THREADS, run_all(&matches))
 }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -5,6 +5,7 @@
 
 use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
 use sardinemux_host::arguments::{get_number, get_text, number, text};
+use sardinemux_host::tool;
 use sardinemux_standin::errors::{Error, Result};
 use sardinemux_standin::{engine, platform, proxy, replica, service};
 
@@ -205,22 +206,7 @@
 fn main() -> ExitCode {
     env_logger::init();
     let matches = command().get_matches();
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(get_number(&matches, "threads").max(1) as usize)
-        .enable_all()
-        .build();
-    let result = match runtime {
-        Ok(runtime) => runtime.block_on(run(&matches)),
-        Err(error) => {
-            eprintln!("sardinemux-standin: the runtime cannot be built: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("sardinemux-standin: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    let threads = get_number(&matches, "threads") as usize;
+    let running = async { run(&matches).await.map(|()| true) };
+    tool::run("sardinemux-standin", threads, running)
 }
