Listen before the first read of the store only at a deployment's first start

Now it is a setting, 600 ms where the platform says that the whole system starts for the first time, else none.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,10 +19,6 @@
 /// How often a gateway that follows nobody looks for one to follow.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// How long a gateway listens for others after its start before it reads the store, in milliseconds: two rounds of
-/// reports. Many gateways start at once, and most need not read.
-const LISTEN_MS: u64 = 600;
-
 /// The shortest time between two reads of the store. Changes come in bursts, each call is priced, and the bounds
 /// are seconds.
 const READ_PAUSE: Duration = Duration::from_millis(150);
@@ -163,7 +159,7 @@
 /// Returns whether this gateway is to read the store now.
 fn reads_store(gateway: &Gateway, topic: Topic) -> bool {
     let now_ms = gateway.now_ms();
-    if now_ms < LISTEN_MS {
+    if now_ms < gateway.settings.listen_ms {
         return false;
     }
     let (standing, heard_ms) = with_view(gateway, topic, |view| (view.standing(), view.heard_ms));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,9 @@
     pub link_mbps: u32,
     /// The store.
     pub store_address: SocketAddr,
+    /// How long a starting gateway listens for others before it reads the store, in milliseconds. Worth it where many
+    /// start long before callers come; after the loss of all, callers wait.
+    pub listen_ms: u64,
     /// Bounds that may change while the process runs.
     pub bounds: Bounds,
 }
@@ -46,8 +49,11 @@
 /// The longest grace period that can be set, in milliseconds.
 const GRACE_MAX_MS: u64 = 600_000;
 
+/// The longest time for which a starting gateway may listen, in milliseconds.
+const LISTEN_MAX_MS: u64 = 10_000;
+
 /// The keys of the settings file.
-pub const KEYS: [Key; 13] = [
+pub const KEYS: [Key; 14] = [
     Key::new(
         "instance",
         "name",
@@ -105,6 +111,13 @@
         "The bandwidth of the instance's link, in Mbit/s.",
     ),
     Key::new("store", "address", Kind::Address, None, "The store."),
+    Key::new(
+        "store",
+        "listen",
+        Kind::time(0, LISTEN_MAX_MS),
+        Some("0ms"),
+        "How long a starting gateway listens for others before it reads the store.",
+    ),
     Key::new(
         "limits",
         "grace",
@@ -152,6 +165,7 @@
             seeds: values.addresses("instance", "seeds")?,
             link_mbps: values.fraction("instance", "link_mbps")? as u32,
             store_address: values.address("store", "address")?,
+            listen_ms: values.number("store", "listen")?,
             bounds: Bounds {
                 grace_ms: values.number("limits", "grace")?,
                 retry_ratio: values.fraction("limits", "retry_ratio")?,
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -20,6 +20,9 @@
 /// How long a watch of the store lasts without news.
 const WATCH: Duration = Duration::from_millis(500);
 
+/// How long a starting gateway listens: two rounds of reports.
+const LISTEN_MS: u64 = 600;
+
 #[derive(Debug, Default)]
 struct Rows {
     version: u64,
@@ -149,6 +152,7 @@
             let settings = Settings {
                 name: format!("g{index}").into(),
                 zone: format!("z{}", index % zones).into(),
+                listen_ms: LISTEN_MS,
                 ..harness::settings()
             };
             metrics.push(settings.metrics_address);
