Pass on streams of both kinds in one place

The loops for streams that run once and for those that may be resumed had grown alike; one now serves both, and answers that are no streams of events are passed on as they come.

--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -51,7 +51,7 @@
 
 /// Whom a gateway tells of itself in every round.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Constant {
+pub enum Audience {
     /// Nobody.
     Nobody,
     /// Its availability zone, as that follows it.
@@ -92,7 +92,7 @@
 
     /// Returns the addresses of the others that get a report in a round: those whose turn it is, and those whom this
     /// gateway tells in every round.
-    pub fn due(&self, round: u64, constant: Constant, now_ms: u64) -> Vec<SocketAddr> {
+    pub fn due(&self, round: u64, audience: Audience, now_ms: u64) -> Vec<SocketAddr> {
         let others = self.contacts.len();
         let quiet_ms = reports::quiet_ms(others);
         let contacts = self.contacts.values().enumerate();
@@ -100,10 +100,10 @@
             let is_quiet = contact
                 .heard_ms
                 .is_none_or(|at_ms| now_ms.saturating_sub(at_ms) > quiet_ms);
-            let is_constant = match constant {
-                Constant::Nobody => false,
-                Constant::Zone => contact.zone == self.zone && !is_quiet,
-                Constant::Everyone => true,
+            let is_constant = match audience {
+                Audience::Nobody => false,
+                Audience::Zone => contact.zone == self.zone && !is_quiet,
+                Audience::Everyone => true,
             };
             is_constant || reports::is_due(*index, others, is_quiet, round)
         });
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -15,7 +15,7 @@
 use crate::drain::Phase;
 use crate::errors::ListenSnafu;
 use crate::knowledge;
-use crate::members::{Constant, Position};
+use crate::members::{Audience, Position};
 use crate::prelude::*;
 use crate::source::{Member, Topic};
 use crate::wake;
@@ -127,15 +127,15 @@
 
 fn recipients(gateway: &Gateway, round: u64) -> Vec<SocketAddr> {
     let is_stopping = gateway.drain.phase() != Phase::Serving;
-    let constant = match knowledge::is_reading(gateway) {
-        _ if is_stopping || round < FIRST_ROUNDS => Constant::Everyone,
-        true => Constant::Zone,
-        false => Constant::Nobody,
+    let audience = match knowledge::is_reading(gateway) {
+        _ if is_stopping || round < FIRST_ROUNDS => Audience::Everyone,
+        true => Audience::Zone,
+        false => Audience::Nobody,
     };
     let members = gateway.members.lock();
     match members.is_empty() {
         true => seeds(gateway),
-        false => members.due(round, constant, gateway.now_ms()),
+        false => members.due(round, audience, gateway.now_ms()),
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -27,9 +27,9 @@
     let mut response = Response::new(Body::default());
     serving.copy_head(head, &mut response);
     let is_resumable = serving.job().route.kind == Kind::Stream { is_resumable: true };
-    *response.body_mut() = match is_resumable {
-        true => resumable(serving, answer),
-        false => once(serving, answer),
+    *response.body_mut() = match is_resumable || has_events(&answer) {
+        true => events(serving, answer, is_resumable),
+        false => raw(serving, answer),
     };
     response
 }
@@ -61,79 +61,54 @@
     );
 }
 
-/// Passes on a stream that must not be run again. Events that are out of order belong to another stream, so that it
-/// breaks off before them.
-fn once(serving: Serving, mut answer: Answer) -> Body {
-    let has_events = has_events(&answer);
+/// Passes on an answer that is no stream of events.
+fn raw(serving: Serving, mut answer: Answer) -> Body {
     let pieces = stream! {
-        let mut progress = Progress::default();
-        let mut splitter = Splitter::default();
-        let broken = loop {
-            let data = match piece(&mut answer, serving.job().deadline).await {
-                Ok(Some(data)) => data,
+        loop {
+            match piece(&mut answer, serving.job().deadline).await {
+                Ok(Some(data)) => yield Ok(Frame::data(data)),
                 Ok(None) => {
-                    let rest = splitter.rest();
-                    if !rest.is_empty() {
-                        yield Ok(Frame::data(rest.into()));
-                    }
                     answer.complete();
                     return;
                 }
-                Err(broken) => break broken,
-            };
-            if !has_events {
-                yield Ok(Frame::data(data));
-                continue;
-            }
-            if splitter.push(&data).is_err() {
-                break broken(Reason::Crossed);
-            }
-            let (bytes, is_in_order) = take_events(&mut splitter, &mut progress, Repeats::Refused);
-            if !bytes.is_empty() {
-                yield Ok(Frame::data(bytes));
-            }
-            if !is_in_order {
-                break broken(Reason::Crossed);
+                Err(broken) => {
+                    abandon(&serving, answer, broken, None);
+                    yield Err(broken);
+                    return;
+                }
             }
-        };
-        answer.account.note(Evidence::Faulty);
-        drop(answer);
-        log_broken(&serving, broken, progress.last());
-        yield Err(broken);
+        }
     };
     StreamBody::new(pieces).boxed_unsync()
 }
 
-fn has_events(answer: &Answer) -> bool {
-    let kind = answer.head.headers.get(header::CONTENT_TYPE);
-    let kind = kind.and_then(|kind| kind.to_str().ok());
-    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
-}
-
-/// Passes on whole events, and goes on elsewhere after the last one when the stream breaks off.
-fn resumable(mut serving: Serving, mut answer: Answer) -> Body {
+/// Passes on whole events. When the stream breaks off, one that may be resumed goes on elsewhere after the last event.
+/// Events that are out of order belong to another stream, so that it breaks off before them.
+fn events(mut serving: Serving, mut answer: Answer, is_resumable: bool) -> Body {
     let pieces = stream! {
-        let mut progress = Progress::after(serving.job().last_event);
+        let last_event = serving.job().last_event.filter(|_| is_resumable);
+        let mut progress = Progress::after(last_event);
         loop {
             let mut splitter = Splitter::default();
             let broken = loop {
-                let gap = Instant::now() + Duration::from_millis(GAP_MS);
-                let until = gap.min(serving.job().deadline);
-                match piece(&mut answer, until).await {
+                match piece(&mut answer, patience(&serving, is_resumable)).await {
                     Ok(Some(data)) => {
                         if splitter.push(&data).is_err() {
                             break broken(Reason::Crossed);
                         }
                     }
-                    Ok(None) if splitter.is_empty() => {
+                    Ok(None) if is_resumable && !splitter.is_empty() => break broken(Reason::Cut),
+                    Ok(None) => {
+                        let rest = splitter.rest();
+                        if !rest.is_empty() {
+                            yield Ok(Frame::data(rest.into()));
+                        }
                         answer.complete();
                         return;
                     }
-                    Ok(None) => break broken(Reason::Cut),
                     Err(broken) => break broken,
                 }
-                let (bytes, is_in_order) =
-                    take_events(&mut splitter, &mut progress, Repeats::Dropped);
+                let (bytes, is_in_order) = take_events(&mut splitter, &mut progress, is_resumable);
                 if !bytes.is_empty() {
                     yield Ok(Frame::data(bytes));
                 }
@@ -141,10 +116,12 @@
                     break broken(Reason::Crossed);
                 }
             };
-            answer.account.note(Evidence::Faulty);
-            drop(answer);
-            log_broken(&serving, broken, progress.last());
-            answer = match resume(&mut serving, broken, progress.last()).await {
+            abandon(&serving, answer, broken, progress.last());
+            let next = match is_resumable {
+                true => resume(&mut serving, broken, progress.last()).await,
+                false => Err(broken),
+            };
+            answer = match next {
                 Ok(next) => next,
                 Err(broken) => {
                     yield Err(broken);
@@ -156,27 +133,42 @@
     StreamBody::new(pieces).boxed_unsync()
 }
 
-/// What becomes of events that the caller has already.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Repeats {
-    /// They are left out: a target that goes on with a stream may repeat some.
-    Dropped,
-    /// They end the stream.
-    Refused,
+/// Returns until when the next piece must come.
+fn patience(serving: &Serving, is_resumable: bool) -> Instant {
+    let deadline = serving.job().deadline;
+    let gap = Instant::now() + Duration::from_millis(GAP_MS);
+    match is_resumable {
+        true => gap.min(deadline),
+        false => deadline,
+    }
+}
+
+/// Closes the connection of an answer that broke off.
+fn abandon(serving: &Serving, mut answer: Answer, broken: Broken, last_event: Option<u64>) {
+    answer.account.note(Evidence::Faulty);
+    drop(answer);
+    log_broken(serving, broken, last_event);
+}
+
+fn has_events(answer: &Answer) -> bool {
+    let kind = answer.head.headers.get(header::CONTENT_TYPE);
+    let kind = kind.and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
 }
 
-/// Takes the whole events that come next; `false` if the one after them is out of order.
+/// Takes the whole events that come next; `false` if the one after them is out of order. A target that goes on with a
+/// stream may repeat events, which are then left out, as `may_repeat` says.
 fn take_events(
     splitter: &mut Splitter,
     progress: &mut Progress,
-    repeats: Repeats,
+    may_repeat: bool,
 ) -> (Bytes, bool) {
     let mut bytes = Vec::new();
     for event in splitter {
-        match (progress.take(event.id), repeats) {
-            (Place::Next, _) => bytes.extend(event.bytes),
-            (Place::Repeated, Repeats::Dropped) => {}
-            (Place::Repeated, Repeats::Refused) | (Place::Gap, _) => return (bytes.into(), false),
+        match progress.take(event.id) {
+            Place::Next => bytes.extend(event.bytes),
+            Place::Repeated if may_repeat => {}
+            Place::Repeated | Place::Gap => return (bytes.into(), false),
         }
     }
     (bytes.into(), true)
