Ask any gateway that has it for a whole list; answer a new gateway's report at once

By reading: a gateway without a list asked the reader of its zone alone and gave up after 1 s; 3,000 targets take half a megabyte, a hundred gateways ask at once, and the link of one carries that in seconds, so that they asked again and again. Now the whole list is asked of any gateway that has it, at random, within 5 s, and each that gets it can tell it. Test: a list that nine of 300 have reaches all within 8 rounds of four answers each.

verify_few_gateways_read_the_store failed once with 4 readers instead of 3, after this change and on a busy machine. By reading: two gateways knew of each other only after three periods of reports, 750 ms, while the test listens for 600. A run of the same tests hung for ten minutes: of eight gateways seven ran, all with the catalogue, as the look at their listeners and metrics showed; the eighth had lost its port to another one. Ports of the tests now lie below those of outgoing connections, are never handed out twice in a process, and a fleet that does not begin fails within 30 s.

--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -7,6 +7,7 @@
 
 use std::cmp::Reverse;
 
+use rand::seq::IndexedRandom;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
@@ -105,6 +106,34 @@
     readers.min_by_key(|peer| (peer.zone != zone, peer.rank()))
 }
 
+/// Returns a peer to ask for the whole of a topic: at random among those that know the newest entry, whether they read
+/// the store or not, of the own zone if possible. Whoever has heard it can tell it, so that after the loss of all the
+/// many gateways of a zone do not wait for the link of one.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::readers::{self, Peer, Standing};
+///
+/// let peer = |name, newest| Peer { name, zone: "z1", link_mbps: 10, standing: Standing::Idle, newest };
+/// let peers = [peer("g1", 7), peer("g2", 0)];
+/// let informed = readers::informed("z1", peers.into_iter(), &mut rand::rng());
+/// assert_eq!(informed.unwrap().name, "g1");
+/// assert!(readers::informed("z1", std::iter::empty(), &mut rand::rng()).is_none());
+/// ```
+pub fn informed<'a>(
+    zone: &str,
+    peers: impl Iterator<Item = Peer<'a>>,
+    random: &mut impl Rng,
+) -> Option<Peer<'a>> {
+    let known: Vec<Peer<'a>> = peers.filter(|peer| peer.newest > 0).collect();
+    let newest = known.iter().map(|peer| peer.newest).max()?;
+    let rank = |peer: &Peer<'a>| (peer.newest < newest, peer.zone != zone);
+    let best = known.iter().map(rank).min()?;
+    let best: Vec<&Peer<'a>> = known.iter().filter(|peer| rank(peer) == best).collect();
+    best.choose(random).map(|peer| **peer)
+}
+
 /// How far gateway `me` is with a topic.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -251,3 +251,41 @@
     assert!((0..others).all(|index| hears(index, true, 4 * rounds)));
     assert!(reports::valid_ms(others) > reports::silent_ms(others, false));
 }
+
+/// Load: the loss of all of a large fleet. Of a hundred gateways of a zone, a few were served by the store and the others
+/// were turned away. Those that ask for the whole spread over all that have it, and each that gets it can tell it.
+#[test]
+fn verify_whole_list_is_asked_of_all_that_have_it() {
+    let names = names(300);
+    let mut random = rand::rng();
+    let mut informed: Vec<bool> = (0..300).map(|index| index < 9).collect();
+    let mut rounds = 0;
+    while informed.iter().any(|is_informed| !is_informed) {
+        let peers = || {
+            let all = peers(&names).zip(&informed);
+            all.map(|(peer, is_informed)| Peer {
+                standing: Standing::Lost,
+                newest: u64::from(*is_informed),
+                ..peer
+            })
+        };
+        let mut asked = vec![0; 300];
+        let mut told = informed.clone();
+        for (index, me) in names
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| !informed[*index])
+        {
+            let zone = ["z0", "z1", "z2"][index % 3];
+            let others = peers().filter(|peer| peer.name != me);
+            let teller = readers::informed(zone, others, &mut random).unwrap();
+            let teller = names.iter().position(|name| name == teller.name).unwrap();
+            // A gateway tells four others in the time that one round takes.
+            asked[teller] += 1;
+            told[index] = asked[teller] <= 4;
+        }
+        informed = told;
+        rounds += 1;
+        assert!(rounds < 8, "the list does not spread");
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -110,29 +110,34 @@
     }
 }
 
-/// Returns the gateway to ask for news: one that is ahead, or, for a gateway that does not follow the store, any
-/// that does.
+/// Returns the gateway to ask for news: at first any that knows the whole, then one that is ahead, or, for a gateway
+/// that does not follow the store, one that does.
 fn peer_to_follow(
     gateway: &Gateway,
     topic: Topic,
     avoided: Option<SocketAddr>,
 ) -> Option<SocketAddr> {
     let now_ms = gateway.now_ms();
-    let (is_following, progress) = with_view(gateway, topic, |view| {
+    let (is_following, is_filled, progress) = with_view(gateway, topic, |view| {
         let progress = Progress {
             newest: view.log.newest(),
             complete: view.log.version(),
         };
-        (view.is_following(), progress)
+        (view.is_following(), view.log.is_filled(), progress)
     });
+    let zone = &gateway.settings.zone;
     let members = gateway.members.lock();
     let peers = || {
         let heard = members.heard(topic, now_ms);
         heard.filter(|peer| members.address(peer.name) != avoided)
     };
+    if !is_filled {
+        let informed = readers::informed(zone, peers(), &mut rand::rng());
+        return members.address(informed?.name);
+    }
     let chosen = readers::ahead(progress, peers()).or_else(|| match is_following {
         true => None,
-        false => readers::best(&gateway.settings.zone, peers()),
+        false => readers::best(zone, peers()),
     });
     members.address(chosen?.name)
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -137,8 +137,8 @@
         }
     }
 
-    /// Takes in what a gateway says of itself.
-    pub fn hear(&mut self, report: &Report, now_ms: u64) {
+    /// Takes in what a gateway says of itself. Returns whether it is news that it lives.
+    pub fn hear(&mut self, report: &Report, now_ms: u64) -> bool {
         let contact = Contact {
             address: report.member.address,
             heard_ms: Some(now_ms),
@@ -147,7 +147,8 @@
             operators: report.operators,
             targets: report.targets,
         };
-        self.contacts.insert(report.member.name.clone(), contact);
+        let former = self.contacts.insert(report.member.name.clone(), contact);
+        former.is_none_or(|former| former.heard_ms.is_none())
     }
 
     /// Forgets a gateway.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,6 +25,10 @@
 /// The time limit of a question beyond its wait.
 const NEWS_MARGIN: Duration = Duration::from_millis(400);
 
+/// The time limit of a question for the whole of a topic: 3,000 targets take half a megabyte, and several gateways may
+/// ask the same one over a link of 10 Mbit/s.
+const WHOLE: Duration = Duration::from_secs(5);
+
 /// The largest question to a gateway, in bytes.
 const QUESTION_MAX: usize = 4_096;
 
@@ -68,8 +72,12 @@
         .header(hyper::header::HOST, address.to_string())
         .body(Full::from(question))
         .context(BuildSnafu)?;
+    let limit = match since {
+        Some(_) => NEWS + NEWS_MARGIN,
+        None => WHOLE,
+    };
     let client = gateway.members.lock().client(address, topic);
-    let response = client.call(request, NEWS + NEWS_MARGIN).await?;
+    let response = client.call(request, limit).await?;
     rmp_serde::from_slice(response.body()).context(DecodeSnafu { address })
 }
 
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -94,19 +94,26 @@
         tokio::select! {
             _ = ticks.tick() => {
                 wake::beat(&gateway);
-                send_reports(&gateway, &socket, round).await;
+                send_reports(&gateway, &socket, &recipients(&gateway, round));
                 gateway.tidy();
                 round += 1;
             }
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, sender)) => take_report(&gateway, &buffer[..length], sender),
+                Ok((length, sender)) => {
+                    // A gateway that is new gets an answer at once, so that it knows whom to follow.
+                    let new = take_report(&gateway, &buffer[..length], sender);
+                    send_reports(&gateway, &socket, new.as_slice());
+                }
                 Err(error) => log::warn!(error:% = error; "a report was not received"),
             },
         }
     }
 }
 
-async fn send_reports(gateway: &Gateway, socket: &UdpSocket, round: u64) {
+fn send_reports(gateway: &Gateway, socket: &UdpSocket, addresses: &[SocketAddr]) {
+    if addresses.is_empty() {
+        return;
+    }
     let bytes = match rmp_serde::to_vec(&report(gateway)) {
         Ok(bytes) if bytes.len() <= DATAGRAM_MAX => bytes,
         Ok(bytes) => {
@@ -118,8 +125,8 @@
             return;
         }
     };
-    for address in recipients(gateway, round) {
-        if let Err(error) = socket.try_send_to(&bytes, address) {
+    for address in addresses {
+        if let Err(error) = socket.try_send_to(&bytes, *address) {
             log::debug!(address:% = address, error:% = error; "a report was not sent");
         }
     }
@@ -148,12 +155,13 @@
     addresses.filter(|address| *address != own).collect()
 }
 
-fn take_report(gateway: &Gateway, bytes: &[u8], sender: SocketAddr) {
+/// Takes in a report, and returns the address of a gateway that is new.
+fn take_report(gateway: &Gateway, bytes: &[u8], sender: SocketAddr) -> Option<SocketAddr> {
     let report: Report = match rmp_serde::from_slice(bytes) {
         Ok(report) => report,
         Err(error) => {
             log::warn!(sender:% = sender, error:% = error; "a report cannot be read");
-            return;
+            return None;
         }
     };
     gateway.metrics.reports.inc();
@@ -163,14 +171,18 @@
         let view = views.entry(Topic::Targets).or_default();
         knowledge::note_follower(view, report.followed_ms, now_ms);
     }
-    {
+    let is_new = {
         let mut members = gateway.members.lock();
         match report.is_stopping {
-            true => members.remove(&report.member.name),
+            true => {
+                members.remove(&report.member.name);
+                false
+            }
             false => members.hear(&report, now_ms),
         }
-    }
-    let name = report.member.name;
+    };
+    let Member { name, address } = report.member;
     let mut roster = gateway.roster.lock();
     command::note_report(&mut roster, name, report.running, now_ms);
+    is_new.then_some(address)
 }
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -1,6 +1,10 @@
 //! Tests of several gateways that share one store, which turns some of them away.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+#![expect(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a test fails by panicking"
+)]
 
 #[path = "support/fleet.rs"]
 mod fleet;
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -17,6 +17,9 @@
 
 use super::harness::{self, exchange};
 
+/// How long a fleet may take to begin. It bounds a hanging test; no verdict depends on it.
+const PATIENCE: Duration = Duration::from_secs(30);
+
 /// How long a watch of the store lasts without news.
 const WATCH: Duration = Duration::from_millis(500);
 
@@ -160,7 +163,8 @@
             harness::spawn(settings, source);
         }
         let fleet = Self { store, metrics };
-        fleet.wait_for_version(1).await;
+        let begun = time::timeout(PATIENCE, fleet.wait_for_version(1));
+        begun.await.expect("a gateway does not begin");
         fleet
     }
 
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
 use std::net::{SocketAddr, TcpListener as Port};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,10 +49,31 @@
     }
 }
 
+/// The ports that gateways of tests use: below those that the system gives to outgoing connections, which would take
+/// a port between its choice and its use.
+const PORTS: std::ops::Range<u16> = 30_500..32_700;
+
+/// Where the search for free ports goes on.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+fn free_ports(count: usize) -> Vec<SocketAddr> {
+    let own = (std::process::id() % PORTS.len() as u32) as u16;
+    let mut found = Vec::new();
+    while found.len() < count {
+        let next = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
+        let port = PORTS.start + (own.wrapping_add(next)) % PORTS.len() as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if Port::bind(address).is_ok() {
+            found.push(address);
+        }
+    }
+    found
+}
+
 /// Returns settings with free ports.
 pub fn settings() -> Settings {
-    let ports: Vec<Port> = (0..5).map(|_| Port::bind("127.0.0.1:0").unwrap()).collect();
-    let address = |index: usize| ports[index].local_addr().unwrap();
+    let ports = free_ports(5);
+    let address = |index: usize| ports[index];
     Settings {
         name: "g1".into(),
         zone: "z1".into(),
@@ -76,7 +98,12 @@
 pub fn spawn(settings: Settings, source: Source) -> Arc<Gateway> {
     let gateway = Arc::new(Gateway::new(settings.clone(), dialect()).unwrap());
     let reload = move || Ok(settings.clone());
-    tokio::spawn(run::run(gateway.clone(), source, Box::new(reload)));
+    let running = run::run(gateway.clone(), source, Box::new(reload));
+    tokio::spawn(async move {
+        if let Err(error) = running.await {
+            eprintln!("a gateway ended: {error}");
+        }
+    });
     gateway
 }
 
--- a/crates/gateway/tests/wake.rs
+++ b/crates/gateway/tests/wake.rs
@@ -1,6 +1,10 @@
 //! Tests of what a gateway does after it stood still, and after its settings changed.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+#![expect(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a test fails by panicking"
+)]
 
 #[path = "support/fleet.rs"]
 mod fleet;
