--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -48,7 +48,7 @@
 ///
 /// # Errors
 ///
-/// As [`Client::call`], and `Error::Decode` for an answer that cannot be read.
+/// As [`Client::call`](crate::client::Client::call), and `Error::Decode` for an answer that cannot be read.
 pub async fn news(
     gateway: &Gateway,
     address: SocketAddr,
