Take no new callers once a stopping gateway closes its connections

Its logs show the cause: g1 stopped, and ended 7.7 s later, at the end of its grace period, with three requests running; the others ended after 4 to 5 s with none. A gateway that closes its connections went on accepting, so that callers that came back to it always had something running, and what ran last was cut off. Ruled out: long requests, as a stream takes 0.2 s here. New test of the phase; before, it never ended.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -27,7 +27,8 @@
 /// The pause after a connection could not be accepted, as descriptors run out.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Accepts callers for ever.
+/// Accepts callers until the gateway closes its connections. A caller that came later might be cut off at the end of the
+/// grace period; one that is not accepted has sent nothing and goes elsewhere.
 ///
 /// # Errors
 ///
@@ -36,8 +37,14 @@
     let address = gateway.settings.caller_address;
     let listener = TcpListener::bind(address).await;
     let listener = listener.context(ListenSnafu { address })?;
+    let mut phases = gateway.drain.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // The sender lives as long as the gateway.
+            _ = phases.wait_for(|phase| *phase == Phase::Closing) => return Ok(()),
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve(gateway.clone(), stream));
             }
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -9,6 +9,7 @@
 
 use harness::{exchange, header, request, Act, Running, Script};
 use rstest::rstest;
+use sardinemux_gateway::drain::Phase;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time;
@@ -256,3 +257,29 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(header(&answer, "retry-after").is_some());
 }
+
+/// A gateway that closes its connections takes no new ones, so that nothing that comes late is cut off when it ends.
+#[tokio::test]
+async fn verify_closing_gateway_takes_no_new_caller() {
+    let settings = harness::settings();
+    let target = Script::start(Act::Answer).await;
+    let announcement = harness::announcement("t0", &target.address.to_string());
+    let source = harness::source(vec![announcement], true);
+    let gateway = harness::spawn(settings.clone(), source);
+    while !gateway.is_ready() {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    let request = request("GET", "/safe/", "", "");
+    gateway.drain.set(Phase::Leaving);
+    let answer = exchange(settings.caller_address, &request).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    gateway.drain.set(Phase::Closing);
+    let refused = async {
+        while TcpStream::connect(settings.caller_address).await.is_ok() {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    time::timeout(Duration::from_secs(5), refused)
+        .await
+        .unwrap();
+}
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -185,7 +185,7 @@
 }
 
 /// A source that lists a catalogue and targets once, and has no news after that.
-fn source(targets: Vec<Announcement>, has_catalog: bool) -> Source {
+pub fn source(targets: Vec<Announcement>, has_catalog: bool) -> Source {
     let list = move |topic: Topic| {
         let entries = match topic {
             Topic::Operators if has_catalog => vec![Entry {
