Log how each stream of a target ended

Each end of a target's stream is now logged with its framing (length, chunks, or the end of the connection), whether its head states events, the last event and the bytes after the last whole event, and counted in gateway_stream_ends_total by framing and outcome.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -115,6 +115,11 @@
         &self.gateway
     }
 
+    /// Returns the id of the target to which the request was sent last; empty if there is none.
+    pub fn target_id(&self) -> &SmolStr {
+        &self.last_target_id
+    }
+
     /// Sends the request to the best target, and to further ones as long as that is allowed, until one answers.
     /// `last_event_id` is the id of the last event that the caller has received.
     ///
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use sardinemux_core::roster::{command, query, Evidence};
 use sardinemux_core::target::{Key, Target};
 use tokio::time::{self, Instant};
@@ -48,6 +48,45 @@
     link: Connection,
 }
 
+/// What marks the end of an answer's body. Source: RFC 9112, section 6.3.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// The number of bytes that `Content-Length` states.
+    Length,
+    /// The last chunk of a chunked body.
+    Chunks,
+    /// The end of the connection.
+    Connection,
+}
+
+impl Framing {
+    /// Returns the framing that the head of an answer states. The answer must be one that can have a body.
+    pub fn of(headers: &HeaderMap) -> Self {
+        let coding = headers
+            .get_all(header::TRANSFER_ENCODING)
+            .iter()
+            .next_back();
+        let is_chunked = coding
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.rsplit(',').next())
+            .is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
+        match (is_chunked, coding.is_some()) {
+            (true, _) => Self::Chunks,
+            (false, false) if headers.contains_key(header::CONTENT_LENGTH) => Self::Length,
+            _ => Self::Connection,
+        }
+    }
+
+    /// Returns the name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// A guard that counts a request as in flight on its target until it is dropped.
 #[derive(Debug)]
 pub struct InFlight {
@@ -73,6 +112,18 @@
 }
 
 impl Answer {
+    /// Returns what marks the end of the body.
+    pub fn framing(&self) -> Framing {
+        Framing::of(&self.head.headers)
+    }
+
+    /// Returns whether the head states that the body is a stream of events.
+    pub fn is_event_stream(&self) -> bool {
+        let media_type = self.head.headers.get(header::CONTENT_TYPE);
+        let media_type = media_type.and_then(|value| value.to_str().ok());
+        media_type.is_some_and(|value| value.starts_with("text/event-stream"))
+    }
+
     /// Records that the answer arrived completely, and keeps the connection for reuse unless the target closes it.
     pub fn complete(mut self) {
         self.in_flight
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,8 @@
     pub first_byte_s: HistogramVec,
     /// Requests sent to targets, by pool and outcome.
     pub attempts: IntCounterVec,
+    /// Ends of targets' streams, by framing and outcome.
+    pub stream_ends: IntCounterVec,
     /// Calls to the store, by topic and outcome.
     pub store_calls: IntCounterVec,
     /// The version of the catalogue in force.
@@ -96,6 +98,11 @@
                     "Requests sent to targets",
                     &["pool", "outcome"],
                 )?,
+                stream_ends: counters(
+                    "gateway_stream_ends_total",
+                    "Ends of the streams of targets",
+                    &["framing", "outcome"],
+                )?,
                 store_calls: counters(
                     "gateway_store_calls_total",
                     "Calls to the store",
@@ -116,10 +123,11 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 7] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
+            Box::new(metrics.stream_ends.clone()),
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.catalog_version.clone()),
             Box::new(metrics.peer_reports.clone()),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use hyper::{header, Response};
+use hyper::Response;
 use sardinemux_core::catalog::Kind;
 use sardinemux_core::event::{Continuity, Cursor, Splitter};
 use sardinemux_core::roster::Evidence;
@@ -28,7 +28,7 @@
     let mut response = Response::new(Body::default());
     serving.copy_head(head, &mut response);
     let is_resumable = serving.inbound().route.kind == Kind::Stream { is_resumable: true };
-    *response.body_mut() = match is_resumable || is_event_stream(&answer) {
+    *response.body_mut() = match is_resumable || answer.is_event_stream() {
         true => forward_events(serving, answer, is_resumable),
         false => forward_chunks(serving, answer),
     };
@@ -61,12 +61,42 @@
     BodyError { reason }
 }
 
-fn log_interruption(serving: &Serving, cause: BodyError, last_event: Option<u64>) {
-    log::warn!(
-        request_id:% = serving.inbound().id_text(), reason = cause.reason.name(),
-        last_event = last_event.unwrap_or_default();
-        "stream broke off"
-    );
+/// How far a stream had come when it ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Progress {
+    /// The id of the last event that was forwarded.
+    last_event: Option<u64>,
+    /// The number of bytes after the last whole event.
+    unfinished_bytes: usize,
+}
+
+/// Counts and logs the end of a target's stream. `cause` is `None` if the stream ended normally.
+fn record_end(serving: &Serving, answer: &Answer, progress: Progress, cause: Option<BodyError>) {
+    let framing = answer.framing().name();
+    let outcome = cause.map_or("complete", |cause| cause.reason.name());
+    serving
+        .gateway()
+        .metrics
+        .stream_ends
+        .with_label_values(&[framing, outcome])
+        .inc();
+    let request_id = serving.inbound().id_text();
+    let target_id = serving.target_id();
+    let is_event_stream = answer.is_event_stream();
+    let last_event = progress.last_event.unwrap_or_default();
+    let unfinished_bytes = progress.unfinished_bytes;
+    match cause {
+        None => log::info!(
+            request_id:% = request_id, target_id:% = target_id, framing = framing,
+            is_event_stream = is_event_stream, last_event = last_event, unfinished_bytes = unfinished_bytes;
+            "stream ended"
+        ),
+        Some(cause) => log::warn!(
+            request_id:% = request_id, target_id:% = target_id, framing = framing, reason = cause.reason.name(),
+            is_event_stream = is_event_stream, last_event = last_event, unfinished_bytes = unfinished_bytes;
+            "stream broke off"
+        ),
+    }
 }
 
 /// Forwards an answer that is not a stream of events, chunk by chunk.
@@ -76,11 +106,12 @@
             match read_chunk(&mut answer, serving.inbound().deadline).await {
                 Ok(Some(data)) => yield Ok(Frame::data(data)),
                 Ok(None) => {
+                    record_end(&serving, &answer, Progress::default(), None);
                     answer.complete();
                     return;
                 }
                 Err(cause) => {
-                    abort(&serving, answer, cause, None);
+                    abort(&serving, answer, Progress::default(), cause);
                     yield Err(cause);
                     return;
                 }
@@ -109,6 +140,11 @@
                     Ok(None) if is_resumable && !splitter.is_empty() => break interrupted(Reason::Cut),
                     Ok(None) => {
                         let rest = splitter.into_rest();
+                        let progress = Progress {
+                            last_event: cursor.last_id(),
+                            unfinished_bytes: rest.len(),
+                        };
+                        record_end(&serving, &answer, progress, None);
                         if !rest.is_empty() {
                             yield Ok(Frame::data(rest.into()));
                         }
@@ -125,7 +161,11 @@
                     break interrupted(Reason::Crossed);
                 }
             };
-            abort(&serving, answer, cause, cursor.last_id());
+            let progress = Progress {
+                last_event: cursor.last_id(),
+                unfinished_bytes: splitter.into_rest().len(),
+            };
+            abort(&serving, answer, progress, cause);
             let next = match is_resumable {
                 true => resume(&mut serving, cause, cursor.last_id()).await,
                 false => Err(cause),
@@ -152,17 +192,10 @@
     }
 }
 
-/// Closes the connection of an answer that broke off, and reports the failure to the roster and the log.
-fn abort(serving: &Serving, mut answer: Answer, cause: BodyError, last_event: Option<u64>) {
+/// Closes the connection of an answer that broke off, and reports the failure to the roster, the log and the metrics.
+fn abort(serving: &Serving, mut answer: Answer, progress: Progress, cause: BodyError) {
     answer.in_flight.set_evidence(Evidence::TransportError);
-    drop(answer);
-    log_interruption(serving, cause, last_event);
-}
-
-fn is_event_stream(answer: &Answer) -> bool {
-    let media_type = answer.head.headers.get(header::CONTENT_TYPE);
-    let media_type = media_type.and_then(|value| value.to_str().ok());
-    media_type.is_some_and(|value| value.starts_with("text/event-stream"))
+    record_end(serving, &answer, progress, Some(cause));
 }
 
 /// Returns the bytes of the whole events that are buffered, and whether all of them were in order; the events from the
