--- /dev/null
+++ b/crates/gateway/tests/endings.rs
@@ -0,0 +1,61 @@
+//! Tests of the ends of answers: which ones count as complete, by framing and content.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+#[path = "support/harness.rs"]
+mod harness;
+
+use harness::{looks_complete, Behaviour, Ending, Framing, MockTarget, Script, TestGateway};
+use rstest::rstest;
+
+/// Two events.
+const WHOLE: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// Two events and a part of the third.
+const PART: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+
+/// A stream whose target closes or resets the connection inside an event.
+#[rstest]
+#[case::closed_without_framing(Framing::Connection, Ending::Close)]
+#[case::reset_without_framing(Framing::Connection, Ending::Reset)]
+#[case::closed_before_the_last_chunk(Framing::Chunks, Ending::Close)]
+#[case::reset_before_the_last_chunk(Framing::Chunks, Ending::Reset)]
+#[case::closed_before_its_length(Framing::Length(60), Ending::Close)]
+#[case::reset_before_its_length(Framing::Length(60), Ending::Reset)]
+#[tokio::test]
+async fn verify_stream_that_breaks_off_inside_an_event_does_not_look_complete(
+    #[case] framing: Framing,
+    #[case] ending: Ending,
+) {
+    let script = Script {
+        framing,
+        ending,
+        body: PART,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", "/stream/", "", "p").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(!looks_complete(&answer), "{answer}");
+}
+
+/// A stream that ends after an event is complete with each framing.
+#[rstest]
+#[case::close(Framing::Connection)]
+#[case::last_chunk(Framing::Chunks)]
+#[case::length(Framing::Length(WHOLE.len()))]
+#[tokio::test]
+async fn verify_stream_that_ends_after_an_event_is_complete(#[case] framing: Framing) {
+    let script = Script {
+        framing,
+        body: WHOLE,
+        ending: Ending::Finish,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", "/stream/", "", "p").await;
+    assert!(looks_complete(&answer), "{answer}");
+    assert!(answer.contains(WHOLE), "{answer}");
+}
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -251,6 +251,78 @@
     SkipEvent,
     /// Sends event 1 and then event 2 twice, and completes the stream.
     RepeatEvent,
+    /// Sends a body with a given framing, which may break off.
+    Send(Script),
+}
+
+/// What marks the end of the body of a scripted answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// A stated length, in bytes.
+    Length(usize),
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection.
+    Connection,
+}
+
+/// How a scripted answer ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// With the last chunk, if it is chunked, and the close of the connection.
+    Finish,
+    /// With the close of the connection.
+    Close,
+    /// With a reset of the connection.
+    Reset,
+}
+
+/// A signed answer with status 200.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Script {
+    /// What marks the end of the body.
+    pub framing: Framing,
+    /// The media type; `None` if the head states none.
+    pub media_type: Option<&'static str>,
+    /// The bytes of the body that are sent.
+    pub body: &'static str,
+    /// How the answer ends.
+    pub ending: Ending,
+}
+
+impl Default for Script {
+    fn default() -> Self {
+        Self {
+            framing: Framing::Connection,
+            media_type: Some("text/event-stream"),
+            body: "",
+            ending: Ending::Close,
+        }
+    }
+}
+
+impl Script {
+    /// Returns the bytes of the answer to the request with this id.
+    fn encode(&self, id: &str) -> String {
+        let mut answer = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\n");
+        if let Some(media_type) = self.media_type {
+            answer.push_str(&format!("content-type: {media_type}\r\n"));
+        }
+        let body = self.body;
+        answer.push_str(&match self.framing {
+            Framing::Length(length) => format!("content-length: {length}\r\n\r\n{body}"),
+            Framing::Chunks if body.is_empty() => "transfer-encoding: chunked\r\n\r\n".into(),
+            Framing::Chunks => {
+                let length = body.len();
+                format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n")
+            }
+            Framing::Connection => format!("\r\n{body}"),
+        });
+        if self.framing == Framing::Chunks && self.ending == Ending::Finish {
+            answer.push_str("0\r\n\r\n");
+        }
+        answer
+    }
 }
 
 /// What a mock target has observed.
@@ -334,6 +406,7 @@
                 let all: Vec<&str> = all.iter().map(String::as_str).collect();
                 event_stream(&id, &all) + "0\r\n\r\n"
             }
+            Behaviour::Send(script) => script.encode(&id),
             Behaviour::Reset | Behaviour::Hang => String::new(),
         };
         if behaviour == Behaviour::Hang {
@@ -343,15 +416,17 @@
             return;
         }
         stream.write_all(answer.as_bytes()).await.unwrap();
-        if matches!(
-            behaviour,
-            Behaviour::Reset | Behaviour::Truncate | Behaviour::BreakStream
-        ) {
+        let ending = match behaviour {
+            Behaviour::Send(script) => script.ending,
+            Behaviour::Reset | Behaviour::Truncate | Behaviour::BreakStream => Ending::Reset,
+            _ => continue,
+        };
+        if ending == Ending::Reset {
             stream.flush().await.unwrap();
             time::sleep(Duration::from_millis(30)).await;
             stream.set_zero_linger().unwrap();
-            return;
         }
+        return;
     }
 }
 
@@ -459,6 +534,25 @@
     )
 }
 
+/// Returns whether an answer is a success whose framing marks its body as complete.
+pub fn looks_complete(answer: &str) -> bool {
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let is_success = head
+        .split(' ')
+        .nth(1)
+        .is_some_and(|status| status.starts_with('2'));
+    let is_chunked = header(answer, "transfer-encoding").is_some();
+    let length = header(answer, "content-length").map(|length| length.parse::<usize>().unwrap());
+    is_success
+        && match (is_chunked, length) {
+            (true, _) => body.ends_with("0\r\n\r\n"),
+            (false, Some(length)) => body.len() >= length,
+            (false, None) => true,
+        }
+}
+
 /// Sends `request` and returns everything that is received until the connection ends.
 pub async fn exchange(address: SocketAddr, request: &str) -> String {
     let mut stream = TcpStream::connect(address).await.unwrap();
