Break off a stream that ends inside an event, whatever its framing

An engine may send a stream with neither a length nor chunks; the end of its connection then ends the body, and a crash ends the connection in the same way. The gateway forwarded what was left of the last event and ended the caller's body with a last chunk. Only streams that may be resumed were checked for such a rest, which is why all reported requests are of the one route whose streams must not be resumed.

A stream now counts as complete only if it ends outside an event, for streams of either kind and for each framing. One that ends inside an event is treated as cut: resumed where that is allowed, otherwise the caller's connection is closed without a last chunk. Blank lines and comments after the last event are no part of another one and are still forwarded.

In the property test of the splitter, is_empty, which has no other use left, becomes the equally strict into_rest().is_empty().

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -42,7 +42,7 @@
     /// splitter.push(b"id: 4\ndata: a\n\nid: 5").unwrap();
     /// assert_eq!(splitter.next().unwrap().id, Some(4));
     /// assert!(splitter.next().is_none());
-    /// assert!(!splitter.is_empty());
+    /// assert!(splitter.is_inside_event());
     /// ```
     pub fn push(&mut self, piece: &[u8]) -> Result<()> {
         let found = (self.buffer.len() + piece.len()) as u64;
@@ -57,9 +57,9 @@
         Ok(())
     }
 
-    /// Returns whether no bytes are buffered.
-    pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+    /// Returns whether the buffered bytes are a part of an event, so that a stream that ends here has been broken off.
+    pub fn is_inside_event(&self) -> bool {
+        ends_inside_event(&self.buffer)
     }
 
     /// Returns the bytes that are still buffered: an incomplete event, or nothing.
@@ -99,6 +99,42 @@
     field.trim().parse().ok()
 }
 
+/// Returns whether the end of these bytes of a stream lies inside an event. Blank lines and whole comments after the last
+/// event are not a part of another one.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::event;
+///
+/// assert!(!event::ends_inside_event(b"data: a\n\n: comment\n"));
+/// assert!(event::ends_inside_event(b"data: a\n\nid: 5\n"));
+/// assert!(event::ends_inside_event(b"data: a\n\nid"));
+/// ```
+pub fn ends_inside_event(bytes: &[u8]) -> bool {
+    let mut rest = bytes;
+    let mut is_inside = false;
+    while let Some((line, after)) = split_line(rest) {
+        is_inside = match line.first() {
+            None => false,
+            Some(b':') => is_inside,
+            Some(_) => true,
+        };
+        rest = after;
+    }
+    is_inside || !rest.is_empty()
+}
+
+/// Splits off the first line, which ends with LF, CRLF or CR. Returns it without its end, and the bytes after it.
+fn split_line(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let end = bytes
+        .iter()
+        .position(|byte| matches!(byte, b'\n' | b'\r'))?;
+    let (line, rest) = bytes.split_at(end);
+    let rest = rest.strip_prefix(b"\r\n").unwrap_or(&rest[1..]);
+    Some((line, rest))
+}
+
 /// How an event relates to those that the caller already has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Continuity {
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -307,6 +307,6 @@
             }
         }
         prop_assert_eq!(bytes, whole.as_bytes());
-        prop_assert!(splitter.is_empty());
+        prop_assert!(splitter.into_rest().is_empty());
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -121,9 +121,10 @@
     StreamBody::new(chunks).boxed_unsync()
 }
 
-/// Forwards whole events; a stream that is not resumable may end with bytes that are not a whole event, and these are
-/// forwarded as well. A resumable stream that breaks off is resumed at another target after the last event that was
-/// forwarded. An event that is out of order belongs to another stream, so this stream breaks off before it.
+/// Forwards whole events. A stream that ends inside an event has broken off, whatever its framing: the end of a
+/// connection may mark the end of the answer or a crash of the target. A resumable stream that breaks off is resumed at
+/// another target after the last event that was forwarded. An event that is out of order belongs to another stream, so
+/// this stream breaks off before it.
 fn forward_events(mut serving: Serving, mut answer: Answer, is_resumable: bool) -> Body {
     let chunks = stream! {
         let last_event = serving.inbound().last_event_id.filter(|_| is_resumable);
@@ -137,7 +138,7 @@
                             break interrupted(Reason::Crossed);
                         }
                     }
-                    Ok(None) if is_resumable && !splitter.is_empty() => break interrupted(Reason::Cut),
+                    Ok(None) if splitter.is_inside_event() => break interrupted(Reason::Cut),
                     Ok(None) => {
                         let rest = splitter.into_rest();
                         let progress = Progress {
