--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -117,11 +117,16 @@
         Framing::of(&self.head.headers)
     }
 
+    /// Returns the media type of the body without its parameters; `None` if the head states none.
+    pub fn media_type(&self) -> Option<&str> {
+        let value = self.head.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+        value.split(';').next().map(str::trim)
+    }
+
     /// Returns whether the head states that the body is a stream of events.
     pub fn is_event_stream(&self) -> bool {
-        let media_type = self.head.headers.get(header::CONTENT_TYPE);
-        let media_type = media_type.and_then(|value| value.to_str().ok());
-        media_type.is_some_and(|value| value.starts_with("text/event-stream"))
+        let media_type = self.media_type();
+        media_type.is_some_and(|media_type| media_type.eq_ignore_ascii_case("text/event-stream"))
     }
 
     /// Records that the answer arrived completely, and keeps the connection for reuse unless the target closes it.
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -59,3 +59,24 @@
     assert!(looks_complete(&answer), "{answer}");
     assert!(answer.contains(WHOLE), "{answer}");
 }
+
+/// A streaming route answers with events even if the head states no media type, or one with parameters or capitals.
+#[rstest]
+#[case::no_media_type(None)]
+#[case::capitals(Some("Text/Event-Stream"))]
+#[case::parameters(Some("text/event-stream; charset=utf-8"))]
+#[tokio::test]
+async fn verify_stream_without_a_plain_media_type_does_not_look_complete_when_cut(
+    #[case] media_type: Option<&'static str>,
+) {
+    let script = Script {
+        media_type,
+        body: PART,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", "/stream/", "", "p").await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(!looks_complete(&answer), "{answer}");
+}
