Do not deliver a buffered stream of events that breaks off

An answer with the media type of an event stream on a route that is not a streaming one is buffered, and was delivered with a length of its own even if its connection had ended inside an event: a caller got a part that was framed as the whole. It is now treated as cut, like one that is forwarded as it arrives: sent to another target where that is allowed, otherwise answered 502. Buffered answers that break off are logged, with their framing. verify_buffered_events_that_break_off_are_not_delivered failed before in both cases (200 with a length) and passes now.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -9,6 +9,7 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode};
 use sardinemux_core::attempts::{self, Attempts};
+use sardinemux_core::event;
 use sardinemux_core::roster::query::{self, Criteria};
 use sardinemux_core::roster::Evidence;
 use sardinemux_core::target::{Key, Target};
@@ -259,13 +260,23 @@
         let collected = Limited::new(&mut answer.body, BUFFERED_MAX_BYTES).collect();
         let reason = match time::timeout_at(self.inbound.deadline, collected).await {
             Ok(Ok(whole)) => {
-                let response = Response::from_parts(answer.head.clone(), whole.to_bytes());
-                answer.complete();
-                return Ok(self.retry_server_error(response));
+                let bytes = whole.to_bytes();
+                let is_cut = answer.is_event_stream() && event::ends_inside_event(&bytes);
+                if !is_cut {
+                    let response = Response::from_parts(answer.head.clone(), bytes);
+                    answer.complete();
+                    return Ok(self.retry_server_error(response));
+                }
+                Reason::Cut
             }
             Ok(Err(_)) => Reason::Cut,
             Err(_) => Reason::Silence,
         };
+        log::info!(
+            request_id:% = self.inbound.id_text(), target_id:% = self.last_target_id,
+            framing = answer.framing().name(), reason = reason.name();
+            "answer broke off"
+        );
         answer.in_flight.set_evidence(Evidence::TransportError);
         drop(answer);
         self.admit_retry(reason)?;
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -80,3 +80,22 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     assert!(!looks_complete(&answer), "{answer}");
 }
+
+/// A buffered answer that is a stream of events is checked like one that is forwarded as it arrives.
+#[rstest]
+#[case::safe("GET", "/safe/")]
+#[case::unsafe_request("POST", "/unsafe/")]
+#[tokio::test]
+async fn verify_buffered_events_that_break_off_are_not_delivered(
+    #[case] method: &str,
+    #[case] path: &str,
+) {
+    let script = Script {
+        body: PART,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call(method, path, "", "").await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+}
