Break off a stream whose connection ends before its first event

A target that crashes right after the head of an answer with neither a length nor chunks closes its connection, and the caller got an empty stream that was framed as complete. The end of the connection alone does not show that a stream has no events: such a stream is now treated as cut. A stated length of zero, a last chunk, and answers that have no body by their status still count as complete. verify_stream_that_closes_before_its_first_event_does_not_look_complete failed before and passes now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -117,6 +117,13 @@
         Framing::of(&self.head.headers)
     }
 
+    /// Returns whether the answer is known to be complete if its body ends before any byte has arrived. The end of the
+    /// connection alone does not show that: the target may have crashed after the head. Call this before the body is
+    /// read.
+    pub fn may_be_empty(&self) -> bool {
+        self.framing() != Framing::Connection || self.body.is_end_stream()
+    }
+
     /// Returns the media type of the body without its parameters; `None` if the head states none.
     pub fn media_type(&self) -> Option<&str> {
         let value = self.head.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -133,14 +133,18 @@
         let mut cursor = Cursor::after(last_event);
         loop {
             let mut splitter = Splitter::default();
+            let mut may_be_complete = answer.may_be_empty();
             let cause = loop {
                 match read_chunk(&mut answer, chunk_deadline(&serving, is_resumable)).await {
                     Ok(Some(data)) => {
+                        may_be_complete = true;
                         if splitter.push(&data).is_err() {
                             break interrupted(Reason::Crossed);
                         }
                     }
-                    Ok(None) if splitter.is_inside_event() => break interrupted(Reason::Cut),
+                    Ok(None) if splitter.is_inside_event() || !may_be_complete => {
+                        break interrupted(Reason::Cut);
+                    }
                     Ok(None) => {
                         let rest = splitter.into_rest();
                         let progress = Progress {
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -99,3 +99,12 @@
     let answer = gateway.call(method, path, "", "").await;
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
 }
+
+/// A connection that ends right after the head is no evidence of an empty stream.
+#[tokio::test]
+async fn verify_stream_that_closes_before_its_first_event_does_not_look_complete() {
+    let target = MockTarget::start(Behaviour::Send(Script::default())).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", "/stream/", "", "p").await;
+    assert!(!looks_complete(&answer), "{answer}");
+}
