Buffer answers of unknown length for callers without chunks

A caller that speaks HTTP/1.0 got a stream whose end was marked by the end of its connection. A stream that broke off, or a gateway that ended or was killed meanwhile, looked like the end of a complete answer. Such an answer is now read completely and sent with its length; if it breaks off, the caller gets 502 or 504 instead. verify_broken_stream_does_not_look_complete_to_a_caller_without_chunks failed before in both cases (200, a part of the stream, connection closed) and passes now.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body as _;
 use hyper::header::{self, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode};
@@ -367,10 +368,9 @@
         if let Some(fallback) = self.fallback.take() {
             return self.deliver(fallback);
         }
-        let status = match (failure.outcome, failure.reason) {
-            (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
-            (_, Reason::Silence | Reason::Waited) => StatusCode::GATEWAY_TIMEOUT,
-            _ => StatusCode::BAD_GATEWAY,
+        let status = match failure.outcome {
+            Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            _ => failure_status(failure.reason),
         };
         self.record_answer(status);
         let mut response = text_response(status, failure.reason.name());
@@ -437,6 +437,39 @@
     }
 }
 
+/// Reads an answer of unknown length completely and states its length, for a caller to which no chunks can be sent. Such
+/// a caller could not tell an answer that breaks off, also at the end of this process, from a complete one.
+///
+/// An answer that breaks off is replaced by a failure.
+pub async fn buffer(response: Response<Body>) -> Response<Body> {
+    if response.body().size_hint().exact().is_some() {
+        return response;
+    }
+    let (head, body) = response.into_parts();
+    let bytes = match Limited::new(body, BUFFERED_MAX_BYTES).collect().await {
+        Ok(whole) => whole.to_bytes(),
+        Err(error) => {
+            let reason = error.downcast::<BodyError>();
+            let reason = reason.map_or(Reason::Cut, |error| error.reason);
+            return text_response(failure_status(reason), reason.name());
+        }
+    };
+    let length = HeaderValue::from(bytes.len());
+    let mut response = Response::from_parts(head, full_body(bytes));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_LENGTH, length);
+    response
+}
+
+/// Returns the status of the answer to a request that may have run and failed for this reason.
+fn failure_status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::Silence | Reason::Waited => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
 /// Counts a request as running until the body of its answer has been sent or dropped.
 pub fn track_body(body: Body, running: crate::drain::Guard) -> Body {
     let mut running = Some(running);
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -7,7 +7,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -99,6 +99,7 @@
     let running = gateway.drain.guard();
     let id = request.headers().get(&gateway.dialect.request_id).cloned();
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let accepts_chunks = request.version() > Version::HTTP_10;
     let read = match inspector.is_ambiguous() {
         true => Err(Rejection::Malformed),
         false => request::read(&gateway, request).await,
@@ -115,6 +116,9 @@
             answer::reject(rejection)
         }
     };
+    if !accepts_chunks {
+        response = answer::buffer(response).await;
+    }
     // Only the first head in the bytes of one read is inspected, so that a pipelined request may escape the inspection.
     // Closing the connection after a chunked body keeps any request from following one with ambiguous framing.
     if is_chunked || gateway.drain.phase() != Phase::Serving {
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -5,7 +5,10 @@
 #[path = "support/harness.rs"]
 mod harness;
 
-use harness::{looks_complete, Behaviour, Ending, Framing, MockTarget, Script, TestGateway};
+use harness::{
+    exchange, header, looks_complete, request, Behaviour, Ending, Framing, MockTarget, Script,
+    TestGateway,
+};
 use rstest::rstest;
 
 /// Two events.
@@ -108,3 +111,36 @@
     let answer = gateway.call("POST", "/stream/", "", "p").await;
     assert!(!looks_complete(&answer), "{answer}");
 }
+
+/// Chunks do not exist in HTTP/1.0, so that an answer of unknown length would end with the connection.
+#[rstest]
+#[case::stream("/stream/")]
+#[case::resumable("/resumable/")]
+#[tokio::test]
+async fn verify_broken_stream_does_not_look_complete_to_a_caller_without_chunks(
+    #[case] path: &str,
+) {
+    let script = Script {
+        framing: Framing::Chunks,
+        ending: Ending::Reset,
+        body: PART,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let request = request("POST", path, "", "p").replace("HTTP/1.1", "HTTP/1.0");
+    let answer = exchange(gateway.caller_address, &request).await;
+    assert!(!looks_complete(&answer), "{answer}");
+}
+
+/// A whole stream is delivered with its length instead.
+#[tokio::test]
+async fn verify_whole_stream_reaches_a_caller_without_chunks() {
+    let target = MockTarget::start(Behaviour::Stream).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let request = request("POST", "/stream/", "", "p").replace("HTTP/1.1", "HTTP/1.0");
+    let answer = exchange(gateway.caller_address, &request).await;
+    assert!(header(&answer, "content-length").is_some(), "{answer}");
+    assert!(looks_complete(&answer), "{answer}");
+    assert!(answer.ends_with("id: 4\ndata: x\n\n"), "{answer}");
+}
