Recognise events whose lines end with CR

A stream whose lines end with a lone CR was never split into events: all of it was held back to its end, and neither a missing event nor a resumed position was known. Of a stream that mixes line ends, events were missed in the same way. Lines now end with LF, CRLF or CR, as the specification has it, and the id of an event is found even if its data is not UTF-8.

New property tests: events survive any split with each kind of line end, and a cut at any byte inside an event is detected.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -1,8 +1,8 @@
 //! Splits a stream of server-sent events into whole events, so that a caller never receives half an event when the
 //! stream breaks off, and checks the order of their ids.
 //!
-//! An event ends with a blank line, which is recognised as LF LF or CRLF CRLF; a line `id: N` numbers it. Source:
-//! WHATWG HTML, section "Server-sent events", which also allows lines that end with a lone CR.
+//! An event ends with a blank line; a line `id: N` numbers it. Lines end with LF, CRLF or CR. Source: WHATWG HTML,
+//! section "Server-sent events".
 
 use snafu::ensure;
 
@@ -67,15 +67,17 @@
         self.buffer
     }
 
-    /// Returns the length of the first whole event, including its blank line.
+    /// Returns the length of the first whole event, including its blank line. A blank line that ends with CR ends the
+    /// event at once; if an LF follows, it counts as a blank line before the next event.
     fn find_end(&self) -> Option<usize> {
-        let bytes = &self.buffer;
-        (1..bytes.len()).find_map(|index| {
-            let is_blank = bytes[index] == b'\n'
-                && (bytes[index - 1] == b'\n'
-                    || (index >= 3 && &bytes[index - 3..index] == b"\r\n\r"));
-            is_blank.then_some(index + 1)
-        })
+        let (_, mut rest) = split_line(&self.buffer)?;
+        while let Some((line, after)) = split_line(rest) {
+            if line.is_empty() {
+                return Some(self.buffer.len() - after.len());
+            }
+            rest = after;
+        }
+        None
     }
 }
 
@@ -94,9 +96,14 @@
 }
 
 fn parse_id(event: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(event).ok()?;
-    let field = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-    field.trim().parse().ok()
+    let mut rest = event;
+    while let Some((line, after)) = split_line(rest) {
+        if let Some(value) = line.strip_prefix(b"id:") {
+            return std::str::from_utf8(value).ok()?.trim().parse().ok();
+        }
+        rest = after;
+    }
+    None
 }
 
 /// Returns whether the end of these bytes of a stream lies inside an event. Blank lines and whole comments after the last
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use sardinemux_core::catalog::{Catalog, Definition, Kind, Organisation, Route, Share};
 use sardinemux_core::cold_start;
-use sardinemux_core::event::{Continuity, Cursor, Splitter};
+use sardinemux_core::event::{self, Continuity, Cursor, Splitter};
 use sardinemux_core::roster::query::Criteria;
 use sardinemux_core::roster::{command, query, Announcement, Evidence, Roster, Settings};
 use sardinemux_core::target::{self, Key, Target};
@@ -309,4 +309,38 @@
         prop_assert_eq!(bytes, whole.as_bytes());
         prop_assert!(splitter.into_rest().is_empty());
     }
+
+    /// As above with each kind of line end. An LF that is split from its CR may be left over at the end.
+    #[test]
+    fn verify_events_survive_any_split_with_any_line_end(
+        cuts in proptest::collection::vec(1_usize..9, 0..40),
+        line_end in proptest::sample::select(vec!["\n", "\r\n", "\r"]),
+    ) {
+        let whole = "id: 1\ndata: a\n\nid: 2\ndata: bc\n\nid: 3\ndata: d\n\n".replace('\n', line_end);
+        let mut splitter = Splitter::default();
+        let mut rest = whole.as_bytes();
+        let mut bytes = Vec::new();
+        let mut ids = Vec::new();
+        for cut in cuts.into_iter().chain([usize::MAX]) {
+            let (piece, left) = rest.split_at(cut.min(rest.len()));
+            rest = left;
+            splitter.push(piece).unwrap();
+            for event in &mut splitter {
+                ids.extend(event.id);
+                bytes.extend(event.bytes);
+            }
+        }
+        prop_assert_eq!(ids, [1, 2, 3]);
+        prop_assert!(!splitter.is_inside_event());
+        bytes.extend(splitter.into_rest());
+        prop_assert_eq!(bytes, whole.as_bytes());
+    }
+
+    /// A stream that is cut at any byte but the end of an event is known to be cut.
+    #[test]
+    fn verify_cut_inside_an_event_is_detected(cut in 0_usize..=46) {
+        let whole = "id: 1\ndata: a\n\nid: 2\ndata: bc\n\nid: 3\ndata: d\n\n";
+        let is_boundary = cut == 0 || whole[..cut].ends_with("\n\n");
+        prop_assert_eq!(event::ends_inside_event(&whole.as_bytes()[..cut]), !is_boundary);
+    }
 }
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -144,3 +144,52 @@
     assert!(looks_complete(&answer), "{answer}");
     assert!(answer.ends_with("id: 4\ndata: x\n\n"), "{answer}");
 }
+
+/// A resumable stream that its connection ends inside an event is resumed, and the rest of that event is not delivered.
+#[rstest]
+#[case::lf("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\nda")]
+#[case::crlf("id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: x\r\n\r\nid: 3\r\n")]
+#[case::cr("id: 1\rdata: x\r\rid: 2\rdata: x\r\rid: 3\rdata: x\r")]
+#[tokio::test]
+async fn verify_stream_that_closes_inside_an_event_is_resumed(#[case] body: &'static str) {
+    let script = Script {
+        body,
+        ..Script::default()
+    };
+    let faulty = MockTarget::start(Behaviour::Send(script)).await;
+    let healthy = MockTarget::start(Behaviour::Stream).await;
+    let gateway = TestGateway::start(&[&faulty, &healthy], true).await;
+    for _ in 0..4 {
+        let answer = gateway.call("POST", "/resumable/", "", "p").await;
+        assert!(looks_complete(&answer), "{answer}");
+        let ids = answer
+            .split(['\r', '\n'])
+            .filter_map(|line| line.strip_prefix("id: "));
+        assert_eq!(ids.collect::<Vec<_>>(), ["1", "2", "3", "4"], "{answer}");
+    }
+    let resumed = healthy.observed.lock().requests.clone();
+    assert!(resumed
+        .iter()
+        .any(|seen| header(seen, "last-event-id").as_deref() == Some("2")));
+}
+
+/// Lines may end with LF, CRLF or CR. The order of events is checked with each of them.
+#[rstest]
+#[case::lf("id: 1\ndata: a\n\nid: 3\ndata: c\n\n")]
+#[case::crlf("id: 1\r\ndata: a\r\n\r\nid: 3\r\ndata: c\r\n\r\n")]
+#[case::cr("id: 1\rdata: a\r\rid: 3\rdata: c\r\r")]
+#[case::mixed("id: 1\rdata: a\n\r\nid: 3\r\ndata: c\n\r")]
+#[tokio::test]
+async fn verify_missing_event_ends_the_stream_with_any_line_end(#[case] body: &'static str) {
+    let script = Script {
+        framing: Framing::Chunks,
+        ending: Ending::Finish,
+        body,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", "/stream/", "", "p").await;
+    assert!(!looks_complete(&answer), "{answer}");
+    assert!(!answer.contains("id: 3"), "{answer}");
+}
