Do not deliver a service's events that break off, on the own interface

The router read a service's answer to the end of its framing and passed it on with a total of its own, also if it was a stream of events that ended inside an event: the caller, the record of an idempotency key and a query for the kept answer all took it for complete. It is now treated as cut: the outcome is unknown, and a call that may be repeated is sent again. Chats are not affected, as they end with their own event and a total. verify_service_events_that_break_off_are_not_delivered failed before (200 with the part) and passes now. The check of the media type is shared with the gateway.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -106,6 +106,21 @@
     None
 }
 
+/// Returns whether the value of a `Content-Type` header states a stream of events.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::event;
+///
+/// assert!(event::is_event_stream("Text/Event-Stream; charset=utf-8"));
+/// assert!(!event::is_event_stream("application/json"));
+/// ```
+pub fn is_event_stream(content_type: &str) -> bool {
+    let media_type = content_type.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// Returns whether the end of these bytes of a stream lies inside an event. Blank lines and whole comments after the last
 /// event are not a part of another one.
 ///
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode};
+use sardinemux_core::event;
 use sardinemux_core::roster::{command, query, Evidence};
 use sardinemux_core::target::{Key, Target};
 use tokio::time::{self, Instant};
@@ -124,16 +125,14 @@
         self.framing() != Framing::Connection || self.body.is_end_stream()
     }
 
-    /// Returns the media type of the body without its parameters; `None` if the head states none.
-    pub fn media_type(&self) -> Option<&str> {
-        let value = self.head.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
-        value.split(';').next().map(str::trim)
+    /// Returns what the head states about the type of the body, if anything.
+    pub fn content_type(&self) -> Option<&str> {
+        self.head.headers.get(header::CONTENT_TYPE)?.to_str().ok()
     }
 
     /// Returns whether the head states that the body is a stream of events.
     pub fn is_event_stream(&self) -> bool {
-        let media_type = self.media_type();
-        media_type.is_some_and(|media_type| media_type.eq_ignore_ascii_case("text/event-stream"))
+        self.content_type().is_some_and(event::is_event_stream)
     }
 
     /// Records that the answer arrived completely, and keeps the connection for reuse unless the target closes it.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -28,8 +28,8 @@
     let mut response = Response::new(Body::default());
     serving.copy_head(head, &mut response);
     let is_resumable = serving.inbound().route.kind == Kind::Stream { is_resumable: true };
-    // Streaming routes answer with events unless the head states another media type.
-    let has_events = answer.is_event_stream() || answer.media_type().is_none();
+    // Streaming routes answer with events unless the head states another type.
+    let has_events = answer.is_event_stream() || answer.content_type().is_none();
     *response.body_mut() = match is_resumable || has_events {
         true => forward_events(serving, answer, is_resumable),
         false => forward_chunks(serving, answer),
--- a/crates/proof/tests/path.rs
+++ b/crates/proof/tests/path.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use sardinemux_proof::fleet::{Fleet, Settings};
 use sardinemux_proof::matrix::{self, Told};
+use sardinemux_standin::service::BROKEN_EVENTS;
 use sardinemux_wire::caller::{ErrorBody, ErrorKind};
 use serde_json::{json, Value};
 
@@ -164,3 +165,20 @@
     };
     assert_eq!(told, expected);
 }
+
+/// A service's answer that is a stream of events and ends inside an event is not delivered as a complete one.
+#[tokio::test]
+async fn verify_service_events_that_break_off_are_not_delivered() {
+    let fleet = Fleet::start(small()).await.unwrap();
+    let entry = fleet.routers[0].entry;
+    let url = format!("http://{entry}/services/booking/{BROKEN_EVENTS}");
+    let read = fleet.client.get(format!("{url}?operation=one"));
+    let operation = json!({"operation": "two"});
+    let write = fleet.client.post(&url).json(&operation);
+    for request in [read, write] {
+        let refused = refusal(request.bearer_auth(fleet.key(0))).await;
+        assert_eq!(refused, (StatusCode::BAD_GATEWAY, ErrorKind::TargetFailed));
+    }
+    let runs = matrix::runs(&fleet).await.unwrap();
+    assert_eq!(runs.get("two"), Some(&1));
+}
--- a/crates/router/src/dispatch/service.rs
+++ b/crates/router/src/dispatch/service.rs
@@ -5,6 +5,7 @@
 //! disconnects; its answer is kept, so that the entry can query it.
 
 use sardinemux_core::config::Parameter;
+use sardinemux_core::event;
 use sardinemux_core::warmup::Observation;
 use sardinemux_wire::forward::Call;
 use sardinemux_wire::frame::{Body, End, Head, Part};
@@ -87,10 +88,16 @@
         .unwrap_or("application/octet-stream")
         .to_owned();
     let first_token_ms = dispatch.router.now_ms().saturating_sub(begin_ms) as f64;
+    let body = read_body(dispatch, reply, response).await?;
+    // The framing alone does not show that a stream of events is complete: without a length or chunks, the service may
+    // have crashed.
+    if event::is_event_stream(&content_type) && event::ends_inside_event(&body) {
+        return Err(Failure::unknown(Reason::Cut, Observation::ConnectionLost));
+    }
     let answer = ServiceAnswer {
         status: status.as_u16(),
         content_type: content_type.into(),
-        body: read_body(dispatch, reply, response).await?,
+        body,
     };
     if !repeatable && answer.body.len() <= KEPT_ANSWER_MAX_BYTES {
         keep_answer(dispatch, &answer);
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -58,6 +58,12 @@
     service: Arc<Service>,
 }
 
+/// The last segment of the path of calls that are answered with a stream of events which ends inside an event.
+pub const BROKEN_EVENTS: &str = "broken-events";
+
+/// The body of the answer to these calls.
+const BROKEN_EVENTS_BODY: &str = "id: 1\ndata: a\n\nid: 2\nda";
+
 /// The methods of calls.
 const METHODS: [Method; 3] = [Method::Get, Method::Post, Method::Put];
 
@@ -100,6 +106,10 @@
         self.count_call(request.method(), &operation);
         time::sleep(Duration::from_millis(self.settings.work_ms)).await;
         self.stats.lock().running -= 1;
+        if path.ends_with(BROKEN_EVENTS) {
+            return answer(200, BROKEN_EVENTS_BODY)
+                .with_header("Content-Type", "text/event-stream".to_owned());
+        }
         answer(200, &text::service_answer(&path, &operation))
     }
 
