Treat an event that comes twice within one answer as out of order

A resumable stream dropped every event that the caller had, at any place. Where a piece of another stream, with an earlier number, took the place of the last event, it was dropped and the answer then ended as complete without its last event. Only an answer that resumes a stream may begin with events that the caller has; once it has delivered a new one, an earlier number means that the piece belongs elsewhere, and the stream is resumed after the last event in order. verify_resumable_stream_whose_last_event_was_replaced_is_resumed failed before (events 1 to 3, framed as complete) and passes now; verify_stream_is_resumed_after_last_event::replays still does.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -134,6 +134,7 @@
         loop {
             let mut splitter = Splitter::default();
             let mut may_be_complete = answer.may_be_empty();
+            let mut may_repeat = cursor.last_id().is_some();
             let cause = loop {
                 match read_chunk(&mut answer, chunk_deadline(&serving, is_resumable)).await {
                     Ok(Some(data)) => {
@@ -160,7 +161,7 @@
                     }
                     Err(cause) => break cause,
                 }
-                let (bytes, is_in_order) = collect_events(&mut splitter, &mut cursor, is_resumable);
+                let (bytes, is_in_order) = collect_events(&mut splitter, &mut cursor, &mut may_repeat);
                 if !bytes.is_empty() {
                     yield Ok(Frame::data(bytes));
                 }
@@ -206,18 +207,21 @@
 }
 
 /// Returns the bytes of the whole events that are buffered, and whether all of them were in order; the events from the
-/// first one that is out of order are left out. A target that resumes a stream may repeat events: duplicates are
-/// dropped with `allows_duplicates`, and are out of order without it.
+/// first one that is out of order are left out. An answer that resumes a stream may begin with events that the caller
+/// has: these are dropped while `may_repeat` is set, which the first new event clears.
 fn collect_events(
     splitter: &mut Splitter,
     cursor: &mut Cursor,
-    allows_duplicates: bool,
+    may_repeat: &mut bool,
 ) -> (Bytes, bool) {
     let mut bytes = Vec::new();
     for event in splitter {
         match cursor.accept(event.id) {
-            Continuity::Next => bytes.extend(event.bytes),
-            Continuity::Duplicate if allows_duplicates => {}
+            Continuity::Next => {
+                *may_repeat &= event.id.is_none();
+                bytes.extend(event.bytes);
+            }
+            Continuity::Duplicate if *may_repeat => {}
             Continuity::Duplicate | Continuity::Gap => return (bytes.into(), false),
         }
     }
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -193,3 +193,24 @@
     assert!(!looks_complete(&answer), "{answer}");
     assert!(!answer.contains("id: 3"), "{answer}");
 }
+
+/// An event that comes twice in one answer has taken the place of another, also where a resumed answer may begin with
+/// events that the caller has.
+#[tokio::test]
+async fn verify_resumable_stream_whose_last_event_was_replaced_is_resumed() {
+    let script = Script {
+        framing: Framing::Chunks,
+        ending: Ending::Finish,
+        body: "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 2\ndata: x\n\n",
+        ..Script::default()
+    };
+    let faulty = MockTarget::start(Behaviour::Send(script)).await;
+    let healthy = MockTarget::start(Behaviour::Replay).await;
+    let gateway = TestGateway::start(&[&faulty, &healthy], true).await;
+    for _ in 0..4 {
+        let answer = gateway.call("POST", "/resumable/", "", "p").await;
+        let ids = answer.lines().filter_map(|line| line.strip_prefix("id: "));
+        assert_eq!(ids.collect::<Vec<_>>(), ["1", "2", "3", "4"], "{answer}");
+        assert!(looks_complete(&answer), "{answer}");
+    }
+}
