Let the soak's replicas send answers that end with their connection

The stand-in replica now does so for a percentage of its answers; whole answers that are broken keep their length, as nothing else would show that they are broken. The soak takes the percentage as an option, and its proxy then resets the connections that a fault ends instead of closing them, as a closed one would be a complete answer.

--- a/crates/proof/src/bin/sardinemux-added.rs
+++ b/crates/proof/src/bin/sardinemux-added.rs
@@ -17,6 +17,7 @@
         replica_arguments: ["--events", "2", "--event-ms", "5"]
             .map(str::to_owned)
             .to_vec(),
+        ..Settings::default()
     })
     .await?;
     let added = added::measure(&fleet, requests).await?;
--- a/crates/proof/src/bin/sardinemux-soak.rs
+++ b/crates/proof/src/bin/sardinemux-soak.rs
@@ -24,6 +24,11 @@
         .arg(number("engines", "4", "The replicas that stream"))
         .arg(number("services", "3", "The replicas of a plain service"))
         .arg(number("callers", "3", "The callers at each gateway"))
+        .arg(number(
+            "unframed-percent",
+            "0",
+            "The percentage of answers whose end is marked by the end of the connection",
+        ))
         .arg(
             Arg::new("verbose")
                 .long("verbose")
@@ -77,6 +82,7 @@
         settings.fleet.gateways = count("gateways");
         settings.fleet.engines = count("engines");
         settings.fleet.services = count("services");
+        settings.fleet.unframed_percent = get_number(matches, "unframed-percent");
         is_kept &= run(settings, matches.get_flag("verbose")).await?;
     }
     Ok(is_kept)
--- a/crates/proof/src/gateways.rs
+++ b/crates/proof/src/gateways.rs
@@ -53,6 +53,9 @@
     pub services: usize,
     /// Further arguments of the replicas.
     pub replica_arguments: Vec<String>,
+    /// The percentage of answers of replicas whose end is marked by the end of their connection. If there are any, the
+    /// proxy resets the connections that a fault ends.
+    pub unframed_percent: u64,
 }
 
 impl Default for Settings {
@@ -63,6 +66,7 @@
             engines: 4,
             services: 2,
             replica_arguments: Vec::new(),
+            unframed_percent: 0,
         }
     }
 }
@@ -151,6 +155,9 @@
             pairs.extend(["--pair".to_owned(), format!("{listen}={upstream}")]);
         }
         let control = self.proxy.to_string();
+        if self.settings.unframed_percent > 0 {
+            pairs.push("--reset".to_owned());
+        }
         self.start_standin("proxy", &["proxy", "--control", &control], &pairs)?;
         for index in 0..self.replicas.len() {
             self.start_replica(index)?;
@@ -245,7 +252,16 @@
     pub fn start_replica(&self, index: usize) -> Result<()> {
         let ReplicaPlace { id, address, .. } = &self.replicas[index];
         let address = address.to_string();
-        let arguments = ["replica", "--address", &address, "--id", id];
+        let percent = self.settings.unframed_percent.to_string();
+        let arguments = [
+            "replica",
+            "--address",
+            &address,
+            "--id",
+            id,
+            "--unframed-percent",
+            &percent,
+        ];
         self.start_standin(id, &arguments, &self.settings.replica_arguments)
     }
 
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -84,6 +84,11 @@
             "tokens-per-ms",
             "55",
             "Prompt tokens read in a millisecond",
+        ))
+        .arg(number(
+            "unframed-percent",
+            "0",
+            "The percentage of answers whose end is marked by the end of the connection",
         ));
     let platform = Command::new("platform")
         .about("Instance list, table and object store")
@@ -98,6 +103,12 @@
                 .action(ArgAction::Append)
                 .required(true)
                 .help("LISTEN=UPSTREAM, both ip:port"),
+        )
+        .arg(
+            Arg::new("reset")
+                .long("reset")
+                .action(ArgAction::SetTrue)
+                .help("Reset the connections that a fault ends, rather than close them"),
         );
     Command::new("sardinemux-standin")
         .about("Stands in for what surrounds sardinemux, in tests and trials")
@@ -169,6 +180,7 @@
         pairs: pairs
             .map(|value| parse_pair(value))
             .collect::<Result<_>>()?,
+        resets: matches.get_flag("reset"),
     };
     proxy::run(settings).await
 }
@@ -194,6 +206,7 @@
                 event_ms: get_number(matches, "event-ms"),
                 cache_tokens: get_number(matches, "cache-tokens"),
                 tokens_per_ms: get_number(matches, "tokens-per-ms"),
+                unframed_percent: get_number(matches, "unframed-percent"),
             };
             match replica::run(settings).await? {}
         }
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::time;
@@ -67,6 +67,9 @@
     pub control: SocketAddr,
     /// The forwarded ports.
     pub pairs: Vec<Pair>,
+    /// Whether connections that a fault ends are reset rather than closed, so that an answer which the end of its
+    /// connection marks as complete does not seem to be complete.
+    pub resets: bool,
 }
 
 /// The traffic of one port.
@@ -86,6 +89,7 @@
 /// One forwarded port, its fault and its traffic.
 struct Port {
     pair: Pair,
+    resets: bool,
     fault: watch::Sender<Fault>,
     up: AtomicU64,
     down: AtomicU64,
@@ -131,20 +135,36 @@
         }
         _ => {}
     }
-    let Ok(server) = TcpStream::connect(port.pair.upstream).await else {
+    let Ok(mut server) = TcpStream::connect(port.pair.upstream).await else {
         return;
     };
+    let mut client = client;
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
     let faults = port.fault.subscribe();
-    tokio::select! {
-        () = forward_up(&port, client_read, server_write) => {}
-        () = forward_down(&port, server_read, client_write) => {}
-        () = wait_for_cut(faults) => {}
+    let end = {
+        let (client_read, client_write) = client.split();
+        let (server_read, server_write) = server.split();
+        tokio::select! {
+            end = forward_up(&port, client_read, server_write) => end,
+            end = forward_down(&port, server_read, client_write) => end,
+            () = wait_for_cut(faults) => End::Harmed,
+        }
+    };
+    if end == End::Harmed && port.resets {
+        // If this fails, the connection has already ended.
+        let _ = client.set_zero_linger();
     }
 }
 
+/// How one direction of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// By itself, with all of its data forwarded.
+    Unharmed,
+    /// By a fault, or after one had discarded data.
+    Harmed,
+}
+
 /// Waits until the fault is set to `Fault::Cut`.
 async fn wait_for_cut(mut faults: watch::Receiver<Fault>) {
     loop {
@@ -158,15 +178,15 @@
 }
 
 /// Reads one direction of a connection. Once `Fault::SilenceOpen` is set, it discards all further data.
-struct Reader {
-    from: OwnedReadHalf,
+struct Reader<'a> {
+    from: ReadHalf<'a>,
     faults: watch::Receiver<Fault>,
     is_silent: bool,
     buffer: Vec<u8>,
 }
 
-impl Reader {
-    fn new(port: &Port, from: OwnedReadHalf) -> Self {
+impl<'a> Reader<'a> {
+    fn new(port: &Port, from: ReadHalf<'a>) -> Self {
         Self {
             from,
             faults: port.fault.subscribe(),
@@ -175,6 +195,14 @@
         }
     }
 
+    /// Returns how the connection ended, if it ends now without a further fault.
+    fn end(&self) -> End {
+        match self.is_silent {
+            true => End::Harmed,
+            false => End::Unharmed,
+        }
+    }
+
     /// Reads a chunk into the buffer and returns its length in bytes, or `None` at the end of the connection.
     async fn read_chunk(&mut self, port: &Port) -> Option<usize> {
         loop {
@@ -196,30 +224,30 @@
     }
 }
 
-async fn forward_up(port: &Port, from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+async fn forward_up(port: &Port, from: ReadHalf<'_>, mut to: WriteHalf<'_>) -> End {
     let mut reader = Reader::new(port, from);
     loop {
         let Some(count) = reader.read_chunk(port).await else {
-            return;
+            return reader.end();
         };
         port.up.fetch_add(count as u64, Ordering::Relaxed);
         if to.write_all(&reader.buffer[..count]).await.is_err() {
-            return;
+            return reader.end();
         }
     }
 }
 
-async fn forward_down(port: &Port, from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+async fn forward_down(port: &Port, from: ReadHalf<'_>, mut to: WriteHalf<'_>) -> End {
     let mut reader = Reader::new(port, from);
     let mut forwarded = 0;
     loop {
         let Some(count) = reader.read_chunk(port).await else {
-            return;
+            return reader.end();
         };
         let mut data = reader.buffer[..count].to_vec();
         let fault = *port.fault.borrow();
         match fault {
-            Fault::LoseAnswer => return,
+            Fault::LoseAnswer => return End::Harmed,
             Fault::Cross => data = exchange_data(port, data).await,
             Fault::Truncate { bytes } => {
                 let left = bytes.saturating_sub(forwarded) as usize;
@@ -231,7 +259,7 @@
         port.down.fetch_add(data.len() as u64, Ordering::Relaxed);
         let is_cut = matches!(fault, Fault::Truncate { bytes } if forwarded >= bytes);
         if to.write_all(&data).await.is_err() || is_cut {
-            return;
+            return End::Harmed;
         }
     }
 }
@@ -300,6 +328,7 @@
         .map(|pair| {
             let port = Port {
                 pair: *pair,
+                resets: settings.resets,
                 fault: watch::Sender::new(Fault::None),
                 up: AtomicU64::new(0),
                 down: AtomicU64::new(0),
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -80,6 +80,8 @@
     pub cache_tokens: u64,
     /// The speed of the prefill, in prompt tokens per millisecond.
     pub tokens_per_ms: u64,
+    /// The percentage of answers that have neither a length nor chunks and end with their connection.
+    pub unframed_percent: u64,
 }
 
 /// The faults that a replica injects, as fractions from 0 to 1 unless stated otherwise.
@@ -262,7 +264,8 @@
             false => work.id.clone(),
         };
         let is_broken = self.draw_fault(|faults| faults.breaks);
-        let mut response = match path.starts_with("/stream") {
+        let is_stream = path.starts_with("/stream");
+        let mut response = match is_stream {
             true => answer::stream_response(settings, work, running, is_broken),
             false => {
                 time::sleep(Duration::from_millis(settings.work_ms)).await;
@@ -288,6 +291,10 @@
         if cold_ms > 0 {
             answer::set_header(headers, header::COLD_MS, &cold_ms.to_string());
         }
+        // Nothing in a broken answer that is no stream would show that it is broken.
+        if rand::random_range(0..100) < settings.unframed_percent && (is_stream || !is_broken) {
+            answer::remove_framing(&mut response);
+        }
         Ok(response)
     }
 
--- a/crates/standin/src/replica/answer.rs
+++ b/crates/standin/src/replica/answer.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE};
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, Version};
 use serde::Serialize;
 use tokio::time;
 
@@ -107,6 +107,12 @@
     response
 }
 
+/// Marks the end of an answer by the end of its connection, as in HTTP/1.0, which has no chunks.
+pub(super) fn remove_framing(response: &mut Response<Body>) {
+    response.headers_mut().remove(CONTENT_LENGTH);
+    *response.version_mut() = Version::HTTP_10;
+}
+
 /// Returns a stream of events; a broken one ends within an event of its second half.
 pub(super) fn stream_response(
     settings: &Settings,
