Give targets' answers and replies to callers modules of their own

The modules that serve a request and send an attempt had grown to hold three more concepts. attempt::answer now defines the answer of a target and what marks the end of its body, and reply builds the answers to callers.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -62,7 +62,7 @@
         ends_inside_event(&self.buffer)
     }
 
-    /// Returns the bytes that are still buffered: an incomplete event, or nothing.
+    /// Returns the bytes after the last whole event.
     pub fn into_rest(self) -> Vec<u8> {
         self.buffer
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,19 +1,20 @@
 //! Sends a request to one target, and determines from the result whether the request may have run.
 
+pub mod answer;
+
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, Request, Response, StatusCode};
-use sardinemux_core::event;
+use hyper::{Request, Response, StatusCode};
 use sardinemux_core::roster::{command, query, Evidence};
 use sardinemux_core::target::{Key, Target};
 use tokio::time::{self, Instant};
 
+use self::answer::Answer;
 use crate::connections::{self, Connection};
 use crate::prelude::*;
 use crate::request::Inbound;
@@ -37,57 +38,6 @@
     },
 }
 
-/// An answer whose head has arrived, and whose body can be read.
-#[derive(Debug)]
-pub struct Answer {
-    /// The status and headers.
-    pub head: Parts,
-    /// The body, which has not been read yet.
-    pub body: Incoming,
-    /// The guard that counts the request on its target.
-    pub in_flight: InFlight,
-    link: Connection,
-}
-
-/// What marks the end of an answer's body. Source: RFC 9112, section 6.3.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Framing {
-    /// The number of bytes that `Content-Length` states.
-    Length,
-    /// The last chunk of a chunked body.
-    Chunks,
-    /// The end of the connection.
-    Connection,
-}
-
-impl Framing {
-    /// Returns the framing that the head of an answer states. The answer must be one that can have a body.
-    pub fn of(headers: &HeaderMap) -> Self {
-        let coding = headers
-            .get_all(header::TRANSFER_ENCODING)
-            .iter()
-            .next_back();
-        let is_chunked = coding
-            .and_then(|value| value.to_str().ok())
-            .and_then(|value| value.rsplit(',').next())
-            .is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"));
-        match (is_chunked, coding.is_some()) {
-            (true, _) => Self::Chunks,
-            (false, false) if headers.contains_key(header::CONTENT_LENGTH) => Self::Length,
-            _ => Self::Connection,
-        }
-    }
-
-    /// Returns the name for logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Length => "length",
-            Self::Chunks => "chunks",
-            Self::Connection => "connection",
-        }
-    }
-}
-
 /// A guard that counts a request as in flight on its target until it is dropped.
 #[derive(Debug)]
 pub struct InFlight {
@@ -112,61 +62,6 @@
     }
 }
 
-impl Answer {
-    /// Returns what marks the end of the body.
-    pub fn framing(&self) -> Framing {
-        Framing::of(&self.head.headers)
-    }
-
-    /// Returns whether the answer is known to be complete if its body ends before any byte has arrived. The end of the
-    /// connection alone does not show that: the target may have crashed after the head. Call this before the body is
-    /// read.
-    pub fn may_be_empty(&self) -> bool {
-        self.framing() != Framing::Connection || self.body.is_end_stream()
-    }
-
-    /// Returns what the head states about the type of the body, if anything.
-    pub fn content_type(&self) -> Option<&str> {
-        self.head.headers.get(header::CONTENT_TYPE)?.to_str().ok()
-    }
-
-    /// Returns whether the head states that the body is a stream of events.
-    pub fn is_event_stream(&self) -> bool {
-        self.content_type().is_some_and(event::is_event_stream)
-    }
-
-    /// Records that the answer arrived completely, and keeps the connection for reuse unless the target closes it.
-    pub fn complete(mut self) {
-        self.in_flight
-            .set_evidence(match self.head.status.is_server_error() {
-                true => Evidence::ServerError,
-                false => Evidence::Healthy,
-            });
-        let closes = self
-            .head
-            .headers
-            .get(header::CONNECTION)
-            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        if closes {
-            return;
-        }
-        let idle_timeout = parse_keep_alive(&self.head);
-        let gateway = &self.in_flight.gateway;
-        let idle_max = gateway.idle_connections_max(self.in_flight.key);
-        let mut shelf = gateway.idle_connections.lock();
-        shelf.put(self.in_flight.key, self.link, idle_timeout, idle_max);
-    }
-}
-
-/// Returns the timeout of a `Keep-Alive: timeout=N` header, which is in whole seconds.
-fn parse_keep_alive(head: &Parts) -> Option<Duration> {
-    let value = head.headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = value
-        .split(',')
-        .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
-
 /// Counts a request as started on a target. Returns `None` if the target is unknown, or cold and at its rate limit.
 pub fn start(gateway: &Arc<Gateway>, key: Key) -> Option<(InFlight, Target)> {
     let now_ms = gateway.now_ms();
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -13,12 +13,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time;
 
-use crate::answer::{self, Body};
+use crate::answer;
 use crate::connections;
 use crate::drain::Phase;
 use crate::errors::ListenSnafu;
 use crate::framing::{self, Inspector};
 use crate::prelude::*;
+use crate::reply::{self, Body};
 use crate::request::{self, Rejection};
 
 /// The smallest read buffer that the HTTP library accepts, in bytes.
@@ -113,11 +114,11 @@
                 version = gateway.catalog.read().version();
                 "rejected"
             );
-            answer::reject(rejection)
+            reply::reject(rejection)
         }
     };
     if !accepts_chunks {
-        response = answer::buffer(response).await;
+        response = reply::buffer(response).await;
     }
     // Only the first head in the bytes of one read is inspected, so that a pipelined request may escape the inspection.
     // Closing the connection after a chunked body keeps any request from following one with ambiguous framing.
@@ -125,5 +126,5 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(response.map(|body| answer::track_body(body, running)))
+    Ok(response.map(|body| reply::track_body(body, running)))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod prelude;
 pub mod relay;
 pub mod replication;
+pub mod reply;
 pub mod reports;
 pub mod request;
 pub mod run;
--- /dev/null
+++ b/crates/gateway/src/reply.rs
@@ -0,0 +1,118 @@
+//! Builds the answers to callers: their bodies, and those that the gateway gives itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body as _;
+use hyper::header::{self, HeaderValue};
+use hyper::{Response, StatusCode};
+use sardinemux_core::attempts;
+use snafu::Snafu;
+
+use crate::prelude::*;
+use crate::request::Rejection;
+
+/// The error that ends the body of an answer early. The caller's connection is closed without the end of the body, so
+/// that the answer does not look complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("the body of the answer ended early: {}", reason.name()))]
+pub struct BodyError {
+    /// The reason.
+    pub reason: Reason,
+}
+
+/// The body of an answer to a caller.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// The maximum size of an answer that is buffered before it is forwarded, in bytes. A larger one counts as cut off.
+pub const BUFFERED_MAX_BYTES: usize = 8 << 20;
+
+/// Returns a body that consists of these bytes.
+pub fn full_body(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Returns an answer of the gateway itself, with the reason as its body.
+pub fn text_response(status: StatusCode, reason: &str) -> Response<Body> {
+    let body = Bytes::from(format!("{reason}\n"));
+    let length = HeaderValue::from(body.len());
+    let mut response = Response::new(full_body(body));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(header::CONTENT_LENGTH, length);
+    response
+}
+
+/// Returns the answer to a rejected request. It closes the caller's connection.
+pub fn reject(rejection: Rejection) -> Response<Body> {
+    let status = rejection.status();
+    let mut response = text_response(status, &rejection.to_string());
+    if rejection == Rejection::NotReady {
+        set_retry_after(
+            &mut response,
+            Duration::from_millis(attempts::RETRY_AFTER_MAX_MS),
+        );
+    }
+    // The rest of the request is not read, so the connection cannot be reused.
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
+/// Sets `Retry-After` to a random delay, so that callers that were refused together do not return together.
+pub fn set_retry_after(response: &mut Response<Body>, left: Duration) {
+    let left_ms = left.as_millis() as u64;
+    let wait_ms = attempts::retry_after_ms(left_ms, &mut rand::rng());
+    let seconds = format!("{:.3}", wait_ms as f64 / 1_000.0);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+}
+
+/// Reads an answer of unknown length completely and states its length, for a caller to which no chunks can be sent. Such
+/// a caller could not tell an answer that breaks off, also at the end of this process, from a complete one.
+///
+/// An answer that breaks off is replaced by a failure.
+pub async fn buffer(response: Response<Body>) -> Response<Body> {
+    if response.body().size_hint().exact().is_some() {
+        return response;
+    }
+    let (head, body) = response.into_parts();
+    let bytes = match Limited::new(body, BUFFERED_MAX_BYTES).collect().await {
+        Ok(whole) => whole.to_bytes(),
+        Err(error) => {
+            let reason = error.downcast::<BodyError>();
+            let reason = reason.map_or(Reason::Cut, |error| error.reason);
+            return text_response(failure_status(reason), reason.name());
+        }
+    };
+    let length = HeaderValue::from(bytes.len());
+    let mut response = Response::from_parts(head, full_body(bytes));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_LENGTH, length);
+    response
+}
+
+/// Returns the status of the answer to a request that may have run and failed for this reason.
+pub fn failure_status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::Silence | Reason::Waited => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Counts a request as running until the body of its answer has been sent or dropped.
+pub fn track_body(body: Body, running: crate::drain::Guard) -> Body {
+    let mut running = Some(running);
+    body.map_frame(move |frame| {
+        let _ = &mut running;
+        frame
+    })
+    .boxed_unsync()
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,9 +12,10 @@
 use sardinemux_core::roster::Evidence;
 use tokio::time::{self, Instant};
 
-use crate::answer::{Body, BodyError, Serving};
-use crate::attempt::Answer;
+use crate::answer::Serving;
+use crate::attempt::answer::Answer;
 use crate::prelude::*;
+use crate::reply::{Body, BodyError};
 
 /// The longest time without data after which a resumable stream is resumed at another target, in milliseconds. Callers
 /// give up after two seconds.
@@ -41,7 +42,7 @@
 ///
 /// # Errors
 ///
-/// [`Broken`] with `Reason::Cut` if the connection failed, with `Reason::Silence` if no chunk arrived in time.
+/// [`BodyError`] with `Reason::Cut` if the connection failed, with `Reason::Silence` if no chunk arrived in time.
 async fn read_chunk(
     answer: &mut Answer,
     deadline: Instant,
@@ -232,7 +233,7 @@
 ///
 /// # Errors
 ///
-/// [`Broken`] once no further attempt is allowed.
+/// [`BodyError`] once no further attempt is allowed.
 async fn resume(
     serving: &mut Serving,
     cause: BodyError,
