Do not deliver buffered events that end before the first one

A buffered answer with the media type of an event stream, neither a length nor chunks, and a connection that ends right after the head was delivered as an empty, complete answer. It is now treated as cut, like a stream that is forwarded as it arrives. verify_buffered_events_that_break_off_are_not_delivered::case_3_before_the_first_event failed before (200, length 0) and passes now.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -242,12 +242,14 @@
         &mut self,
         mut answer: Answer,
     ) -> std::result::Result<Option<Response<Bytes>>, Failure> {
+        let may_be_empty = answer.may_be_empty();
         let collected = Limited::new(&mut answer.body, BUFFERED_MAX_BYTES).collect();
         let reason = match time::timeout_at(self.inbound.deadline, collected).await {
             Ok(Ok(whole)) => {
                 let bytes = whole.to_bytes();
-                let is_cut = answer.is_event_stream() && event::ends_inside_event(&bytes);
-                if !is_cut {
+                let is_empty = bytes.is_empty() && !may_be_empty;
+                let is_cut = is_empty || event::ends_inside_event(&bytes);
+                if !(is_cut && answer.is_event_stream()) {
                     let response = Response::from_parts(answer.head.clone(), bytes);
                     answer.complete();
                     return Ok(self.retry_server_error(response));
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -86,15 +86,17 @@
 
 /// A buffered answer that is a stream of events is checked like one that is forwarded as it arrives.
 #[rstest]
-#[case::safe("GET", "/safe/")]
-#[case::unsafe_request("POST", "/unsafe/")]
+#[case::safe("GET", "/safe/", PART)]
+#[case::unsafe_request("POST", "/unsafe/", PART)]
+#[case::before_the_first_event("POST", "/unsafe/", "")]
 #[tokio::test]
 async fn verify_buffered_events_that_break_off_are_not_delivered(
     #[case] method: &str,
     #[case] path: &str,
+    #[case] body: &'static str,
 ) {
     let script = Script {
-        body: PART,
+        body,
         ..Script::default()
     };
     let target = MockTarget::start(Behaviour::Send(script)).await;
