Do not pass on an answer in another transfer coding than chunks

Of an answer with, say, "Transfer-Encoding: gzip" and no chunks, the HTTP library reads the coded bytes to the end of the connection. The gateway dropped the header with the others that concern one connection and passed the coded bytes on as the body, framed as complete. Found by going through the ways in which an answer can be framed. Such an answer is now rejected like one with a content encoding. verify_answer_in_another_transfer_coding_is_not_delivered failed before in all four cases (200) and passes now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use sardinemux_core::roster::{command, query, Evidence};
@@ -253,7 +253,7 @@
 /// Checks whether an answer belongs to this request, records what its head states about the target, and returns the
 /// outcome.
 ///
-/// An answer is accepted only if it repeats the request id, carries the target's signature and has no content encoding.
+/// An answer is accepted only if it repeats the request id, carries the target's signature and its body is not encoded.
 fn interpret_head(
     gateway: &Arc<Gateway>,
     inbound: &Inbound,
@@ -278,8 +278,7 @@
         return not_run(Reason::Full, true);
     }
     let is_signed = headers.contains_key(&dialect.signature);
-    let is_encoded = headers.contains_key(header::CONTENT_ENCODING);
-    if echoed_id.is_none() || !is_signed || is_encoded {
+    if echoed_id.is_none() || !is_signed || answer::is_encoded(headers) {
         in_flight.set_evidence(Evidence::TransportError);
         return unknown(Reason::Crossed);
     }
--- a/crates/gateway/src/attempt/answer.rs
+++ b/crates/gateway/src/attempt/answer.rs
@@ -51,6 +51,19 @@
     }
 }
 
+/// Returns whether the head of an answer states a coding of its body, so that the bytes that arrive are not those that the
+/// target signed. Chunks are removed by the HTTP library, and `identity` means that there is no coding.
+pub fn is_encoded(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let mut codings = codings.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    headers.contains_key(header::CONTENT_ENCODING)
+        || codings.any(|coding| {
+            let coding = coding.trim_ascii();
+            let known: [&[u8]; 3] = [b"", b"chunked", b"identity"];
+            !known.iter().any(|known| coding.eq_ignore_ascii_case(known))
+        })
+}
+
 /// An answer whose head has arrived, and whose body can be read.
 #[derive(Debug)]
 pub struct Answer {
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -216,3 +216,23 @@
         assert!(looks_complete(&answer), "{answer}");
     }
 }
+
+/// A body in a transfer coding other than chunks is not the body that the target encoded.
+#[rstest]
+#[case::coded(Framing::Coding("gzip"))]
+#[case::coded_twice(Framing::Coding("gzip, identity"))]
+#[tokio::test]
+async fn verify_answer_in_another_transfer_coding_is_not_delivered(
+    #[case] framing: Framing,
+    #[values("/unsafe/", "/stream/")] path: &str,
+) {
+    let script = Script {
+        framing,
+        body: WHOLE,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", path, "", "").await;
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+}
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -264,6 +264,8 @@
     Chunks,
     /// The end of the connection.
     Connection,
+    /// The end of the connection, after a body in another transfer coding than chunks.
+    Coding(&'static str),
 }
 
 /// How a scripted answer ends.
@@ -317,6 +319,7 @@
                 format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n")
             }
             Framing::Connection => format!("\r\n{body}"),
+            Framing::Coding(coding) => format!("transfer-encoding: {coding}\r\n\r\n{body}"),
         });
         if self.framing == Framing::Chunks && self.ending == Ending::Finish {
             answer.push_str("0\r\n\r\n");
