--- a/crates/proof/src/bin/sardinemux-soak.rs
+++ b/crates/proof/src/bin/sardinemux-soak.rs
@@ -29,6 +29,11 @@
             "0",
             "The percentage of answers whose end is marked by the end of the connection",
         ))
+        .arg(number(
+            "break-percent",
+            "0",
+            "The percentage of streams that replicas break off at any time",
+        ))
         .arg(
             Arg::new("verbose")
                 .long("verbose")
@@ -83,6 +88,7 @@
         settings.fleet.engines = count("engines");
         settings.fleet.services = count("services");
         settings.fleet.unframed_percent = get_number(matches, "unframed-percent");
+        settings.fleet.break_percent = get_number(matches, "break-percent");
         is_kept &= run(settings, matches.get_flag("verbose")).await?;
     }
     Ok(is_kept)
--- a/crates/proof/src/gateways.rs
+++ b/crates/proof/src/gateways.rs
@@ -56,6 +56,8 @@
     /// The percentage of answers of replicas whose end is marked by the end of their connection. If there are any, the
     /// proxy resets the connections that a fault ends.
     pub unframed_percent: u64,
+    /// The percentage of streams that replicas break off at any time.
+    pub break_percent: u64,
 }
 
 impl Default for Settings {
@@ -67,6 +69,7 @@
             services: 2,
             replica_arguments: Vec::new(),
             unframed_percent: 0,
+            break_percent: 0,
         }
     }
 }
@@ -252,7 +255,8 @@
     pub fn start_replica(&self, index: usize) -> Result<()> {
         let ReplicaPlace { id, address, .. } = &self.replicas[index];
         let address = address.to_string();
-        let percent = self.settings.unframed_percent.to_string();
+        let unframed_percent = self.settings.unframed_percent.to_string();
+        let break_percent = self.settings.break_percent.to_string();
         let arguments = [
             "replica",
             "--address",
@@ -260,7 +264,9 @@
             "--id",
             id,
             "--unframed-percent",
-            &percent,
+            &unframed_percent,
+            "--break-percent",
+            &break_percent,
         ];
         self.start_standin(id, &arguments, &self.settings.replica_arguments)
     }
--- a/crates/proof/tests/soak.rs
+++ b/crates/proof/tests/soak.rs
@@ -7,15 +7,16 @@
 
 /// Seeds that broke a promise once are kept here, each with a line on the cause.
 #[rstest]
-#[case::fresh(1, 10, 0)]
+#[case::fresh(1, 10, 0, 0)]
 // Pieces of two streams that must not be resumed were exchanged, and their events were not looked at.
-#[case::crossed_streams(147, 16, 0)]
-#[case::answers_that_end_with_their_connection(2000, 16, 50)]
+#[case::crossed_streams(147, 16, 0, 0)]
+#[case::answers_that_end_with_their_connection(2000, 16, 50, 10)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn verify_no_promise_is_broken(
     #[case] seed: u64,
     #[case] faults: usize,
     #[case] unframed_percent: u64,
+    #[case] break_percent: u64,
 ) {
     let mut settings = Settings {
         seed,
@@ -23,6 +24,7 @@
         ..Settings::default()
     };
     settings.fleet.unframed_percent = unframed_percent;
+    settings.fleet.break_percent = break_percent;
     let (report, fleet) = soak::run(&settings).await.unwrap();
     let logs = fleet.folder().clone();
     if !report.breaches.is_empty() {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -89,6 +89,11 @@
             "unframed-percent",
             "0",
             "The percentage of answers whose end is marked by the end of the connection",
+        ))
+        .arg(number(
+            "break-percent",
+            "0",
+            "The percentage of streams that break off, besides those of the faults that are set",
         ));
     let platform = Command::new("platform")
         .about("Instance list, table and object store")
@@ -207,6 +212,7 @@
                 cache_tokens: get_number(matches, "cache-tokens"),
                 tokens_per_ms: get_number(matches, "tokens-per-ms"),
                 unframed_percent: get_number(matches, "unframed-percent"),
+                break_percent: get_number(matches, "break-percent"),
             };
             match replica::run(settings).await? {}
         }
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -82,6 +82,8 @@
     pub tokens_per_ms: u64,
     /// The percentage of answers that have neither a length nor chunks and end with their connection.
     pub unframed_percent: u64,
+    /// The percentage of streams that break off, besides those of [`Faults::breaks`].
+    pub break_percent: u64,
 }
 
 /// The faults that a replica injects, as fractions from 0 to 1 unless stated otherwise.
@@ -169,6 +171,11 @@
     }
 }
 
+/// Decides at random, with a probability in percent.
+fn draw_percentage(percent: u64) -> bool {
+    rand::random_range(0..100) < percent
+}
+
 fn get_header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -263,8 +270,9 @@
             true => "0".to_owned(),
             false => work.id.clone(),
         };
-        let is_broken = self.draw_fault(|faults| faults.breaks);
         let is_stream = path.starts_with("/stream");
+        let is_broken = self.draw_fault(|faults| faults.breaks)
+            || is_stream && draw_percentage(settings.break_percent);
         let mut response = match is_stream {
             true => answer::stream_response(settings, work, running, is_broken),
             false => {
@@ -292,7 +300,7 @@
             answer::set_header(headers, header::COLD_MS, &cold_ms.to_string());
         }
         // Nothing in a broken answer that is no stream would show that it is broken.
-        if rand::random_range(0..100) < settings.unframed_percent && (is_stream || !is_broken) {
+        if draw_percentage(settings.unframed_percent) && (is_stream || !is_broken) {
             answer::remove_framing(&mut response);
         }
         Ok(response)
