Send the part of an event before the stand-in's stream breaks off

A broken stream of the stand-in ended between two events instead of inside one: the HTTP library drops what it has not written when the body fails. The stand-in now waits until the part is sent.

--- a/crates/standin/src/replica/answer.rs
+++ b/crates/standin/src/replica/answer.rs
@@ -21,6 +21,9 @@
 /// The number of times that a whole answer repeats the request id.
 const ID_REPETITIONS: usize = 20;
 
+/// How long a stream waits before it breaks off, so that the part of its last event is sent.
+const FLUSH_WAIT: Duration = Duration::from_millis(5);
+
 /// A request that holds a slot.
 #[derive(Clone, Debug)]
 pub struct Work {
@@ -132,6 +135,8 @@
             let event = event(number);
             if is_broken && number > events / 2 {
                 yield Ok(Frame::data(Bytes::copy_from_slice(&event.as_bytes()[..5])));
+                // The HTTP library writes the part only once the stream has no more data.
+                time::sleep(FLUSH_WAIT).await;
                 yield Err(Disconnect);
                 return;
             }
