--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,5 +1,7 @@
 //! Forwards streamed answers to callers, event by event, and resumes an interrupted one at another target.
 
+pub mod assembler;
+
 use std::time::Duration;
 
 use async_stream::stream;
@@ -8,10 +10,11 @@
 use hyper::body::Frame;
 use hyper::Response;
 use sardinemux_core::catalog::Kind;
-use sardinemux_core::event::{Continuity, Cursor, Splitter};
+use sardinemux_core::event::Cursor;
 use sardinemux_core::roster::Evidence;
 use tokio::time::{self, Instant};
 
+use self::assembler::Assembler;
 use crate::answer::Serving;
 use crate::attempt::answer::Answer;
 use crate::prelude::*;
@@ -73,6 +76,15 @@
     unfinished_bytes: usize,
 }
 
+impl Progress {
+    fn new(cursor: &Cursor, rest: &[u8]) -> Self {
+        Self {
+            last_event: cursor.last_id(),
+            unfinished_bytes: rest.len(),
+        }
+    }
+}
+
 /// Counts and logs the end of a target's stream. `cause` is `None` if the stream ended normally.
 fn record_end(serving: &Serving, answer: &Answer, progress: Progress, cause: Option<BodyError>) {
     let framing = answer.framing().name();
@@ -133,36 +145,27 @@
         let last_event = serving.inbound().last_event_id.filter(|_| is_resumable);
         let mut cursor = Cursor::after(last_event);
         loop {
-            let mut splitter = Splitter::default();
-            let mut may_be_complete = answer.may_be_empty();
-            let mut may_repeat = cursor.last_id().is_some();
+            let mut assembler = Assembler::new(&answer, &cursor);
             let cause = loop {
                 match read_chunk(&mut answer, chunk_deadline(&serving, is_resumable)).await {
                     Ok(Some(data)) => {
-                        may_be_complete = true;
-                        if splitter.push(&data).is_err() {
-                            break interrupted(Reason::Crossed);
+                        if let Err(reason) = assembler.push(&data) {
+                            break interrupted(reason);
                         }
                     }
-                    Ok(None) if splitter.is_inside_event() || !may_be_complete => {
-                        break interrupted(Reason::Cut);
-                    }
+                    Ok(None) if assembler.is_cut() => break interrupted(Reason::Cut),
                     Ok(None) => {
-                        let rest = splitter.into_rest();
-                        let progress = Progress {
-                            last_event: cursor.last_id(),
-                            unfinished_bytes: rest.len(),
-                        };
-                        record_end(&serving, &answer, progress, None);
+                        let rest = assembler.into_rest();
+                        record_end(&serving, &answer, Progress::new(&cursor, &rest), None);
                         if !rest.is_empty() {
-                            yield Ok(Frame::data(rest.into()));
+                            yield Ok(Frame::data(rest));
                         }
                         answer.complete();
                         return;
                     }
                     Err(cause) => break cause,
                 }
-                let (bytes, is_in_order) = collect_events(&mut splitter, &mut cursor, &mut may_repeat);
+                let (bytes, is_in_order) = assembler.take_events(&mut cursor);
                 if !bytes.is_empty() {
                     yield Ok(Frame::data(bytes));
                 }
@@ -170,10 +173,7 @@
                     break interrupted(Reason::Crossed);
                 }
             };
-            let progress = Progress {
-                last_event: cursor.last_id(),
-                unfinished_bytes: splitter.into_rest().len(),
-            };
+            let progress = Progress::new(&cursor, &assembler.into_rest());
             abort(&serving, answer, progress, cause);
             let next = match is_resumable {
                 true => resume(&mut serving, cause, cursor.last_id()).await,
@@ -207,28 +207,6 @@
     record_end(serving, &answer, progress, Some(cause));
 }
 
-/// Returns the bytes of the whole events that are buffered, and whether all of them were in order; the events from the
-/// first one that is out of order are left out. An answer that resumes a stream may begin with events that the caller
-/// has: these are dropped while `may_repeat` is set, which the first new event clears.
-fn collect_events(
-    splitter: &mut Splitter,
-    cursor: &mut Cursor,
-    may_repeat: &mut bool,
-) -> (Bytes, bool) {
-    let mut bytes = Vec::new();
-    for event in splitter {
-        match cursor.accept(event.id) {
-            Continuity::Next => {
-                *may_repeat &= event.id.is_none();
-                bytes.extend(event.bytes);
-            }
-            Continuity::Duplicate if *may_repeat => {}
-            Continuity::Duplicate | Continuity::Gap => return (bytes.into(), false),
-        }
-    }
-    (bytes.into(), true)
-}
-
 /// Requests the rest of an interrupted stream, after `last_event`, until a target answers with success.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/gateway/src/stream/assembler.rs
@@ -0,0 +1,66 @@
+//! Assembles the events of one answer from its chunks, and checks their order and the end of the answer.
+
+use bytes::Bytes;
+use sardinemux_core::event::{Continuity, Cursor, Splitter};
+
+use crate::attempt::answer::Answer;
+use crate::prelude::*;
+
+/// The events of one answer. A stream that is resumed consists of several answers, over which a [`Cursor`] is kept.
+#[derive(Debug)]
+pub struct Assembler {
+    splitter: Splitter,
+    /// Whether events that the caller has may still come, as an answer that resumes a stream may begin with them.
+    may_repeat: bool,
+    /// Whether the end of the body is known to be the end of the answer.
+    may_end: bool,
+}
+
+impl Assembler {
+    /// Creates the assembler of an answer whose body has not been read yet. `cursor` is at the last event that the
+    /// caller has.
+    pub fn new(answer: &Answer, cursor: &Cursor) -> Self {
+        Self {
+            splitter: Splitter::default(),
+            may_repeat: cursor.last_id().is_some(),
+            may_end: answer.may_be_empty(),
+        }
+    }
+
+    /// Appends a chunk of the body.
+    ///
+    /// # Errors
+    ///
+    /// `Reason::Crossed` if the chunk belongs to an event that is larger than those of any engine.
+    pub fn push(&mut self, chunk: &[u8]) -> std::result::Result<(), Reason> {
+        self.may_end = true;
+        self.splitter.push(chunk).map_err(|_| Reason::Crossed)
+    }
+
+    /// Returns the bytes of the whole events that have not been taken yet, and whether all of them were in order; the
+    /// events from the first one that is out of order are left out.
+    pub fn take_events(&mut self, cursor: &mut Cursor) -> (Bytes, bool) {
+        let mut bytes = Vec::new();
+        for event in &mut self.splitter {
+            match cursor.accept(event.id) {
+                Continuity::Next => {
+                    self.may_repeat &= event.id.is_none();
+                    bytes.extend(event.bytes);
+                }
+                Continuity::Duplicate if self.may_repeat => {}
+                Continuity::Duplicate | Continuity::Gap => return (bytes.into(), false),
+            }
+        }
+        (bytes.into(), true)
+    }
+
+    /// Returns whether an answer whose body ends now has been broken off.
+    pub fn is_cut(&self) -> bool {
+        !self.may_end || self.splitter.is_inside_event()
+    }
+
+    /// Returns the bytes after the last whole event.
+    pub fn into_rest(self) -> Bytes {
+        self.splitter.into_rest().into()
+    }
+}
