Break off a stream in which an event has no number and others have one

An event without a number passed as the next one at any place, so that bytes of another answer that form a line and a blank line, such as the head of one, were forwarded as a part of a stream, and the event that they replaced was missed only if a later one followed.

Either all events of a stream are numbered or none is, comments aside, and those of a resumable stream are numbered. A stream that breaks this is out of order. A stream with neither a length nor chunks that closes after nothing but comments is cut.

verify_stream_with_bytes_of_another_answer_does_not_look_complete (six cases) and verify_resumable_stream_of_unnumbered_bytes_is_resumed failed before and pass now.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -16,6 +16,8 @@
 pub struct Event {
     /// The number in its first `id` line, if there is one.
     pub id: Option<u64>,
+    /// Whether it consists of comments and blank lines only, so that clients ignore it.
+    pub is_comment: bool,
     /// The bytes, including the blank line.
     pub bytes: Vec<u8>,
 }
@@ -90,6 +92,7 @@
         let bytes = std::mem::replace(&mut self.buffer, rest);
         Some(Event {
             id: parse_id(&bytes),
+            is_comment: is_comment(&bytes),
             bytes,
         })
     }
@@ -106,6 +109,17 @@
     None
 }
 
+fn is_comment(event: &[u8]) -> bool {
+    let mut rest = event;
+    while let Some((line, after)) = split_line(rest) {
+        if !matches!(line.first(), None | Some(b':')) {
+            return false;
+        }
+        rest = after;
+    }
+    true
+}
+
 /// Returns whether the value of a `Content-Type` header states a stream of events.
 ///
 /// # Examples
@@ -164,20 +178,26 @@
     Next,
     /// The event was delivered before.
     Duplicate,
-    /// Events before this one are missing.
+    /// Events before this one are missing, or it belongs to another stream.
     Gap,
 }
 
 /// The position in a stream of events: the id of the last event that the caller has.
+///
+/// Either all events of a stream are numbered or none is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Cursor {
     last_id: Option<u64>,
+    has_unnumbered: bool,
 }
 
 impl Cursor {
     /// Creates a cursor after the last event that the caller states to have.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { last_id }
+        Self {
+            last_id,
+            has_unnumbered: false,
+        }
     }
 
     /// Returns the id of the last event, if one is known.
@@ -185,8 +205,8 @@
         self.last_id
     }
 
-    /// Checks the id of an event, and advances to it if it is the next one. An event without an id always counts as the
-    /// next one; so does the first event with an id where no last event is known.
+    /// Checks the id of an event that is no comment, and advances to it if it is the next one. The first event counts as
+    /// the next one where no last event is known.
     ///
     /// # Examples
     ///
@@ -197,15 +217,19 @@
     /// assert_eq!(cursor.accept(Some(5)), Continuity::Next);
     /// assert_eq!(cursor.accept(Some(5)), Continuity::Duplicate);
     /// assert_eq!(cursor.accept(Some(7)), Continuity::Gap);
+    /// assert_eq!(cursor.accept(None), Continuity::Gap);
     /// ```
     pub fn accept(&mut self, id: Option<u64>) -> Continuity {
-        let Some(id) = id else {
-            return Continuity::Next;
-        };
-        match self.last_id {
-            Some(last) if id <= last => Continuity::Duplicate,
-            Some(last) if id > last + 1 => Continuity::Gap,
-            _ => {
+        match (id, self.last_id) {
+            (None, Some(_)) => Continuity::Gap,
+            (None, None) => {
+                self.has_unnumbered = true;
+                Continuity::Next
+            }
+            (Some(_), _) if self.has_unnumbered => Continuity::Gap,
+            (Some(id), Some(last)) if id <= last => Continuity::Duplicate,
+            (Some(id), Some(last)) if id > last + 1 => Continuity::Gap,
+            (Some(id), _) => {
                 self.last_id = Some(id);
                 Continuity::Next
             }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -145,7 +145,7 @@
         let last_event = serving.inbound().last_event_id.filter(|_| is_resumable);
         let mut cursor = Cursor::after(last_event);
         loop {
-            let mut assembler = Assembler::new(&answer, &cursor);
+            let mut assembler = Assembler::new(&answer, &cursor, is_resumable);
             let cause = loop {
                 match read_chunk(&mut answer, chunk_deadline(&serving, is_resumable)).await {
                     Ok(Some(data)) => {
--- a/crates/gateway/src/stream/assembler.rs
+++ b/crates/gateway/src/stream/assembler.rs
@@ -10,18 +10,21 @@
 #[derive(Debug)]
 pub struct Assembler {
     splitter: Splitter,
+    /// Whether the stream may be resumed, for which its events must be numbered.
+    is_resumable: bool,
     /// Whether events that the caller has may still come, as an answer that resumes a stream may begin with them.
     may_repeat: bool,
-    /// Whether the end of the body is known to be the end of the answer.
+    /// Whether the answer is complete if its body ends outside an event: its framing shows that, or a new event came.
     may_end: bool,
 }
 
 impl Assembler {
     /// Creates the assembler of an answer whose body has not been read yet. `cursor` is at the last event that the
     /// caller has.
-    pub fn new(answer: &Answer, cursor: &Cursor) -> Self {
+    pub fn new(answer: &Answer, cursor: &Cursor, is_resumable: bool) -> Self {
         Self {
             splitter: Splitter::default(),
+            is_resumable,
             may_repeat: cursor.last_id().is_some(),
             may_end: answer.may_be_empty(),
         }
@@ -33,7 +36,6 @@
     ///
     /// `Reason::Crossed` if the chunk belongs to an event that is larger than those of any engine.
     pub fn push(&mut self, chunk: &[u8]) -> std::result::Result<(), Reason> {
-        self.may_end = true;
         self.splitter.push(chunk).map_err(|_| Reason::Crossed)
     }
 
@@ -42,9 +44,17 @@
     pub fn take_events(&mut self, cursor: &mut Cursor) -> (Bytes, bool) {
         let mut bytes = Vec::new();
         for event in &mut self.splitter {
+            if event.is_comment {
+                bytes.extend(event.bytes);
+                continue;
+            }
+            if self.is_resumable && event.id.is_none() {
+                return (bytes.into(), false);
+            }
             match cursor.accept(event.id) {
                 Continuity::Next => {
-                    self.may_repeat &= event.id.is_none();
+                    self.may_repeat = false;
+                    self.may_end = true;
                     bytes.extend(event.bytes);
                 }
                 Continuity::Duplicate if self.may_repeat => {}
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -105,10 +105,19 @@
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
 }
 
-/// A connection that ends right after the head is no evidence of an empty stream.
+/// A connection that ends before any event is no evidence of an empty stream.
+#[rstest]
+#[case::after_the_head("")]
+#[case::after_a_comment(": a\n\n")]
 #[tokio::test]
-async fn verify_stream_that_closes_before_its_first_event_does_not_look_complete() {
-    let target = MockTarget::start(Behaviour::Send(Script::default())).await;
+async fn verify_stream_that_closes_before_its_first_event_does_not_look_complete(
+    #[case] body: &'static str,
+) {
+    let script = Script {
+        body,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
     let gateway = TestGateway::start(&[&target], true).await;
     let answer = gateway.call("POST", "/stream/", "", "p").await;
     assert!(!looks_complete(&answer), "{answer}");
@@ -236,3 +245,63 @@
     let answer = gateway.call("POST", path, "", "").await;
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
 }
+
+/// Bytes of another answer between, before or instead of the numbered events of a stream.
+#[rstest]
+#[case::between("id: 1\ndata: a\n\nHTTP/1.0 200 OK\r\nx-id: r2\r\n\r\nid: 2\ndata: b\n\n")]
+#[case::before("HTTP/1.0 200 OK\r\nx-id: r2\r\n\r\nid: 2\ndata: b\n\n")]
+#[case::instead_of_the_last("id: 1\ndata: a\n\nHTTP/1.0 200 OK\r\nx-id: r2\r\n\r\n")]
+#[tokio::test]
+async fn verify_stream_with_bytes_of_another_answer_does_not_look_complete(
+    #[case] body: &'static str,
+    #[values(Framing::Connection, Framing::Chunks)] framing: Framing,
+) {
+    let script = Script {
+        framing,
+        ending: Ending::Finish,
+        body,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", "/stream/", "", "p").await;
+    assert!(!looks_complete(&answer), "{answer}");
+}
+
+/// The events of a resumable stream are numbered, so that nothing else can take their place.
+#[tokio::test]
+async fn verify_resumable_stream_of_unnumbered_bytes_is_resumed() {
+    let script = Script {
+        body: "HTTP/1.0 200 OK\r\nx-id: r2\r\n\r\n",
+        ..Script::default()
+    };
+    let faulty = MockTarget::start(Behaviour::Send(script)).await;
+    let healthy = MockTarget::start(Behaviour::Stream).await;
+    let gateway = TestGateway::start(&[&faulty, &healthy], true).await;
+    for _ in 0..4 {
+        let answer = gateway.call("POST", "/resumable/", "", "p").await;
+        assert!(looks_complete(&answer), "{answer}");
+        assert!(!answer.contains("HTTP/1.0"), "{answer}");
+        assert!(
+            answer.contains("id: 1") && answer.contains("id: 4"),
+            "{answer}"
+        );
+    }
+}
+
+/// Comments have no numbers, and a stream that must not be resumed needs none.
+#[rstest]
+#[case::comments(": a\n\nid: 1\ndata: a\n\n: b\n\nid: 2\ndata: b\n\n: c\n\n")]
+#[case::no_numbers("data: a\n\ndata: b\n\n")]
+#[tokio::test]
+async fn verify_stream_with_comments_or_without_numbers_is_complete(#[case] body: &'static str) {
+    let script = Script {
+        body,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", "/stream/", "", "p").await;
+    assert!(looks_complete(&answer), "{answer}");
+    assert!(answer.contains(body), "{answer}");
+}
