Do not forward bytes that are no event as the first event of a stream

The head of another answer, a line and a blank line, still passed as the first event of a stream that must not be resumed, and was forwarded before a numbered event showed that it belonged elsewhere. A group of lines of which none is a field of an event or a comment is no event: the stream is out of order before it. verify_bytes_of_another_answer_are_not_forwarded failed before and passes now.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -11,13 +11,27 @@
 /// The largest number of bytes that a [`Splitter`] buffers. Events of a model engine are smaller.
 pub const EVENT_MAX_BYTES: usize = 1 << 20;
 
+/// The field names of events. Clients ignore all others.
+const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
+/// What the lines of an event are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// At least one line is a field of an event.
+    Fields,
+    /// All lines are comments or blank.
+    Comments,
+    /// None of the lines that are neither is a field of an event, so that these are bytes of something else.
+    Unknown,
+}
+
 /// One whole event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
     /// The number in its first `id` line, if there is one.
     pub id: Option<u64>,
-    /// Whether it consists of comments and blank lines only, so that clients ignore it.
-    pub is_comment: bool,
+    /// What its lines are.
+    pub content: Content,
     /// The bytes, including the blank line.
     pub bytes: Vec<u8>,
 }
@@ -92,7 +106,7 @@
         let bytes = std::mem::replace(&mut self.buffer, rest);
         Some(Event {
             id: parse_id(&bytes),
-            is_comment: is_comment(&bytes),
+            content: classify(&bytes),
             bytes,
         })
     }
@@ -109,15 +123,20 @@
     None
 }
 
-fn is_comment(event: &[u8]) -> bool {
+fn classify(event: &[u8]) -> Content {
+    let mut content = Content::Comments;
     let mut rest = event;
     while let Some((line, after)) = split_line(rest) {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        if FIELDS.contains(&name) {
+            return Content::Fields;
+        }
         if !matches!(line.first(), None | Some(b':')) {
-            return false;
+            content = Content::Unknown;
         }
         rest = after;
     }
-    true
+    content
 }
 
 /// Returns whether the value of a `Content-Type` header states a stream of events.
--- a/crates/gateway/src/stream/assembler.rs
+++ b/crates/gateway/src/stream/assembler.rs
@@ -1,7 +1,7 @@
 //! Assembles the events of one answer from its chunks, and checks their order and the end of the answer.
 
 use bytes::Bytes;
-use sardinemux_core::event::{Continuity, Cursor, Splitter};
+use sardinemux_core::event::{Content, Continuity, Cursor, Splitter};
 
 use crate::attempt::answer::Answer;
 use crate::prelude::*;
@@ -44,12 +44,13 @@
     pub fn take_events(&mut self, cursor: &mut Cursor) -> (Bytes, bool) {
         let mut bytes = Vec::new();
         for event in &mut self.splitter {
-            if event.is_comment {
-                bytes.extend(event.bytes);
-                continue;
-            }
-            if self.is_resumable && event.id.is_none() {
-                return (bytes.into(), false);
+            match event.content {
+                Content::Comments => {
+                    bytes.extend(event.bytes);
+                    continue;
+                }
+                Content::Fields if event.id.is_some() || !self.is_resumable => {}
+                Content::Fields | Content::Unknown => return (bytes.into(), false),
             }
             match cursor.accept(event.id) {
                 Continuity::Next => {
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -268,6 +268,21 @@
     assert!(!looks_complete(&answer), "{answer}");
 }
 
+/// Bytes that are no event are not forwarded as the first one, also if the rest of the stream is late.
+#[tokio::test]
+async fn verify_bytes_of_another_answer_are_not_forwarded() {
+    let script = Script {
+        body: "HTTP/1.0 200 OK\r\nx-id: r2\r\n\r\n",
+        ending: Ending::Hold,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", "/stream/", "", "p").await;
+    assert!(!answer.contains("HTTP/1.0"), "{answer}");
+    assert!(!looks_complete(&answer), "{answer}");
+}
+
 /// The events of a resumable stream are numbered, so that nothing else can take their place.
 #[tokio::test]
 async fn verify_resumable_stream_of_unnumbered_bytes_is_resumed() {
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -277,6 +277,8 @@
     Close,
     /// With a reset of the connection.
     Reset,
+    /// Not at all: the connection stays open until the gateway closes it.
+    Hold,
 }
 
 /// A signed answer with status 200.
@@ -424,6 +426,10 @@
             Behaviour::Reset | Behaviour::Truncate | Behaviour::BreakStream => Ending::Reset,
             _ => continue,
         };
+        if ending == Ending::Hold {
+            let mut rest = [0; 16];
+            let _ = stream.read(&mut rest).await;
+        }
         if ending == Ending::Reset {
             stream.flush().await.unwrap();
             time::sleep(Duration::from_millis(30)).await;
