Treat a stream that begins with a later event as out of order

Any first number was accepted. Where a piece of another stream took the place of the first events, the stream broke off at the next own event, and a resumable one was resumed after the foreign number: the caller got events 12 to 20 framed as the complete stream.

A first number over 1 is now a gap, unless the caller states the event after which its stream is to begin.

verify_stream_that_lacks_its_first_events_does_not_look_complete::case_2_resumable failed before and passes now.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -201,21 +201,33 @@
     Gap,
 }
 
+/// The largest number of the first event of a stream. Engines begin with 1.
+pub const FIRST_ID_MAX: u64 = 1;
+
 /// The position in a stream of events: the id of the last event that the caller has.
 ///
 /// Either all events of a stream are numbered or none is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Cursor {
     last_id: Option<u64>,
+    may_begin_anywhere: bool,
     has_unnumbered: bool,
 }
 
 impl Cursor {
-    /// Creates a cursor after the last event that the caller states to have.
+    /// Creates a cursor after the last event that the caller states to have, or at the beginning of the stream.
     pub fn after(last_id: Option<u64>) -> Self {
         Self {
             last_id,
-            has_unnumbered: false,
+            ..Self::default()
+        }
+    }
+
+    /// Creates a cursor in a stream that may begin with any number.
+    pub fn anywhere() -> Self {
+        Self {
+            may_begin_anywhere: true,
+            ..Self::default()
         }
     }
 
@@ -224,8 +236,7 @@
         self.last_id
     }
 
-    /// Checks the id of an event that is no comment, and advances to it if it is the next one. The first event counts as
-    /// the next one where no last event is known.
+    /// Checks the id of an event that is no comment, and advances to it if it is the next one.
     ///
     /// # Examples
     ///
@@ -248,6 +259,7 @@
             (Some(_), _) if self.has_unnumbered => Continuity::Gap,
             (Some(id), Some(last)) if id <= last => Continuity::Duplicate,
             (Some(id), Some(last)) if id > last + 1 => Continuity::Gap,
+            (Some(id), None) if id > FIRST_ID_MAX && !self.may_begin_anywhere => Continuity::Gap,
             (Some(id), _) => {
                 self.last_id = Some(id);
                 Continuity::Next
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -142,8 +142,11 @@
 /// this stream breaks off before it.
 fn forward_events(mut serving: Serving, mut answer: Answer, is_resumable: bool) -> Body {
     let chunks = stream! {
-        let last_event = serving.inbound().last_event_id.filter(|_| is_resumable);
-        let mut cursor = Cursor::after(last_event);
+        let mut cursor = match (is_resumable, serving.inbound().last_event_id) {
+            // A target may heed what the caller states, although its route does not declare that.
+            (false, Some(_)) => Cursor::anywhere(),
+            (_, last_event) => Cursor::after(last_event),
+        };
         loop {
             let mut assembler = Assembler::new(&answer, &cursor, is_resumable);
             let cause = loop {
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -283,6 +283,45 @@
     assert!(!looks_complete(&answer), "{answer}");
 }
 
+/// A stream whose first event has been replaced by a later one of another stream.
+#[rstest]
+#[case::once("/stream/")]
+#[case::resumable("/resumable/")]
+#[tokio::test]
+async fn verify_stream_that_lacks_its_first_events_does_not_look_complete(#[case] path: &str) {
+    let script = Script {
+        framing: Framing::Chunks,
+        ending: Ending::Finish,
+        body: "id: 3\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n",
+        ..Script::default()
+    };
+    let faulty = MockTarget::start(Behaviour::Send(script)).await;
+    let healthy = MockTarget::start(Behaviour::Stream).await;
+    let gateway = TestGateway::start(&[&faulty, &healthy], true).await;
+    for _ in 0..4 {
+        let answer = gateway.call("POST", path, "", "p").await;
+        let ids = answer.lines().filter_map(|line| line.strip_prefix("id: "));
+        let is_whole = ids.collect::<Vec<_>>() == ["1", "2", "3", "4"];
+        assert_eq!(looks_complete(&answer), is_whole, "{answer}");
+    }
+}
+
+/// A caller that states its last event gets the events after it, also where the gateway does not resume the stream.
+#[rstest]
+#[case::once("/stream/")]
+#[case::resumable("/resumable/")]
+#[tokio::test]
+async fn verify_stream_begins_after_the_last_event_of_its_caller(#[case] path: &str) {
+    let target = MockTarget::start(Behaviour::Stream).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway
+        .call("POST", path, "last-event-id: 2\r\n", "p")
+        .await;
+    assert!(looks_complete(&answer), "{answer}");
+    let ids = answer.lines().filter_map(|line| line.strip_prefix("id: "));
+    assert_eq!(ids.collect::<Vec<_>>(), ["3", "4"], "{answer}");
+}
+
 /// The events of a resumable stream are numbered, so that nothing else can take their place.
 #[tokio::test]
 async fn verify_resumable_stream_of_unnumbered_bytes_is_resumed() {
