Separate the mock targets from the test harness, and read events line by line

The harness of the gateway's tests held two things, the gateway under test and the mock targets; the targets have a module of their own. The two functions that read the lines of an event share an iterator, which leaves out a byte order mark at the beginning of a stream: with it, the first event had no number, so that the stream would now be out of order. Public functions have examples.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -14,6 +14,9 @@
 /// The field names of events. Clients ignore all others.
 const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 
+/// The UTF-8 encoding of the byte order mark.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// What the lines of an event are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Content {
@@ -113,20 +116,13 @@
 }
 
 fn parse_id(event: &[u8]) -> Option<u64> {
-    let mut rest = event;
-    while let Some((line, after)) = split_line(rest) {
-        if let Some(value) = line.strip_prefix(b"id:") {
-            return std::str::from_utf8(value).ok()?.trim().parse().ok();
-        }
-        rest = after;
-    }
-    None
+    let value = lines(event).find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
 fn classify(event: &[u8]) -> Content {
     let mut content = Content::Comments;
-    let mut rest = event;
-    while let Some((line, after)) = split_line(rest) {
+    for line in lines(event) {
         let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
         if FIELDS.contains(&name) {
             return Content::Fields;
@@ -134,11 +130,20 @@
         if !matches!(line.first(), None | Some(b':')) {
             content = Content::Unknown;
         }
-        rest = after;
     }
     content
 }
 
+/// Returns the whole lines without their ends. A byte order mark, which may begin a stream, is left out.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
+    std::iter::from_fn(move || {
+        let (line, after) = split_line(rest)?;
+        rest = after;
+        Some(line)
+    })
+}
+
 /// Returns whether the value of a `Content-Type` header states a stream of events.
 ///
 /// # Examples
--- a/crates/gateway/src/attempt/answer.rs
+++ b/crates/gateway/src/attempt/answer.rs
@@ -25,6 +25,18 @@
 
 impl Framing {
     /// Returns the framing that the head of an answer states. The answer must be one that can have a body.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
+    /// use sardinemux_gateway::attempt::answer::Framing;
+    ///
+    /// let mut headers = HeaderMap::new();
+    /// assert_eq!(Framing::of(&headers), Framing::Connection);
+    /// headers.insert(CONTENT_LENGTH, HeaderValue::from(4));
+    /// assert_eq!(Framing::of(&headers), Framing::Length);
+    /// ```
     pub fn of(headers: &HeaderMap) -> Self {
         let coding = headers
             .get_all(header::TRANSFER_ENCODING)
@@ -53,6 +65,19 @@
 
 /// Returns whether the head of an answer states a coding of its body, so that the bytes that arrive are not those that the
 /// target signed. Chunks are removed by the HTTP library, and `identity` means that there is no coding.
+///
+/// # Examples
+///
+/// ```
+/// use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
+/// use sardinemux_gateway::attempt::answer;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+/// assert!(!answer::is_encoded(&headers));
+/// headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("gzip, chunked"));
+/// assert!(answer::is_encoded(&headers));
+/// ```
 pub fn is_encoded(headers: &HeaderMap) -> bool {
     let codings = headers.get_all(header::TRANSFER_ENCODING).iter();
     let mut codings = codings.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -5,10 +5,8 @@
 #[path = "support/harness.rs"]
 mod harness;
 
-use harness::{
-    exchange, header, looks_complete, request, Behaviour, Ending, Framing, MockTarget, Script,
-    TestGateway,
-};
+use harness::mock::{Behaviour, Ending, Framing, MockTarget, Script};
+use harness::{exchange, header, looks_complete, request, TestGateway};
 use rstest::rstest;
 
 /// Two events.
@@ -343,9 +341,10 @@
     }
 }
 
-/// Comments have no numbers, and a stream that must not be resumed needs none.
+/// Comments have no numbers, a byte order mark may precede the first one, and a stream that must not be resumed needs none.
 #[rstest]
 #[case::comments(": a\n\nid: 1\ndata: a\n\n: b\n\nid: 2\ndata: b\n\n: c\n\n")]
+#[case::byte_order_mark("\u{feff}id: 1\ndata: a\n\nid: 2\ndata: b\n\n")]
 #[case::no_numbers("data: a\n\ndata: b\n\n")]
 #[tokio::test]
 async fn verify_stream_with_comments_or_without_numbers_is_complete(#[case] body: &'static str) {
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -7,7 +7,8 @@
 
 use std::time::Duration;
 
-use harness::{exchange, header, request, Behaviour, MockTarget, TestGateway};
+use harness::mock::{Behaviour, MockTarget};
+use harness::{exchange, header, request, TestGateway};
 use rstest::rstest;
 use sardinemux_gateway::drain::Phase;
 use tokio::io::AsyncWriteExt;
--- /dev/null
+++ b/crates/gateway/tests/support/mock.rs
@@ -0,0 +1,266 @@
+//! Mock targets: each handles every request in the same way, and records what arrives.
+
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time;
+
+use super::header;
+
+/// How a mock target handles every request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Sends a complete answer.
+    Answer,
+    /// Sends a complete answer with status 500.
+    Fail,
+    /// States that it did not run the request.
+    Reject,
+    /// Resets the connection after it has read the request.
+    Reset,
+    /// Sends the answer to another request.
+    Cross,
+    /// States a longer body than it sends, and resets the connection.
+    Truncate,
+    /// Sends nothing.
+    Hang,
+    /// Sends events 1 and 2 and half of event 3, and resets the connection.
+    BreakStream,
+    /// Sends the events after the last one that the client received, up to event 4.
+    Stream,
+    /// Sends events 1 to 4, regardless of the last one that the client received.
+    Replay,
+    /// Sends events 1 and 3, as if a chunk of another stream had arrived instead of event 2, and completes the stream.
+    SkipEvent,
+    /// Sends event 1 and then event 2 twice, and completes the stream.
+    RepeatEvent,
+    /// Sends a body with a given framing, which may break off.
+    Send(Script),
+}
+
+/// What marks the end of the body of a scripted answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// A stated length, in bytes.
+    Length(usize),
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection.
+    Connection,
+    /// The end of the connection, after a body in another transfer coding than chunks.
+    Coding(&'static str),
+}
+
+/// How a scripted answer ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// With the last chunk, if it is chunked, and the close of the connection.
+    Finish,
+    /// With the close of the connection.
+    Close,
+    /// With a reset of the connection.
+    Reset,
+    /// Not at all: the connection stays open until the gateway closes it.
+    Hold,
+}
+
+/// A signed answer with status 200.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Script {
+    /// What marks the end of the body.
+    pub framing: Framing,
+    /// The media type; `None` if the head states none.
+    pub media_type: Option<&'static str>,
+    /// The bytes of the body that are sent.
+    pub body: &'static str,
+    /// How the answer ends.
+    pub ending: Ending,
+}
+
+impl Default for Script {
+    fn default() -> Self {
+        Self {
+            framing: Framing::Connection,
+            media_type: Some("text/event-stream"),
+            body: "",
+            ending: Ending::Close,
+        }
+    }
+}
+
+impl Script {
+    /// Returns the bytes of the answer to the request with this id.
+    fn encode(&self, id: &str) -> String {
+        let mut answer = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\n");
+        if let Some(media_type) = self.media_type {
+            answer.push_str(&format!("content-type: {media_type}\r\n"));
+        }
+        let body = self.body;
+        answer.push_str(&match self.framing {
+            Framing::Length(length) => format!("content-length: {length}\r\n\r\n{body}"),
+            Framing::Chunks if body.is_empty() => "transfer-encoding: chunked\r\n\r\n".into(),
+            Framing::Chunks => {
+                let length = body.len();
+                format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n")
+            }
+            Framing::Connection => format!("\r\n{body}"),
+            Framing::Coding(coding) => format!("transfer-encoding: {coding}\r\n\r\n{body}"),
+        });
+        if self.framing == Framing::Chunks && self.ending == Ending::Finish {
+            answer.push_str("0\r\n\r\n");
+        }
+        answer
+    }
+}
+
+/// What a mock target has observed.
+#[derive(Clone, Debug, Default)]
+pub struct Observed {
+    /// The requests in the order of their arrival, each with head and body.
+    pub requests: Vec<String>,
+    /// The number of connections that ended before the request on them was answered.
+    pub disconnects: usize,
+}
+
+/// A target that handles every request in the same way, and records what arrives.
+pub struct MockTarget {
+    /// The address on which it listens.
+    pub address: SocketAddr,
+    /// What it has observed so far.
+    pub observed: Arc<Mutex<Observed>>,
+}
+
+impl MockTarget {
+    /// Starts a mock target.
+    pub async fn start(behaviour: Behaviour) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let observed = Arc::new(Mutex::new(Observed::default()));
+        let shared = observed.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, behaviour, shared.clone()));
+            }
+        });
+        Self { address, observed }
+    }
+
+    /// Returns a target that has crashed: its address refuses connections.
+    pub fn crashed() -> Self {
+        let listener = StdListener::bind("127.0.0.1:0").unwrap();
+        Self {
+            address: listener.local_addr().unwrap(),
+            observed: Arc::default(),
+        }
+    }
+
+    /// Returns the number of requests that have arrived.
+    pub fn request_count(&self) -> usize {
+        self.observed.lock().requests.len()
+    }
+}
+
+/// Handles the requests on one connection.
+async fn serve(mut stream: TcpStream, behaviour: Behaviour, observed: Arc<Mutex<Observed>>) {
+    while let Some(request) = read_request(&mut stream).await {
+        observed.lock().requests.push(request.clone());
+        let id = header(&request, "x-id").unwrap_or_default();
+        let answer = match behaviour {
+            Behaviour::Answer => complete_response(200, &id, "answer"),
+            Behaviour::Fail => complete_response(500, &id, "failed"),
+            Behaviour::Reject => {
+                "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".into()
+            }
+            Behaviour::Cross => complete_response(200, "another", "another answer"),
+            Behaviour::Truncate => complete_response(200, &id, "answer")
+                .replace("content-length: 6", "content-length: 60"),
+            Behaviour::BreakStream => event_stream(
+                &id,
+                &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\nda"],
+            ),
+            Behaviour::SkipEvent => {
+                event_stream(&id, &["id: 1\ndata: a\n\n", "id: 3\ndata: c\n\n"]) + "0\r\n\r\n"
+            }
+            Behaviour::RepeatEvent => {
+                let event = "id: 2\ndata: b\n\n";
+                event_stream(&id, &["id: 1\ndata: a\n\n", event, event]) + "0\r\n\r\n"
+            }
+            Behaviour::Stream | Behaviour::Replay => {
+                let last = header(&request, "last-event-id").and_then(|last| last.parse().ok());
+                let last = last.filter(|_| behaviour == Behaviour::Stream);
+                let all =
+                    (last.unwrap_or(0) + 1..=4).map(|id: u32| format!("id: {id}\ndata: x\n\n"));
+                let all: Vec<String> = all.collect();
+                let all: Vec<&str> = all.iter().map(String::as_str).collect();
+                event_stream(&id, &all) + "0\r\n\r\n"
+            }
+            Behaviour::Send(script) => script.encode(&id),
+            Behaviour::Reset | Behaviour::Hang => String::new(),
+        };
+        if behaviour == Behaviour::Hang {
+            let mut rest = [0; 16];
+            let _ = stream.read(&mut rest).await;
+            observed.lock().disconnects += 1;
+            return;
+        }
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        let ending = match behaviour {
+            Behaviour::Send(script) => script.ending,
+            Behaviour::Reset | Behaviour::Truncate | Behaviour::BreakStream => Ending::Reset,
+            _ => continue,
+        };
+        if ending == Ending::Hold {
+            let mut rest = [0; 16];
+            let _ = stream.read(&mut rest).await;
+        }
+        if ending == Ending::Reset {
+            stream.flush().await.unwrap();
+            time::sleep(Duration::from_millis(30)).await;
+            stream.set_zero_linger().unwrap();
+        }
+        return;
+    }
+}
+
+/// Returns a signed response with a body.
+fn complete_response(status: u16, id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} Status\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Returns the head of a signed, chunked stream of events, and the given events, without the end of the body.
+fn event_stream(id: &str, events: &[&str]) -> String {
+    let mut answer = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    for event in events {
+        answer.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+    }
+    answer
+}
+
+/// Reads one request with its body. Returns `None` once the connection has ended.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length =
+                header(&text, "content-length").map_or(0, |length| length.parse().unwrap());
+            if text.len() >= end + 4 + length {
+                return Some(text);
+            }
+        }
+        let mut chunk = [0; 4_096];
+        match stream.read(&mut chunk).await {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => bytes.extend_from_slice(&chunk[..count]),
+        }
+    }
+}
--- a/crates/gateway/tests/suspension.rs
+++ b/crates/gateway/tests/suspension.rs
@@ -14,7 +14,8 @@
 use std::time::Duration;
 
 use fleet::{catalog_of, Store};
-use harness::{settings, spawn, Behaviour, MockTarget};
+use harness::mock::{Behaviour, MockTarget};
+use harness::{settings, spawn};
 use sardinemux_core::roster::query;
 use sardinemux_gateway::prelude::*;
 use sardinemux_gateway::settings::{Bounds, Settings};
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -123,7 +123,7 @@
     }
 }
 
-async fn handle_connection(port: Arc<Port>, client: TcpStream) {
+async fn handle_connection(port: Arc<Port>, mut client: TcpStream) {
     let fault = *port.fault.borrow();
     match fault {
         Fault::Cut => return,
@@ -138,7 +138,6 @@
     let Ok(mut server) = TcpStream::connect(port.pair.upstream).await else {
         return;
     };
-    let mut client = client;
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
     let faults = port.fault.subscribe();
     let end = {
