Log the shared parts of a prompt and the events of an answer

Cause: the lines about a stream that broke off cannot tell what the requests under which engines crash have in common, nor whether an engine had begun to write when a resumed stream broke off (last_event counts over all answers). Change: stream ended, stream broke off and attempt failed carry prompt, the shared parts as hashes; the first two also events. No decision changes.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -81,6 +81,11 @@
         ends_inside_event(&self.buffer)
     }
 
+    /// Returns the number of buffered bytes, which follow the last whole event once all events have been taken.
+    pub fn rest_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the bytes after the last whole event.
     pub fn into_rest(self) -> Vec<u8> {
         self.buffer
--- a/crates/core/src/prompt.rs
+++ b/crates/core/src/prompt.rs
@@ -1,5 +1,7 @@
 //! The shared parts of a prompt, and the targets that cache them.
 
+use std::fmt;
+
 use indexmap::IndexMap;
 
 use crate::target::Key;
@@ -41,12 +43,40 @@
         self.parts.get(index).map(|part| part.id)
     }
 
+    /// Returns the parts that other prompts may share: all but the last.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::prompt::{Part, Prompt};
+    ///
+    /// let part = |id| Part { id, tokens: 100 };
+    /// let prompt = Prompt { parts: vec![part(1), part(2), part(3)] };
+    /// assert_eq!(prompt.shared(), &[part(1), part(2)]);
+    /// assert!(Prompt::default().shared().is_empty());
+    /// ```
+    pub fn shared(&self) -> &[Part] {
+        let last = self.parts.len().saturating_sub(1);
+        &self.parts[..last]
+    }
+
     /// Returns the number of tokens of all parts.
     pub fn tokens(&self) -> u64 {
         self.parts.iter().map(|part| u64::from(part.tokens)).sum()
     }
 }
 
+/// Formats the ids of the shared parts in hexadecimal, separated by commas, for log lines.
+impl fmt::Display for Prompt {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.shared().iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(formatter, "{separator}{:016x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// The largest number of prefixes whose last holder is stored. A prefix takes about 40 bytes.
 pub const HOLDERS_MAX: usize = 4_096;
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -108,7 +108,7 @@
         .inc();
     if let AttemptOutcome::NotRun { reason, .. } | AttemptOutcome::Unknown { reason } = &outcome {
         log::info!(
-            request_id:% = inbound.id_text(), target_id:% = target.id, reason = reason.name(),
+            request_id:% = inbound.id_text(), target_id:% = target.id, prompt:% = inbound.prompt, reason = reason.name(),
             is_not_run = matches!(outcome, AttemptOutcome::NotRun { .. });
             "attempt failed"
         );
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -72,15 +72,18 @@
 struct Progress {
     /// The id of the last event that was forwarded.
     last_event: Option<u64>,
+    /// The number of new events in this answer. It differs from the last id if the answer resumes a stream.
+    events: u64,
     /// The number of bytes after the last whole event.
     unfinished_bytes: usize,
 }
 
 impl Progress {
-    fn new(cursor: &Cursor, rest: &[u8]) -> Self {
+    fn new(cursor: &Cursor, assembler: &Assembler) -> Self {
         Self {
             last_event: cursor.last_id(),
-            unfinished_bytes: rest.len(),
+            events: assembler.events(),
+            unfinished_bytes: assembler.unfinished_bytes(),
         }
     }
 }
@@ -100,15 +103,17 @@
     let is_event_stream = answer.is_event_stream();
     let last_event = progress.last_event.unwrap_or_default();
     let unfinished_bytes = progress.unfinished_bytes;
+    let events = progress.events;
+    let prompt = &serving.inbound().prompt;
     match cause {
         None => log::info!(
-            request_id:% = request_id, target_id:% = target_id, framing = framing,
-            is_event_stream = is_event_stream, last_event = last_event, unfinished_bytes = unfinished_bytes;
+            request_id:% = request_id, target_id:% = target_id, prompt:% = prompt, framing = framing,
+            is_event_stream = is_event_stream, events = events, last_event = last_event, unfinished_bytes = unfinished_bytes;
             "stream ended"
         ),
         Some(cause) => log::warn!(
-            request_id:% = request_id, target_id:% = target_id, framing = framing, reason = cause.reason.name(),
-            is_event_stream = is_event_stream, last_event = last_event, unfinished_bytes = unfinished_bytes;
+            request_id:% = request_id, target_id:% = target_id, prompt:% = prompt, framing = framing, reason = cause.reason.name(),
+            is_event_stream = is_event_stream, events = events, last_event = last_event, unfinished_bytes = unfinished_bytes;
             "stream broke off"
         ),
     }
@@ -158,8 +163,8 @@
                     }
                     Ok(None) if assembler.is_cut() => break interrupted(Reason::Cut),
                     Ok(None) => {
+                        record_end(&serving, &answer, Progress::new(&cursor, &assembler), None);
                         let rest = assembler.into_rest();
-                        record_end(&serving, &answer, Progress::new(&cursor, &rest), None);
                         if !rest.is_empty() {
                             yield Ok(Frame::data(rest));
                         }
@@ -176,7 +181,7 @@
                     break interrupted(Reason::Crossed);
                 }
             };
-            let progress = Progress::new(&cursor, &assembler.into_rest());
+            let progress = Progress::new(&cursor, &assembler);
             abort(&serving, answer, progress, cause);
             let next = match is_resumable {
                 true => resume(&mut serving, cause, cursor.last_id()).await,
--- a/crates/gateway/src/stream/assembler.rs
+++ b/crates/gateway/src/stream/assembler.rs
@@ -16,6 +16,8 @@
     may_repeat: bool,
     /// Whether the answer is complete if its body ends outside an event: its framing shows that, or a new event came.
     may_end: bool,
+    /// The number of new events so far.
+    events: u64,
 }
 
 impl Assembler {
@@ -27,6 +29,7 @@
             is_resumable,
             may_repeat: cursor.last_id().is_some(),
             may_end: answer.may_be_empty(),
+            events: 0,
         }
     }
 
@@ -56,6 +59,7 @@
                 Continuity::Next => {
                     self.may_repeat = false;
                     self.may_end = true;
+                    self.events += 1;
                     bytes.extend(event.bytes);
                 }
                 Continuity::Duplicate if self.may_repeat => {}
@@ -70,6 +74,16 @@
         !self.may_end || self.splitter.is_inside_event()
     }
 
+    /// Returns the number of new events that have been taken.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Returns the number of bytes after the last whole event.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.splitter.rest_len()
+    }
+
     /// Returns the bytes after the last whole event.
     pub fn into_rest(self) -> Bytes {
         self.splitter.into_rest().into()
