Reproduce the crash of one engine after the other under one prompt part

Callers of sound requests lose their answers, as each request with the part ends all that its engine is writing.

--- /dev/null
+++ b/crates/gateway/tests/quarantine.rs
@@ -0,0 +1,95 @@
+//! Tests of prompt parts under which engines crash, in a fleet of gateways.
+
+#![expect(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a test fails by panicking"
+)]
+
+#[path = "support/engines.rs"]
+mod engines;
+#[path = "support/fleet.rs"]
+mod fleet;
+#[path = "support/harness.rs"]
+mod harness;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use engines::{wait_until_serving, Engines, FATAL_PART};
+use fleet::{catalog_of, Store};
+use harness::{exchange, looks_complete};
+use rstest::rstest;
+use sardinemux_gateway::settings::Settings;
+use sardinemux_gateway::source::Topic;
+use tokio::time;
+
+/// The number of crashes after which the users' bound applies.
+const CRASHES: usize = 5;
+
+/// The users' bound on the requests with a fatal part that reach engines later than [`STABLE_WINDOW`] after the last of
+/// [`CRASHES`] crashes.
+const ARRIVALS_MAX: usize = 3;
+
+/// The users' time for the gateways to agree.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+
+/// Starts gateways of one store, and returns the addresses of their servers for callers.
+async fn start_gateways(store: &Store, count: usize) -> Vec<SocketAddr> {
+    store.put(
+        Topic::Operators,
+        "config",
+        Some(catalog_of(harness::definition())),
+    );
+    let mut addresses = Vec::new();
+    for index in 0..count {
+        let settings = Settings {
+            name: format!("g{index}").into(),
+            ..harness::settings()
+        };
+        let (caller, ready) = (settings.caller_address, settings.ready_address);
+        let source = store.source(&settings.name);
+        harness::spawn(settings, source);
+        wait_until_serving(caller, ready).await;
+        addresses.push(caller);
+    }
+    addresses
+}
+
+/// Sends a request whose prompt has a common first part, the given one and one of its own.
+async fn ask(address: SocketAddr, path: &str, part: &str, number: usize) -> String {
+    let headers = format!("x-prompt: common:10,{part},own{number}:10\r\n");
+    exchange(address, &harness::request("POST", path, &headers, "p")).await
+}
+
+/// One part of a prompt crashes each engine that begins to answer it.
+#[rstest]
+#[case::stream("/stream/")]
+#[case::resumable("/resumable/")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_part_that_crashes_engines_is_not_sent_to_one_after_the_other(#[case] path: &str) {
+    let store = Store::default();
+    let engines = Engines::start(&store, 4).await;
+    let gateways = start_gateways(&store, 3).await;
+    for number in 0..9 {
+        let answer = ask(gateways[number % 3], path, "sound:10", number).await;
+        assert!(looks_complete(&answer), "{answer}");
+    }
+    for number in 10..30 {
+        if engines.crashes() >= CRASHES {
+            break;
+        }
+        ask(gateways[number % 3], path, FATAL_PART, number).await;
+    }
+    time::sleep(STABLE_WINDOW).await;
+    let known = engines.fatal_arrivals();
+    for number in 30..45 {
+        ask(gateways[number % 3], path, FATAL_PART, number).await;
+    }
+    let later = engines.fatal_arrivals() - known;
+    assert!(later <= ARRIVALS_MAX, "{later} requests reached engines");
+    for number in 50..59 {
+        let answer = ask(gateways[number % 3], path, "sound:10", number).await;
+        assert!(looks_complete(&answer), "{answer}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/engines.rs
@@ -0,0 +1,161 @@
+//! A pool of mock engines in one process. An engine crashes when it begins to answer a prompt with a certain part: its
+//! listener and all of its connections are closed, and a replacement is listed in the store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use sardinemux_gateway::source::{Fact, Topic};
+use smol_str::SmolStr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time;
+
+use super::fleet::Store;
+use super::harness::{announcement, header};
+
+/// The part of a prompt under which engines crash.
+pub const FATAL_PART: &str = "fatal:10";
+
+/// The time between the head of an answer and the crash of its engine.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
+/// The number of events in an answer.
+const EVENTS: usize = 4;
+
+#[derive(Debug, Default)]
+struct Counts {
+    started: usize,
+    crashes: usize,
+    fatal_arrivals: usize,
+}
+
+/// A pool that always has the same number of engines.
+#[derive(Clone, Debug)]
+pub struct Engines {
+    store: Store,
+    counts: Arc<Mutex<Counts>>,
+}
+
+impl Engines {
+    /// Starts `count` engines and lists them in the store.
+    pub async fn start(store: &Store, count: usize) -> Self {
+        let engines = Self {
+            store: store.clone(),
+            counts: Arc::default(),
+        };
+        for _ in 0..count {
+            let (id, listener) = engines.list_new().await;
+            tokio::spawn(engines.clone().run(id, listener));
+        }
+        engines
+    }
+
+    /// Returns the number of engines that have crashed.
+    pub fn crashes(&self) -> usize {
+        self.counts.lock().crashes
+    }
+
+    /// Returns the number of requests with [`FATAL_PART`] that have reached an engine.
+    pub fn fatal_arrivals(&self) -> usize {
+        self.counts.lock().fatal_arrivals
+    }
+
+    /// Lists a new engine, and returns its id and listener.
+    async fn list_new(&self) -> (SmolStr, TcpListener) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let id = {
+            let mut counts = self.counts.lock();
+            counts.started += 1;
+            SmolStr::from(format!("t{}", counts.started))
+        };
+        let target = announcement(&id, &address.to_string());
+        self.store
+            .put(Topic::Targets, &id, Some(Fact::Target(target)));
+        (id, listener)
+    }
+
+    /// Runs an engine until it crashes, and then its replacements.
+    async fn run(self, mut id: SmolStr, mut listener: TcpListener) {
+        loop {
+            let (crash, mut crashed) = watch::channel(());
+            let crash = Arc::new(crash);
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                        connections.spawn(serve(stream, self.counts.clone(), crash.clone()));
+                    },
+                    _ = crashed.changed() => break,
+                }
+            }
+            drop(listener);
+            connections.shutdown().await;
+            self.counts.lock().crashes += 1;
+            self.store.put(Topic::Targets, &id, None);
+            (id, listener) = self.list_new().await;
+        }
+    }
+}
+
+/// Answers the requests on one connection with streams of events, until one of them is fatal.
+async fn serve(mut stream: TcpStream, counts: Arc<Mutex<Counts>>, crash: Arc<watch::Sender<()>>) {
+    while let Some(request) = read_request(&mut stream).await {
+        let id = header(&request, "x-id").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        let is_fatal = request.contains(FATAL_PART);
+        counts.lock().fatal_arrivals += usize::from(is_fatal);
+        if stream.write_all(head.as_bytes()).await.is_err() {
+            return;
+        }
+        if is_fatal {
+            time::sleep(CRASH_DELAY).await;
+            crash.send_replace(());
+            return;
+        }
+        let events = (1..=EVENTS).map(|id| format!("id: {id}\ndata: x\n\n"));
+        let chunks = events.map(|event| format!("{:x}\r\n{event}\r\n", event.len()));
+        let body = chunks.collect::<String>() + "0\r\n\r\n";
+        if stream.write_all(body.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads one request, whose body ends with its stated length. Returns `None` once the connection has ended.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = header(&text, "content-length")?;
+            if text.len() >= end + 4 + length.parse::<usize>().ok()? {
+                return Some(text);
+            }
+        }
+        let mut chunk = [0; 4_096];
+        match stream.read(&mut chunk).await {
+            Ok(0) | Err(_) => return None,
+            Ok(count) => bytes.extend_from_slice(&chunk[..count]),
+        }
+    }
+}
+
+/// Waits until a gateway accepts requests of callers and is ready.
+pub async fn wait_until_serving(caller_address: SocketAddr, ready_address: SocketAddr) {
+    let request = "GET /ready HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+    while TcpStream::connect(caller_address).await.is_err()
+        || TcpStream::connect(ready_address).await.is_err()
+        || !super::harness::exchange(ready_address, request)
+            .await
+            .starts_with("HTTP/1.1 200")
+    {
+        time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -12,8 +12,10 @@
 
 use futures_util::FutureExt;
 use hyper::header::HeaderName;
+use hyper::HeaderMap;
 use sardinemux_core::catalog::{Definition, Kind, Limits, Organisation, Pool, Route, Share};
-use sardinemux_core::prompt::Prompt;
+use sardinemux_core::hash;
+use sardinemux_core::prompt::{Part, Prompt};
 use sardinemux_core::roster::Announcement;
 use sardinemux_core::target::{self, Target};
 use sardinemux_gateway::dialect::Dialect;
@@ -47,12 +49,28 @@
         last_event_id: name("last-event-id"),
         cold_ms: name("x-cold"),
         reserved: vec![name("x-organisation"), name("x-expect"), name("x-hold")],
-        parse_prompt: |_| Prompt::default(),
+        parse_prompt,
         parse_load: |_| None,
         ready_path: "/ready",
     }
 }
 
+/// Parses the parts of a prompt in the form `NAME:TOKENS`, separated by commas.
+fn parse_prompt(headers: &HeaderMap) -> Prompt {
+    let value = headers
+        .get("x-prompt")
+        .and_then(|value| value.to_str().ok());
+    let parts = value.into_iter().flat_map(|value| value.split(','));
+    let parts = parts.filter_map(|part| part.split_once(':'));
+    let parts = parts.map(|(name, tokens)| Part {
+        id: hash::digest(&[name.as_bytes()]),
+        tokens: tokens.parse().unwrap(),
+    });
+    Prompt {
+        parts: parts.collect(),
+    }
+}
+
 /// The ports on which gateways listen in tests. They lie below the ephemeral ports: an outgoing connection of another
 /// process could take one of those between its selection here and its use.
 const PORT_RANGE: std::ops::Range<u16> = 30_500..32_700;
