Find the prompt parts under which targets crash, in simulation

Cause of the incident: nothing remembers what a target was answering when it crashed. This adds the decision code, which no product calls yet: gateways accuse the shared parts of prompts whose answers had just begun (a waiting one at half weight), answers that go on past their beginning clear theirs, and a part that is accused of two crashes in different moments without a clearance in 30 s is held. Crashes that a held part explains no longer count against others. A held part is tried by one gateway after 30 s, then at doubled intervals.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod prelude;
 pub mod prompt;
+pub mod quarantine;
 pub mod readers;
 pub mod reports;
 pub mod retry;
--- /dev/null
+++ b/crates/core/src/quarantine.rs
@@ -0,0 +1,188 @@
+//! The prompt parts under which targets crash: who accuses them, what clears them, and which of them are held back.
+//!
+//! A crash ends every answer in progress on a target, and one request may be its cause. Each part of a prompt whose
+//! answer had only just begun is accused of the crash. An answer that goes on past its beginning clears all parts of its
+//! prompt. A part that is accused of several crashes and not cleared is held: requests with it are refused, except for
+//! rare trials. Source: Dorfman, "The detection of defective members of large populations", Annals of Mathematical
+//! Statistics, 1943.
+//!
+//! Gateways exchange their evidence as [`Notice`]s. Merging them is commutative and idempotent, so that gateways that have
+//! received the same notices in any order agree.
+
+pub mod command;
+pub mod exchange;
+pub mod query;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// The thresholds and lifetimes of the evidence.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// The weight of the crashes after which a part that is not cleared is held. A crash of which the part is certainly
+    /// or probably not the only suspect counts less, see [`Suspicion`].
+    pub weight_min: f64,
+    /// The weight of the crashes since its clearance after which a part is held that was cleared shortly before.
+    pub cleared_weight_min: f64,
+    /// Crashes within this time of each other count as one, in milliseconds: a failure of a rack or an availability zone
+    /// says nothing about the prompts.
+    pub moment_ms: u64,
+    /// How long the accusations of a part that is not held are kept, in milliseconds.
+    pub accusation_ttl_ms: u64,
+    /// How long a clearance protects a part, in milliseconds.
+    pub clearance_ttl_ms: u64,
+    /// The time from the hold of a part to its first trial, in milliseconds; doubled with each further trial.
+    pub trial_ms: u64,
+    /// The longest time between two trials, in milliseconds.
+    pub trial_max_ms: u64,
+    /// The largest number of parts that are accused or held.
+    pub parts_max: usize,
+    /// The largest number of clearances that are kept.
+    pub clearances_max: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            weight_min: 2.0,
+            cleared_weight_min: 6.0,
+            moment_ms: 200,
+            accusation_ttl_ms: 120_000,
+            clearance_ttl_ms: 30_000,
+            trial_ms: 30_000,
+            trial_max_ms: 3_600_000,
+            parts_max: 512,
+            clearances_max: 8_192,
+        }
+    }
+}
+
+/// How strongly a request is suspected of a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Suspicion {
+    /// The target had not begun to answer; the request may have been waiting. Half a crash.
+    Waiting,
+    /// The target had begun to answer.
+    Begun,
+}
+
+impl Suspicion {
+    fn weight(self) -> f64 {
+        match self {
+            Self::Waiting => 0.5,
+            Self::Begun => 1.0,
+        }
+    }
+}
+
+/// One crash of which a part is accused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Accusation {
+    pub(crate) at_ms: u64,
+    pub(crate) suspicion: Suspicion,
+}
+
+/// The hold of a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Hold {
+    /// When the part was held or last tried.
+    pub(crate) since_ms: u64,
+    /// The number of trials so far.
+    pub(crate) trials: u8,
+}
+
+/// The evidence against one part.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Case {
+    /// The accusations by crash, see [`crash_id`].
+    pub(crate) accusations: IndexMap<u64, Accusation>,
+    /// The position of the part in its prompts. Deeper parts are shared by fewer requests.
+    pub(crate) depth: u8,
+    pub(crate) hold: Option<Hold>,
+    /// Whether other gateways may know the accusations.
+    pub(crate) is_announced: bool,
+}
+
+/// The evidence of one gateway.
+#[derive(Clone, Debug, Default)]
+pub struct Register {
+    pub(crate) settings: Settings,
+    pub(crate) cases: IndexMap<u64, Case>,
+    /// When each part was last cleared.
+    pub(crate) clearances: IndexMap<u64, u64>,
+}
+
+impl Register {
+    /// Creates a register without evidence.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::quarantine::{query, Register, Settings};
+    ///
+    /// let register = Register::new(Settings::default());
+    /// assert_eq!(query::held_part(&register, &[1, 2]), None);
+    /// ```
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+}
+
+/// The largest number of accusations of one part that are kept, the latest ones.
+pub const ACCUSATIONS_MAX: usize = 32;
+
+/// The largest number of accusations in a notice, the latest ones.
+pub const NOTICE_ACCUSATIONS_MAX: usize = 8;
+
+/// What one gateway knows of one part, with times as ages, since clocks of instances are not compared.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The id of the part.
+    pub part: u64,
+    /// Its position in prompts.
+    pub depth: u8,
+    /// The crashes of which it is accused, with their ages in milliseconds.
+    pub accusations: Vec<(u64, u32, Suspicion)>,
+    /// The time since it was last cleared, in milliseconds.
+    pub cleared_age_ms: Option<u32>,
+    /// The time since it was held or last tried, in milliseconds, and the number of trials.
+    pub hold: Option<(u32, u8)>,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// No part of its prompt is held.
+    Free,
+    /// It is the trial of a held part.
+    Trial {
+        /// The part.
+        part: u64,
+    },
+    /// A part of its prompt is held.
+    Refused {
+        /// The part.
+        part: u64,
+        /// The time until the part is tried next, in milliseconds.
+        next_trial_ms: u64,
+    },
+}
+
+/// The changes of holds that a command has caused.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// The parts that are held now.
+    pub held: Vec<u64>,
+    /// The parts that are no longer held.
+    pub released: Vec<u64>,
+    /// The parts of which something is known that other gateways may not know.
+    pub news: Vec<u64>,
+}
+
+/// Returns the id of a crash, equal on all gateways: each lifetime of a target crashes at most once.
+pub fn crash_id(target_id: &str, lifetime: u64) -> u64 {
+    crate::hash::digest(&[target_id.as_bytes(), &lifetime.to_le_bytes()])
+}
--- /dev/null
+++ b/crates/core/src/quarantine/command.rs
@@ -0,0 +1,330 @@
+//! Commands that change a register.
+
+use super::{
+    query, Accusation, Admission, Case, Changes, Hold, Notice, Register, Suspicion, ACCUSATIONS_MAX,
+};
+
+/// The tolerance in comparisons of times that other gateways state as ages, in milliseconds. Ages are short by the delay
+/// of their messages, so that without it gateways would renew each other's evidence forever.
+const TOLERANCE_MS: u64 = 1_000;
+
+/// Accuses the shared parts of a prompt, in order, of a crash.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::quarantine::{command, query, Register, Settings, Suspicion};
+///
+/// let mut register = Register::new(Settings::default());
+/// command::clear(&mut register, &[1], 0);
+/// command::accuse(&mut register, 70, &[1, 2], Suspicion::Begun, 1_000);
+/// command::accuse(&mut register, 71, &[1, 2], Suspicion::Begun, 2_000);
+/// assert_eq!(query::held_part(&register, &[1, 2]), Some(2));
+/// ```
+pub fn accuse(
+    register: &mut Register,
+    crash: u64,
+    parts: &[u64],
+    suspicion: Suspicion,
+    now_ms: u64,
+) -> Changes {
+    let mut changes = Changes::default();
+    let accusation = Accusation {
+        at_ms: now_ms,
+        suspicion,
+    };
+    for (depth, part) in parts.iter().enumerate() {
+        let cleared_ms = query::clearance(register, *part, now_ms);
+        if is_refuted(now_ms, cleared_ms) {
+            continue;
+        }
+        let case = register.cases.entry(*part).or_default();
+        case.depth = case.depth.max(u8::try_from(depth).unwrap_or(u8::MAX));
+        // One accusation of a part that was cleared shortly before means little, and nearly every crash has some.
+        let is_weak = cleared_ms.is_some() && case.accusations.is_empty();
+        if add_accusation(case, crash, accusation) && !is_weak {
+            case.is_announced = true;
+            changes.news.push(*part);
+        }
+    }
+    settle(register, &mut changes, now_ms);
+    changes
+}
+
+/// Clears the shared parts of a prompt, as its answer has gone on past its beginning.
+pub fn clear(register: &mut Register, parts: &[u64], now_ms: u64) -> Changes {
+    let mut changes = Changes::default();
+    for part in parts {
+        register.clearances.insert(*part, now_ms);
+        if drop_accusations(register, *part, now_ms) {
+            changes.news.push(*part);
+        }
+    }
+    if !changes.news.is_empty() {
+        settle(register, &mut changes, now_ms);
+    }
+    limit_clearances(register, now_ms);
+    changes
+}
+
+/// Merges the notices of another gateway. The parts of which they held something new are among the news.
+pub fn merge(register: &mut Register, notices: &[Notice], now_ms: u64) -> Changes {
+    let mut changes = Changes::default();
+    for notice in notices {
+        if merge_notice(register, notice, now_ms) {
+            changes.news.push(notice.part);
+        }
+    }
+    if changes.news.is_empty() {
+        return changes;
+    }
+    settle(register, &mut changes, now_ms);
+    changes
+}
+
+/// Decides on a request whose prompt has these shared parts. If a held part among them is due for a trial and this gateway
+/// is the one that tries it (`is_tester`), the request becomes the trial.
+pub fn admit(
+    register: &mut Register,
+    parts: &[u64],
+    is_tester: impl Fn(u64) -> bool,
+    now_ms: u64,
+) -> Admission {
+    let settings = register.settings;
+    let Some(part) = query::held_part(register, parts) else {
+        return Admission::Free;
+    };
+    let hold = register
+        .cases
+        .get_mut(&part)
+        .and_then(|case| case.hold.as_mut());
+    let Some(hold) = hold else {
+        return Admission::Free;
+    };
+    let wait_ms = settings.trial_ms << hold.trials.min(16);
+    let due_ms = hold.since_ms + wait_ms.min(settings.trial_max_ms);
+    if now_ms < due_ms || !is_tester(part) {
+        let next_trial_ms = due_ms.saturating_sub(now_ms);
+        return Admission::Refused {
+            part,
+            next_trial_ms,
+        };
+    }
+    *hold = Hold {
+        since_ms: now_ms,
+        trials: hold.trials.saturating_add(1),
+    };
+    Admission::Trial { part }
+}
+
+/// Holds a part that another run of this gateway, or another gateway, has recorded as held after `trials` trials. A
+/// part that is held already is not changed.
+pub fn restore(register: &mut Register, part: u64, trials: u8, now_ms: u64) -> bool {
+    let case = register.cases.entry(part).or_default();
+    let is_new = case.hold.is_none();
+    case.hold.get_or_insert(Hold {
+        since_ms: now_ms,
+        trials,
+    });
+    is_new
+}
+
+/// Removes the cases whose accusations have expired.
+pub fn remove_expired(register: &mut Register, now_ms: u64) {
+    let ttl_ms = register.settings.accusation_ttl_ms;
+    register.cases.retain(|_, case| {
+        if case.hold.is_none() {
+            let accusations = &mut case.accusations;
+            accusations.retain(|_, it| now_ms.saturating_sub(it.at_ms) < ttl_ms);
+        }
+        case.hold.is_some() || !case.accusations.is_empty()
+    });
+}
+
+/// Adds an accusation, or strengthens a known one. Returns whether that changed anything.
+fn add_accusation(case: &mut Case, crash: u64, accusation: Accusation) -> bool {
+    if let Some(known) = case.accusations.get_mut(&crash) {
+        known.at_ms = known.at_ms.min(accusation.at_ms);
+        let is_stronger = accusation.suspicion > known.suspicion;
+        known.suspicion = known.suspicion.max(accusation.suspicion);
+        return is_stronger;
+    }
+    case.accusations.insert(crash, accusation);
+    if case.accusations.len() > ACCUSATIONS_MAX {
+        let oldest = case.accusations.iter().min_by_key(|(_, it)| it.at_ms);
+        let oldest = oldest.map(|(crash, _)| *crash);
+        oldest.and_then(|crash| case.accusations.swap_remove(&crash));
+    }
+    true
+}
+
+/// Removes the accusations of a part up to the time of its clearance. Returns whether other gateways may hold them.
+fn drop_accusations(register: &mut Register, part: u64, cleared_ms: u64) -> bool {
+    let Some(case) = register.cases.get_mut(&part) else {
+        return false;
+    };
+    let before = case.accusations.len();
+    let is_open = |it: &Accusation| !is_refuted(it.at_ms, Some(cleared_ms));
+    case.accusations.retain(|_, it| is_open(it));
+    let is_changed = case.accusations.len() < before || case.hold.is_some();
+    if case.accusations.is_empty() && case.hold.is_none() {
+        let is_announced = case.is_announced;
+        register.cases.swap_remove(&part);
+        return is_changed && is_announced;
+    }
+    is_changed && case.is_announced
+}
+
+fn merge_notice(register: &mut Register, notice: &Notice, now_ms: u64) -> bool {
+    let time_ms = |age_ms: u32| now_ms.saturating_sub(u64::from(age_ms));
+    let part = notice.part;
+    let mut is_new = false;
+    if let Some(cleared_ms) = notice.cleared_age_ms.map(time_ms) {
+        is_new |= merge_clearance(register, part, cleared_ms, now_ms);
+    }
+    let cleared_ms = query::clearance(register, part, now_ms);
+    let known = register.cases.get(&part);
+    let is_known = known.is_some_and(|case| case.is_announced);
+    let mut case = register.cases.swap_remove(&part).unwrap_or_default();
+    case.depth = case.depth.max(notice.depth);
+    for (crash, age_ms, suspicion) in &notice.accusations {
+        let accusation = Accusation {
+            at_ms: time_ms(*age_ms),
+            suspicion: *suspicion,
+        };
+        is_new |= match is_refuted(accusation.at_ms, cleared_ms) {
+            // The sender may not know of the clearance.
+            true => notice.cleared_age_ms.is_none(),
+            false => add_accusation(&mut case, *crash, accusation),
+        };
+    }
+    if let Some((age_ms, trials)) = notice.hold {
+        is_new |= merge_hold(&mut case, time_ms(age_ms), trials, cleared_ms);
+    }
+    case.is_announced = is_known || !notice.accusations.is_empty() || notice.hold.is_some();
+    if case.hold.is_some() || !case.accusations.is_empty() {
+        register.cases.insert(part, case);
+    }
+    is_new
+}
+
+/// Returns whether a clearance shows that a crash at `at_ms` has another cause.
+fn is_refuted(at_ms: u64, cleared_ms: Option<u64>) -> bool {
+    cleared_ms.is_some_and(|cleared_ms| at_ms <= cleared_ms + TOLERANCE_MS)
+}
+
+/// Takes over a clearance that is newer than the known one. Returns whether it refuted an accusation.
+fn merge_clearance(register: &mut Register, part: u64, cleared_ms: u64, now_ms: u64) -> bool {
+    let known_ms = query::clearance(register, part, now_ms);
+    if known_ms.is_some_and(|known_ms| cleared_ms <= known_ms + TOLERANCE_MS) {
+        return false;
+    }
+    register.clearances.insert(part, cleared_ms);
+    drop_accusations(register, part, cleared_ms)
+}
+
+/// Takes over the hold of another gateway, unless the part was cleared after it. Returns whether that changed anything.
+fn merge_hold(case: &mut Case, since_ms: u64, trials: u8, cleared_ms: Option<u64>) -> bool {
+    if cleared_ms.is_some_and(|cleared_ms| cleared_ms >= since_ms) {
+        return false;
+    }
+    let is_newer = case.hold.is_none_or(|known| trials > known.trials);
+    if is_newer {
+        case.hold = Some(Hold { since_ms, trials });
+    }
+    is_newer
+}
+
+/// Holds the parts against which the evidence suffices, the strongest case first, and releases those that were cleared.
+///
+/// The crashes of a held part are explained by it and no longer count against others.
+fn settle(register: &mut Register, changes: &mut Changes, now_ms: u64) {
+    release_cleared(register, changes, now_ms);
+    while let Some(part) = find_guilty(register, now_ms) {
+        if let Some(case) = register.cases.get_mut(&part) {
+            case.hold = Some(Hold {
+                since_ms: now_ms,
+                trials: 0,
+            });
+        }
+        changes.held.push(part);
+    }
+    register
+        .cases
+        .retain(|_, case| case.hold.is_some() || !case.accusations.is_empty());
+    limit_cases(register);
+}
+
+fn release_cleared(register: &mut Register, changes: &mut Changes, now_ms: u64) {
+    let held = register.cases.iter();
+    let held = held.filter(|(_, case)| case.hold.is_some());
+    let held: Vec<u64> = held.map(|(part, _)| *part).collect();
+    for part in held {
+        let Some(cleared_ms) = query::clearance(register, part, now_ms) else {
+            continue;
+        };
+        let settings = register.settings;
+        let Some(case) = register.cases.get_mut(&part) else {
+            continue;
+        };
+        let weight = query::weight(case, &Default::default(), settings);
+        if weight < query::threshold(case, Some(cleared_ms), settings) {
+            case.hold = None;
+            changes.released.push(part);
+            changes.news.push(part);
+        }
+    }
+}
+
+/// Returns the part with the strongest sufficient evidence that is not held. Of parts that always occur together, the
+/// one deepest in the prompt is shared by the fewest requests.
+fn find_guilty(register: &Register, now_ms: u64) -> Option<u64> {
+    let settings = register.settings;
+    let explained = query::explained(&register.cases);
+    let open = register.cases.iter();
+    let open = open.filter(|(_, case)| case.hold.is_none());
+    let weighed = open.filter_map(|(part, case)| {
+        let weight = query::weight(case, &explained, settings);
+        let cleared_ms = query::clearance(register, *part, now_ms);
+        let is_enough = weight >= query::threshold(case, cleared_ms, settings);
+        is_enough.then_some((weight, case.depth, *part))
+    });
+    let strongest = weighed.max_by(|left, right| {
+        let by_weight = left.0.total_cmp(&right.0);
+        by_weight.then((left.1, left.2).cmp(&(right.1, right.2)))
+    });
+    strongest.map(|(_, _, part)| part)
+}
+
+/// Removes the cases with the oldest accusations while there are too many, those that are not held first.
+fn limit_cases(register: &mut Register) {
+    let parts_max = register.settings.parts_max;
+    if register.cases.len() <= parts_max {
+        return;
+    }
+    register.cases.sort_by(|_, left, _, right| {
+        let rank = |case: &Case| {
+            let last_ms = case.accusations.values().map(|it| it.at_ms).max();
+            (case.hold.is_some(), last_ms)
+        };
+        rank(right).cmp(&rank(left))
+    });
+    register.cases.truncate(parts_max);
+}
+
+/// Removes the expired clearances, and then the oldest ones, while there are too many.
+fn limit_clearances(register: &mut Register, now_ms: u64) {
+    let settings = register.settings;
+    if register.clearances.len() <= settings.clearances_max {
+        return;
+    }
+    register
+        .clearances
+        .retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < settings.clearance_ttl_ms);
+    register
+        .clearances
+        .sort_by(|_, left, _, right| right.cmp(left));
+    // Sorting costs more than removing, so an eighth is removed at once.
+    let kept = settings.clearances_max - settings.clearances_max / 8;
+    register.clearances.truncate(kept);
+}
--- /dev/null
+++ b/crates/core/src/quarantine/query.rs
@@ -0,0 +1,113 @@
+//! Queries of a register.
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::{Accusation, Case, Notice, Register, Settings, NOTICE_ACCUSATIONS_MAX};
+
+/// Returns the first of these parts that is held.
+pub fn held_part(register: &Register, parts: &[u64]) -> Option<u64> {
+    let is_held = |part: &&u64| {
+        let case = register.cases.get(*part);
+        case.is_some_and(|case| case.hold.is_some())
+    };
+    parts.iter().find(is_held).copied()
+}
+
+/// Returns whether each of these parts was cleared within the time for which a clearance protects.
+pub fn are_cleared(register: &Register, parts: &[u64], now_ms: u64) -> bool {
+    parts
+        .iter()
+        .all(|part| clearance(register, *part, now_ms).is_some())
+}
+
+/// Returns the number of held parts.
+pub fn held_count(register: &Register) -> usize {
+    let cases = register.cases.values();
+    cases.filter(|case| case.hold.is_some()).count()
+}
+
+/// Returns the number of trials of a held part.
+pub fn trials(register: &Register, part: u64) -> Option<u8> {
+    Some(register.cases.get(&part)?.hold?.trials)
+}
+
+/// Returns the parts that are accused or held, the held ones first.
+pub fn parts(register: &Register) -> Vec<u64> {
+    let is_held = |case: &Case| case.hold.is_some();
+    let held = register.cases.iter().filter(|(_, case)| is_held(case));
+    let accused = register.cases.iter().filter(|(_, case)| !is_held(case));
+    held.chain(accused).map(|(part, _)| *part).collect()
+}
+
+/// Returns what is known of a part; `None` if that is nothing.
+pub fn notice(register: &Register, part: u64, now_ms: u64) -> Option<Notice> {
+    let cleared_ms = clearance(register, part, now_ms);
+    let case = register.cases.get(&part);
+    if case.is_none() && cleared_ms.is_none() {
+        return None;
+    }
+    let age_ms = |at_ms: u64| u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX);
+    let mut accusations: Vec<_> = case
+        .iter()
+        .flat_map(|case| &case.accusations)
+        .map(|(crash, it)| (*crash, age_ms(it.at_ms), it.suspicion))
+        .collect();
+    accusations.sort_by_key(|(_, age_ms, _)| *age_ms);
+    accusations.truncate(NOTICE_ACCUSATIONS_MAX);
+    let hold = case.and_then(|case| case.hold);
+    Some(Notice {
+        part,
+        depth: case.map_or(0, |case| case.depth),
+        accusations,
+        cleared_age_ms: cleared_ms.map(age_ms),
+        hold: hold.map(|hold| (age_ms(hold.since_ms), hold.trials)),
+    })
+}
+
+/// Returns when a part was last cleared, unless that is too long ago to protect it.
+pub(crate) fn clearance(register: &Register, part: u64, now_ms: u64) -> Option<u64> {
+    let at_ms = *register.clearances.get(&part)?;
+    let age_ms = now_ms.saturating_sub(at_ms);
+    (age_ms < register.settings.clearance_ttl_ms).then_some(at_ms)
+}
+
+/// Returns the weight of the accusations of a part that no held part explains. Accusations within one moment count
+/// once, with the highest weight.
+pub(crate) fn weight(case: &Case, explained: &IndexSet<u64>, settings: Settings) -> f64 {
+    let open = case.accusations.iter();
+    let open = open.filter(|(crash, _)| !explained.contains(*crash));
+    let mut open: Vec<Accusation> = open.map(|(_, accusation)| *accusation).collect();
+    open.sort_by_key(|accusation| accusation.at_ms);
+    let mut moments: Vec<Accusation> = Vec::new();
+    for accusation in open {
+        match moments.last_mut() {
+            Some(last) if accusation.at_ms - last.at_ms < settings.moment_ms => {
+                last.suspicion = last.suspicion.max(accusation.suspicion);
+            }
+            _ => moments.push(accusation),
+        }
+    }
+    moments.iter().map(|moment| moment.suspicion.weight()).sum()
+}
+
+/// Returns the weight that the accusations of a part must have for its hold. A clearance shortly before the last crash
+/// raises it.
+pub(crate) fn threshold(case: &Case, cleared_ms: Option<u64>, settings: Settings) -> f64 {
+    let last_ms = case.accusations.values().map(|it| it.at_ms).max();
+    let is_protected = cleared_ms
+        .zip(last_ms)
+        .is_some_and(|(cleared_ms, last_ms)| {
+            last_ms.saturating_sub(cleared_ms) < settings.clearance_ttl_ms
+        });
+    match is_protected {
+        true => settings.cleared_weight_min,
+        false => settings.weight_min,
+    }
+}
+
+/// Returns the crashes of which a held part is accused.
+pub(crate) fn explained(cases: &IndexMap<u64, Case>) -> IndexSet<u64> {
+    let held = cases.values().filter(|case| case.hold.is_some());
+    held.flat_map(|case| case.accusations.keys().copied())
+        .collect()
+}
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -24,7 +24,7 @@
 const VALID_TURNS: u64 = 6;
 
 /// Returns the number of rounds in which each peer gets one report.
-fn rounds_per_turn(peer_count: usize) -> u64 {
+pub fn rounds_per_turn(peer_count: usize) -> u64 {
     peer_count.div_ceil(FANOUT).max(1) as u64
 }
 
--- /dev/null
+++ b/crates/core/tests/quarantine.rs
@@ -0,0 +1,107 @@
+//! Tests of the quarantine of prompt parts under which engines crash.
+
+#[path = "support/crashes.rs"]
+mod crashes;
+
+use crashes::{run, Outcome, Policy, Scenario};
+use rstest::rstest;
+
+/// The number of seeds; the environment variable `SARDINEMUX_SEEDS` replaces it for longer runs.
+fn seeds(scenario: Scenario) -> u64 {
+    let stated = std::env::var("SARDINEMUX_SEEDS");
+    let stated = stated.ok().and_then(|seeds| seeds.parse().ok());
+    stated.unwrap_or(if scenario.gateways > 9 { 4 } else { 40 })
+}
+
+const SMALL: Scenario = Scenario {
+    gateways: 9,
+    engines: 9,
+    sound_per_s: 45.0,
+    fatal_per_s: 1.5,
+    fatal_parts: 1,
+    random_crashes_per_s: 0.0,
+    zone_loss_ms: None,
+    kill_all_ms: None,
+    restart_ms: None,
+};
+
+const LARGE: Scenario = Scenario {
+    gateways: 100,
+    engines: 140,
+    sound_per_s: 600.0,
+    fatal_per_s: 15.0,
+    ..SMALL
+};
+
+fn run_all(scenario: Scenario, policy: Policy) -> Vec<Outcome> {
+    (0..seeds(scenario))
+        .map(|seed| run(scenario, policy, seed))
+        .collect()
+}
+
+fn print_row(name: &str, policy: Policy, outcomes: &[Outcome]) {
+    let count = outcomes.len() as f64;
+    let mean = |value: fn(&Outcome) -> f64| outcomes.iter().map(value).sum::<f64>() / count;
+    let max = |value: fn(&Outcome) -> f64| outcomes.iter().map(value).fold(0.0, f64::max);
+    println!(
+        "| {name} | {policy:?} | {:.1} | {} | {} | {:.2} | {} | {:.1} | {:.0} |",
+        mean(|it| it.crashes as f64),
+        max(|it| it.crashes as f64),
+        max(|it| it.late_arrivals as f64),
+        outcomes
+            .iter()
+            .filter_map(|it| it.served_ratio)
+            .fold(f64::MAX, f64::min),
+        max(|it| it.held_sound as f64),
+        max(|it| it.held_sound_s),
+        mean(|it| it.messages as f64),
+    );
+}
+
+/// The users' bounds on requests with a fatal part and on sound requests, over all seeds.
+#[rstest]
+#[case::small("9 gateways", SMALL)]
+#[case::small_busy("9 gateways, 6 fatal a second", Scenario { fatal_per_s: 6.0, ..SMALL })]
+#[case::rare("9 gateways, a fatal one in 4 s", Scenario { fatal_per_s: 0.25, ..SMALL })]
+#[case::two_parts("9 gateways, two fatal parts", Scenario { fatal_parts: 2, ..SMALL })]
+#[case::unrelated("9 gateways, other crashes", Scenario { random_crashes_per_s: 0.5, ..SMALL })]
+#[case::zone_loss("9 gateways, a zone is lost", Scenario { zone_loss_ms: Some(9_000), ..SMALL })]
+#[case::kill_all("9 gateways, all killed", Scenario { kill_all_ms: Some(30_000), ..SMALL })]
+#[case::restarts("9 gateways, restarts", Scenario { restart_ms: Some(1_000), ..SMALL })]
+#[case::large("100 gateways", LARGE)]
+#[case::large_two("100 gateways, two fatal parts, other crashes, a zone is lost, restarts", Scenario {
+    fatal_parts: 2,
+    random_crashes_per_s: 1.0,
+    zone_loss_ms: Some(9_000),
+    restart_ms: Some(500),
+    ..LARGE
+})]
+fn verify_fatal_part_is_held_and_sound_requests_begin(
+    #[case] name: &str,
+    #[case] scenario: Scenario,
+) {
+    let outcomes = run_all(scenario, Policy::Quarantine);
+    print_row(name, Policy::Quarantine, &outcomes);
+    for (seed, outcome) in outcomes.iter().enumerate() {
+        assert!(outcome.late_arrivals <= 3, "seed {seed}: {outcome:?}");
+        let ratio = outcome.served_ratio;
+        assert!(
+            ratio.is_none_or(|ratio| ratio >= 0.5),
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
+
+/// The simulation finds the faults that the quarantine prevents.
+#[rstest]
+#[case::small("9 gateways", SMALL)]
+#[case::large("100 gateways", LARGE)]
+fn verify_simulation_fails_without_the_quarantine(#[case] name: &str, #[case] scenario: Scenario) {
+    let unprotected = run_all(scenario, Policy::None);
+    print_row(name, Policy::None, &unprotected);
+    assert!(unprotected.iter().all(|outcome| outcome.late_arrivals > 3));
+    let naive = run_all(scenario, Policy::BlockAll);
+    print_row(name, Policy::BlockAll, &naive);
+    let ratios = naive.iter().filter_map(|outcome| outcome.served_ratio);
+    assert!(ratios.fold(f64::MAX, f64::min) < 0.5);
+}
