Hold back prompt parts under which targets crash

Cause: a crash counted against the target alone; no gateway remembered what it had been answering. Requests with the part, and resumed streams, went to the next target. Change: a gateway whose connection closes before the second event finds out by a connection whether the target has ended, and accuses the shared parts of the prompt; a stream whose parts are not cleared is not resumed then. Gateways exchange the evidence in datagrams beside their reports: at once to eight, to all in the next rounds, and all that is known at intervals. Held parts are recorded in the store, which a starting gateway reads. Requests with a held part get 503, not run, and the time of the next trial. Log lines and metrics for each step. A second test kills all gateways: the new ones refuse from the first request. Why it works: the fatal requests have a head and no event at each crash, and sound ones clear all other parts within their first events.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -71,6 +71,8 @@
     Silence,
     /// The answer belongs to another request, cannot be matched to this one, or has parts out of order.
     Crossed,
+    /// Targets crashed under a part of the prompt.
+    Quarantined,
     /// The target answered with a server error or with too large a body, or the processing of the request failed.
     Failed,
 }
@@ -103,6 +105,7 @@
             Self::Cut => "cut",
             Self::Silence => "silence",
             Self::Crossed => "crossed",
+            Self::Quarantined => "quarantined",
             Self::Failed => "failed",
         }
     }
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -46,7 +46,7 @@
         Self {
             weight_min: 2.0,
             cleared_weight_min: 6.0,
-            moment_ms: 200,
+            moment_ms: 100,
             accusation_ttl_ms: 120_000,
             clearance_ttl_ms: 30_000,
             trial_ms: 30_000,
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -40,6 +40,14 @@
     roster.table.key(id)
 }
 
+/// Returns the lifetime of a target's process.
+pub fn lifetime(roster: &Roster, key: Key) -> Option<u64> {
+    roster
+        .conditions
+        .get(&key)
+        .map(|condition| condition.lifetime)
+}
+
 /// Returns whether a target may get new requests: it is listed or may still be listed again, it is not leaving, its
 /// availability zone is not evacuated, and no other process has its address.
 pub fn is_eligible(roster: &Roster, key: Key, now_ms: u64) -> bool {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -9,15 +9,18 @@
 use hyper::{Method, Response, StatusCode};
 use sardinemux_core::attempts::Attempts;
 use sardinemux_core::event;
+use sardinemux_core::quarantine::{Admission, Suspicion};
 use sardinemux_core::roster::query::{self, Criteria};
 use sardinemux_core::roster::Evidence;
 use sardinemux_core::target::{Key, Target};
+use tokio::task::JoinHandle;
 use tokio::time::{self, Instant};
 
 use crate::attempt::answer::Answer;
 use crate::attempt::{self, AttemptOutcome, InFlight};
 use crate::metrics;
 use crate::prelude::*;
+use crate::quarantine;
 use crate::reply::{self, Body, BUFFERED_MAX_BYTES};
 use crate::request::{self, Inbound};
 use crate::stream;
@@ -33,6 +36,12 @@
     attempts: Attempts,
     reason: Reason,
     fallback: Option<Response<Bytes>>,
+    /// The number of suspensions of the process before the request was first sent.
+    suspensions: u64,
+    /// Whether the request is the trial of a held prompt part.
+    is_trial: bool,
+    /// The time after which a request that was refused for a held prompt part may be served.
+    retry_after: Option<Duration>,
 }
 
 /// What the last selection of a target was based on.
@@ -60,6 +69,9 @@
 pub async fn serve(gateway: Arc<Gateway>, inbound: Inbound) -> Response<Body> {
     gateway.deposit_retry(&inbound.pool);
     let mut serving = Serving::new(gateway, inbound);
+    if let Err(failure) = serving.check_quarantine() {
+        return serving.fail(failure);
+    }
     loop {
         let answer = match serving.dispatch(None).await {
             Ok(answer) => answer,
@@ -79,6 +91,7 @@
 
 impl Serving {
     fn new(gateway: Arc<Gateway>, inbound: Inbound) -> Self {
+        let suspensions = *gateway.suspensions.borrow();
         Self {
             gateway,
             inbound,
@@ -88,9 +101,48 @@
             attempts: Attempts::default(),
             reason: Reason::NoTarget,
             fallback: None,
+            suspensions,
+            is_trial: false,
+            retry_after: None,
+        }
+    }
+
+    /// Refuses a request with a held prompt part, unless it becomes the trial of that part.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] with `Reason::Quarantined` if the request is refused.
+    fn check_quarantine(&mut self) -> std::result::Result<(), Failure> {
+        match quarantine::admit(&self.gateway, &self.inbound) {
+            Admission::Free => Ok(()),
+            Admission::Trial { .. } => {
+                self.is_trial = true;
+                Ok(())
+            }
+            Admission::Refused { next_trial_ms, .. } => {
+                self.retry_after = Some(quarantine::retry_after(next_trial_ms));
+                Err(self.failure(Reason::Quarantined))
+            }
         }
     }
 
+    /// Finds out, in a task of its own, whether the target of an attempt crashed, and accuses the prompt of it. The task
+    /// returns whether the request may be sent to another target.
+    pub fn investigate(&self, key: Key, suspicion: Suspicion) -> JoinHandle<bool> {
+        tokio::spawn(quarantine::investigate(
+            self.gateway.clone(),
+            self.inbound.clone(),
+            key,
+            suspicion,
+            self.suspensions,
+        ))
+    }
+
+    /// Clears the parts of the prompt, as its answer has gone on past its beginning.
+    pub fn clear_prompt(&self) {
+        quarantine::clear(&self.gateway, &self.inbound);
+    }
+
     /// Returns the request of the caller.
     pub fn inbound(&self) -> &Inbound {
         &self.inbound
@@ -120,6 +172,10 @@
             if self.inbound.remaining().is_zero() {
                 return Err(self.failure(Reason::Waited));
             }
+            // Another request may have shown meanwhile that targets crash under this prompt.
+            if !self.is_trial && quarantine::is_held(&self.gateway, &self.inbound) {
+                return Err(self.failure(Reason::Quarantined));
+            }
             let Some((in_flight, target)) = self.select_target() else {
                 return Err(self.failure(self.reason));
             };
@@ -145,6 +201,9 @@
                 } => self.handle_not_run(reason, has_arrived)?,
                 AttemptOutcome::Unknown { reason } => {
                     self.attempts.possible_runs += 1;
+                    if reason == Reason::Cut {
+                        self.investigate(key, Suspicion::Waiting);
+                    }
                     self.admit_retry(reason)?;
                 }
             }
@@ -252,6 +311,9 @@
                 if !(is_cut && answer.is_event_stream()) {
                     let response = Response::from_parts(answer.head.clone(), bytes);
                     answer.complete();
+                    if response.status().is_success() {
+                        self.clear_prompt();
+                    }
                     return Ok(self.retry_server_error(response));
                 }
                 Reason::Cut
@@ -265,11 +327,27 @@
             "answer broke off"
         );
         answer.in_flight.set_evidence(Evidence::TransportError);
+        let key = answer.in_flight.key;
         drop(answer);
+        if reason == Reason::Cut && !self.may_repeat_after(key, Suspicion::Begun).await {
+            return Err(self.failure(reason));
+        }
         self.admit_retry(reason)?;
         Ok(None)
     }
 
+    /// Returns whether the request may be sent to another target after its connection to this one closed. An answer on a
+    /// prompt that is not known to be sound may have crashed the target.
+    pub async fn may_repeat_after(&self, key: Key, suspicion: Suspicion) -> bool {
+        match self.investigate(key, suspicion).await {
+            Ok(may_repeat) => may_repeat,
+            Err(error) => {
+                log::error!(error:% = error; "failed to find out whether a target crashed; the request is not repeated");
+                false
+            }
+        }
+    }
+
     /// Returns the answer, or `None` if it is a server error and the request may be sent to another target. The error
     /// is then kept, and delivered if no other target answers.
     fn retry_server_error(&mut self, response: Response<Bytes>) -> Option<Response<Bytes>> {
@@ -361,7 +439,10 @@
         self.record_answer(status);
         let mut response = reply::text_response(status, failure.reason.name());
         if failure.outcome == Outcome::NotRun {
-            reply::set_retry_after(&mut response, self.inbound.remaining());
+            match self.retry_after {
+                Some(delay) => reply::state_retry_after(&mut response, delay),
+                None => reply::set_retry_after(&mut response, self.inbound.remaining()),
+            }
         }
         response
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod prelude;
+pub mod quarantine;
 pub mod relay;
 pub mod replication;
 pub mod reply;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -40,7 +40,7 @@
         match topic {
             Topic::Operators => self.operators,
             Topic::Targets => self.targets,
-            Topic::Members => Position::default(),
+            Topic::Members | Topic::Quarantine => Position::default(),
         }
     }
 
@@ -187,6 +187,13 @@
         })
     }
 
+    /// Returns the addresses of the gateways that have sent a report within the silence timeout.
+    pub fn recent_addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let contacts = self.contacts.values();
+        let recent = contacts.filter(|contact| self.has_recent_report(contact, now_ms));
+        recent.map(|contact| contact.address).collect()
+    }
+
     /// Returns the address of a gateway, or `None` if it is unknown.
     pub fn address(&self, name: &str) -> Option<SocketAddr> {
         self.contacts.get(name).map(|contact| contact.address)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,12 @@
     pub stream_ends: IntCounterVec,
     /// Calls to the store, by topic and outcome.
     pub store_calls: IntCounterVec,
+    /// Requests with a held prompt part, by outcome: `refused` or `trial`.
+    pub quarantined: IntCounterVec,
+    /// The number of prompt parts that are held.
+    pub held_parts: IntGauge,
+    /// Requests with shared prompt parts whose target crashed.
+    pub suspected_crashes: IntCounter,
     /// The version of the catalogue in force.
     pub catalog_version: IntGauge,
     /// The number of reports received from other gateways and applied.
@@ -108,6 +114,16 @@
                     "Calls to the store",
                     &["topic", "outcome"],
                 )?,
+                quarantined: counters(
+                    "gateway_quarantined_total",
+                    "Requests with a held prompt part",
+                    &["outcome"],
+                )?,
+                held_parts: IntGauge::new("gateway_held_parts", "Prompt parts that are held")?,
+                suspected_crashes: IntCounter::new(
+                    "gateway_suspected_crashes_total",
+                    "Requests whose target crashed and whose prompt has shared parts",
+                )?,
                 catalog_version: IntGauge::new(
                     "gateway_catalog_version",
                     "The version of the catalogue in force",
@@ -123,12 +139,15 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
             Box::new(metrics.stream_ends.clone()),
             Box::new(metrics.store_calls.clone()),
+            Box::new(metrics.quarantined.clone()),
+            Box::new(metrics.held_parts.clone()),
+            Box::new(metrics.suspected_crashes.clone()),
             Box::new(metrics.catalog_version.clone()),
             Box::new(metrics.peer_reports.clone()),
             Box::new(metrics.dropped_log_lines.clone()),
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,395 @@
+//! The quarantine of prompt parts under which targets crash: the evidence that this gateway observes, its exchange with
+//! the other gateways, and what lasts in the store.
+//!
+//! Decisions are made in [`sardinemux_core::quarantine`].
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::Rng;
+use sardinemux_core::hash;
+use sardinemux_core::quarantine::exchange::{self, Outbox, FANOUT};
+use sardinemux_core::quarantine::{
+    self, command, query, Admission, Changes, Notice, Register, Settings, Suspicion,
+};
+use sardinemux_core::reports;
+use sardinemux_core::roster;
+use sardinemux_core::target::Key;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, Notify};
+use tokio::time;
+
+use crate::connections::CONNECT_TIMEOUT;
+use crate::prelude::*;
+use crate::request::Inbound;
+use crate::source::{Entry, Fact, Held, Source, Topic};
+use crate::suspension;
+
+/// The number of events after which an answer clears the parts of its prompt.
+pub const CLEARING_EVENTS: u64 = 2;
+
+/// The first byte of a datagram with notices. MessagePack, in which reports are encoded, never begins with it.
+pub const MARKER: u8 = 0xc1;
+
+/// The number of gateways that record a held part in the store, in case one of them cannot reach it.
+const RECORDERS: usize = 2;
+
+/// The delay before a failed call to the store is repeated.
+const STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// The largest number of changes that wait to be recorded in the store.
+const RECORDS_MAX: usize = 256;
+
+/// The largest addition to the `Retry-After` delay of a refused request, as a part of it, so that callers that were
+/// refused together do not return together.
+const RETRY_AFTER_SPREAD: f64 = 0.25;
+
+/// The evidence of this gateway, and what it has yet to send.
+#[derive(Debug)]
+pub struct Quarantine {
+    register: Register,
+    outbox: Outbox,
+    /// The parts of which notices are to be sent at once.
+    urgent: Vec<u64>,
+    records: mpsc::Sender<Record>,
+    receiver: Option<mpsc::Receiver<Record>>,
+}
+
+/// A change to be recorded in the store.
+type Record = (Held, bool);
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        let (records, receiver) = mpsc::channel(RECORDS_MAX);
+        Self {
+            register: Register::new(Settings::default()),
+            outbox: Outbox::default(),
+            urgent: Vec::new(),
+            records,
+            receiver: Some(receiver),
+        }
+    }
+}
+
+/// Wakes the task that sends reports when there are urgent notices.
+#[derive(Debug, Default)]
+pub struct Alarm(Notify);
+
+impl Alarm {
+    /// Waits for urgent notices.
+    pub async fn wait(&self) {
+        self.0.notified().await;
+    }
+}
+
+fn part_ids(inbound: &Inbound) -> Vec<u64> {
+    let shared = inbound.prompt.shared().iter();
+    shared.map(|part| part.id).collect()
+}
+
+/// Returns the position of this gateway in an order of all live gateways that differs from part to part.
+fn rank(gateway: &Gateway, part: u64) -> usize {
+    let score = |name: &str| hash::digest(&[name.as_bytes(), &part.to_le_bytes()]);
+    let own = score(&gateway.settings.name);
+    let members = gateway.members.lock();
+    let others = members.iter_recent(Topic::Operators, gateway.now_ms());
+    others.filter(|peer| score(peer.name) > own).count()
+}
+
+/// Decides on a request before it is first sent.
+pub fn admit(gateway: &Gateway, inbound: &Inbound) -> Admission {
+    let parts = part_ids(inbound);
+    if query::held_part(&gateway.quarantine.lock().register, &parts).is_none() {
+        return Admission::Free;
+    }
+    let testers: Vec<u64> = parts
+        .iter()
+        .copied()
+        .filter(|part| rank(gateway, *part) == 0)
+        .collect();
+    let now_ms = gateway.now_ms();
+    let admission = {
+        let mut quarantine = gateway.quarantine.lock();
+        let is_tester = |part: u64| testers.contains(&part);
+        command::admit(&mut quarantine.register, &parts, is_tester, now_ms)
+    };
+    match admission {
+        Admission::Free => {}
+        Admission::Trial { part } => {
+            log::warn!(request_id:% = inbound.id_text(), part:% = Hex(part); "trying a held prompt part");
+            gateway
+                .metrics
+                .quarantined
+                .with_label_values(&["trial"])
+                .inc();
+            let changes = Changes {
+                news: vec![part],
+                ..Changes::default()
+            };
+            publish(gateway, &changes);
+            record(gateway, part, true);
+        }
+        Admission::Refused { part, .. } => {
+            log::info!(request_id:% = inbound.id_text(), part:% = Hex(part); "refused for a held prompt part");
+            gateway
+                .metrics
+                .quarantined
+                .with_label_values(&["refused"])
+                .inc();
+        }
+    }
+    admission
+}
+
+/// Returns whether a part of the prompt is held, so that the request must not be sent again.
+pub fn is_held(gateway: &Gateway, inbound: &Inbound) -> bool {
+    let parts = part_ids(inbound);
+    query::held_part(&gateway.quarantine.lock().register, &parts).is_some()
+}
+
+/// Returns the `Retry-After` delay of a refused request.
+pub fn retry_after(next_trial_ms: u64) -> Duration {
+    let spread = 1.0 + rand::rng().random_range(0.0..RETRY_AFTER_SPREAD);
+    Duration::from_millis(next_trial_ms.max(1_000)).mul_f64(spread)
+}
+
+/// Clears the parts of a prompt whose answer has gone on past its beginning.
+pub fn clear(gateway: &Gateway, inbound: &Inbound) {
+    let parts = part_ids(inbound);
+    if parts.is_empty() {
+        return;
+    }
+    let now_ms = gateway.now_ms();
+    let changes = {
+        let mut quarantine = gateway.quarantine.lock();
+        command::clear(&mut quarantine.register, &parts, now_ms)
+    };
+    publish(gateway, &changes);
+}
+
+/// Finds out whether a target crashed whose connection closed during a request, and accuses the parts of the prompt if so.
+/// Returns whether the request may be sent to another target.
+///
+/// `suspensions` is the number of suspensions of this process before the request was sent: a process that was suspended
+/// cannot tell a crash from what happened meanwhile.
+pub async fn investigate(
+    gateway: Arc<Gateway>,
+    inbound: Inbound,
+    key: Key,
+    suspicion: Suspicion,
+    suspensions: u64,
+) -> bool {
+    let parts = part_ids(&inbound);
+    if parts.is_empty() {
+        return true;
+    }
+    let Some((target_id, lifetime)) = find_crashed(&gateway, key, suspensions).await else {
+        return true;
+    };
+    let crash = quarantine::crash_id(&target_id, lifetime);
+    let now_ms = gateway.now_ms();
+    let (changes, are_cleared) = {
+        let mut quarantine = gateway.quarantine.lock();
+        let register = &mut quarantine.register;
+        let changes = command::accuse(register, crash, &parts, suspicion, now_ms);
+        (changes, query::are_cleared(register, &parts, now_ms))
+    };
+    gateway.metrics.suspected_crashes.inc();
+    log::warn!(
+        request_id:% = inbound.id_text(), target_id:% = target_id, lifetime = lifetime, prompt:% = inbound.prompt,
+        has_begun = suspicion == Suspicion::Begun, is_cleared = are_cleared;
+        "target crashed during a request"
+    );
+    publish(&gateway, &changes);
+    are_cleared || suspicion == Suspicion::Waiting
+}
+
+/// Returns the id and lifetime of a target if it has ended without notice: it is listed, is not leaving, and refuses
+/// connections.
+async fn find_crashed(gateway: &Gateway, key: Key, suspensions: u64) -> Option<(SmolStr, u64)> {
+    let (target, lifetime) = {
+        let roster = gateway.roster.lock();
+        let target = roster::query::target(&roster, key)?.clone();
+        (target, roster::query::lifetime(&roster, key)?)
+    };
+    let address: SocketAddr = target.address.parse().ok()?;
+    if target.leaving {
+        return None;
+    }
+    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let error = connecting.await.ok()?.err()?;
+    suspension::note_heartbeat(gateway);
+    let was_suspended = *gateway.suspensions.borrow() != suspensions;
+    let is_refused = error.kind() == ErrorKind::ConnectionRefused;
+    (is_refused && !was_suspended).then_some((target.id, lifetime))
+}
+
+/// Sends what this gateway has observed to the others.
+fn publish(gateway: &Gateway, changes: &Changes) {
+    if !changes.news.is_empty() {
+        let peers = gateway.members.lock().names().count();
+        let rounds = reports::rounds_per_turn(peers);
+        let mut quarantine = gateway.quarantine.lock();
+        quarantine.outbox.push(&changes.news, rounds);
+    }
+    forward(gateway, changes);
+}
+
+/// Sends news to a few other gateways, logs the changes of holds, and has them recorded in the store.
+fn forward(gateway: &Gateway, changes: &Changes) {
+    for part in &changes.held {
+        log::warn!(part:% = Hex(*part); "prompt part held: targets crash under it");
+        record(gateway, *part, true);
+    }
+    for part in &changes.released {
+        log::warn!(part:% = Hex(*part); "prompt part released: an answer went on past its beginning");
+        record(gateway, *part, false);
+    }
+    if changes.news.is_empty() {
+        return;
+    }
+    let held = {
+        let mut quarantine = gateway.quarantine.lock();
+        quarantine.urgent.extend(&changes.news);
+        query::held_count(&quarantine.register)
+    };
+    gateway.metrics.held_parts.set(held as i64);
+    gateway.quarantine_alarm.0.notify_one();
+}
+
+/// Has the state of a held part recorded in the store if this gateway is one of those that do so.
+fn record(gateway: &Gateway, part: u64, is_held: bool) {
+    if rank(gateway, part) >= RECORDERS {
+        return;
+    }
+    let quarantine = gateway.quarantine.lock();
+    let trials = query::trials(&quarantine.register, part).unwrap_or_default();
+    let sent = quarantine
+        .records
+        .try_send((Held { part, trials }, is_held));
+    drop(quarantine);
+    if let Err(error) = sent {
+        log::warn!(part:% = Hex(part), error:% = error; "a held prompt part is not recorded in the store");
+    }
+}
+
+/// Returns the notices to send at once, and the gateways that get them.
+pub fn take_urgent(gateway: &Gateway) -> (Vec<Vec<u8>>, Vec<SocketAddr>) {
+    let now_ms = gateway.now_ms();
+    let messages = {
+        let mut quarantine = gateway.quarantine.lock();
+        let mut parts = std::mem::take(&mut quarantine.urgent);
+        parts.sort_unstable();
+        parts.dedup();
+        exchange::messages(&quarantine.register, &parts, now_ms)
+    };
+    let recent = gateway.members.lock().recent_addresses(now_ms);
+    let recipients = recent.choose_multiple(&mut rand::rng(), FANOUT);
+    (encode(&messages), recipients.copied().collect())
+}
+
+/// Returns the notices of a round of reports.
+pub fn next_round(gateway: &Gateway, round: u64) -> Vec<Vec<u8>> {
+    let peers = gateway.members.lock().names().count();
+    let now_ms = gateway.now_ms();
+    let mut quarantine = gateway.quarantine.lock();
+    let Quarantine {
+        register, outbox, ..
+    } = &mut *quarantine;
+    command::remove_expired(register, now_ms);
+    let phase = hash::digest(&[gateway.settings.name.as_bytes()]) % 1_024;
+    let messages = outbox.next_round(
+        register,
+        round + phase,
+        reports::rounds_per_turn(peers),
+        now_ms,
+    );
+    drop(quarantine);
+    encode(&messages)
+}
+
+fn encode(messages: &[Vec<Notice>]) -> Vec<Vec<u8>> {
+    let mut encoded = Vec::new();
+    for message in messages {
+        let mut bytes = vec![MARKER];
+        match rmp_serde::encode::write(&mut bytes, message) {
+            Ok(()) => encoded.push(bytes),
+            Err(error) => log::warn!(error:% = error; "failed to encode notices; not sent"),
+        }
+    }
+    encoded
+}
+
+/// Merges the notices of a datagram, whose first byte is [`MARKER`].
+pub fn receive(gateway: &Gateway, bytes: &[u8], sender: SocketAddr) {
+    let body = bytes.get(1..).unwrap_or_default();
+    let notices: Vec<Notice> = match rmp_serde::from_slice(body) {
+        Ok(notices) => notices,
+        Err(error) => {
+            log::warn!(sender:% = sender, error:% = error; "failed to decode received notices; ignored");
+            return;
+        }
+    };
+    let now_ms = gateway.now_ms();
+    let changes = {
+        let mut quarantine = gateway.quarantine.lock();
+        command::merge(&mut quarantine.register, &notices, now_ms)
+    };
+    forward(gateway, &changes);
+}
+
+/// Holds the parts that are recorded in the store.
+pub fn restore(gateway: &Gateway, entries: Vec<Entry>) {
+    let now_ms = gateway.now_ms();
+    for entry in entries {
+        match entry.fact {
+            Some(Fact::Held(Held { part, trials })) => {
+                let register = &mut gateway.quarantine.lock().register;
+                if command::restore(register, part, trials, now_ms) {
+                    log::info!(part:% = Hex(part), trials = trials; "prompt part held: recorded in the store");
+                }
+            }
+            Some(Fact::Unreadable(reason)) => {
+                log::warn!(key:% = entry.key, reason:% = reason; "cannot decode the entry of a held prompt part; ignoring it");
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Reads the held parts from the store once, and then records changes there. Never returns.
+pub async fn follow_store(gateway: Arc<Gateway>, source: Arc<Source>) {
+    let records = gateway.quarantine.lock().receiver.take();
+    let Some(mut records) = records else {
+        return;
+    };
+    loop {
+        match (source.list)(Topic::Quarantine).await {
+            Ok(batch) => {
+                restore(&gateway, batch.entries);
+                break;
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "cannot read the held prompt parts from the store; retrying");
+                time::sleep(STORE_RETRY_DELAY).await;
+            }
+        }
+    }
+    while let Some((held, is_held)) = records.recv().await {
+        while let Err(error) = (source.hold)(held, is_held).await {
+            log::warn!(part:% = Hex(held.part), error:% = error; "cannot record a held prompt part in the store; retrying");
+            time::sleep(STORE_RETRY_DELAY).await;
+        }
+    }
+}
+
+/// Formats a part as in the other log lines.
+struct Hex(u64);
+
+impl std::fmt::Display for Hex {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -10,6 +10,7 @@
 use sardinemux_core::roster::{command, query, Announcement};
 
 use crate::prelude::*;
+use crate::quarantine;
 use crate::relay::{Log, Update};
 use crate::source::{self, Batch, Entry, Fact, Topic};
 
@@ -188,6 +189,7 @@
         Topic::Operators => apply_operators(gateway, entries),
         Topic::Targets => apply_targets(gateway, entries),
         Topic::Members => apply_members(gateway, entries),
+        Topic::Quarantine => quarantine::restore(gateway, entries),
     }
 }
 
@@ -205,7 +207,7 @@
                     "cannot decode an entry of the operators; the previous one stays in force"
                 );
             }
-            Some(Fact::Patch(_) | Fact::Target(_) | Fact::Member(_)) => {}
+            Some(Fact::Patch(_) | Fact::Target(_) | Fact::Member(_) | Fact::Held(_)) => {}
             None => {
                 evacuated.shift_remove(&entry.key);
             }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -68,7 +68,12 @@
 pub fn set_retry_after(response: &mut Response<Body>, left: Duration) {
     let left_ms = left.as_millis() as u64;
     let wait_ms = attempts::retry_after_ms(left_ms, &mut rand::rng());
-    let seconds = format!("{:.3}", wait_ms as f64 / 1_000.0);
+    state_retry_after(response, Duration::from_millis(wait_ms));
+}
+
+/// Sets `Retry-After` to a delay.
+pub fn state_retry_after(response: &mut Response<Body>, delay: Duration) {
+    let seconds = format!("{:.3}", delay.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
     }
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -17,6 +17,7 @@
 use crate::errors::ListenSnafu;
 use crate::members::{Broadcast, Position};
 use crate::prelude::*;
+use crate::quarantine;
 use crate::replication;
 use crate::source::{Member, Topic};
 use crate::suspension;
@@ -95,11 +96,20 @@
         tokio::select! {
             _ = ticks.tick() => {
                 suspension::note_heartbeat(&gateway);
-                send_reports(&gateway, &socket, &choose_recipients(&gateway, round));
+                let recipients = choose_recipients(&gateway, round);
+                send_reports(&gateway, &socket, &recipients);
+                send_notices(&socket, &quarantine::next_round(&gateway, round), &recipients);
                 gateway.remove_expired();
                 round += 1;
             }
+            () = gateway.quarantine_alarm.wait() => {
+                let (notices, recipients) = quarantine::take_urgent(&gateway);
+                send_notices(&socket, &notices, &recipients);
+            }
             received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, sender)) if buffer[..length].first() == Some(&quarantine::MARKER) => {
+                    quarantine::receive(&gateway, &buffer[..length], sender);
+                }
                 Ok((length, sender)) => {
                     // A new gateway gets a report at once, so that it knows which gateway to follow.
                     let new = receive_report(&gateway, &buffer[..length], sender);
@@ -126,9 +136,19 @@
             return;
         }
     };
+    send_datagram(socket, &bytes, addresses);
+}
+
+fn send_notices(socket: &UdpSocket, notices: &[Vec<u8>], addresses: &[SocketAddr]) {
+    for bytes in notices {
+        send_datagram(socket, bytes, addresses);
+    }
+}
+
+fn send_datagram(socket: &UdpSocket, bytes: &[u8], addresses: &[SocketAddr]) {
     for address in addresses {
-        if let Err(error) = socket.try_send_to(&bytes, *address) {
-            log::debug!(address:% = address, error:% = error; "failed to send a report; it is not repeated");
+        if let Err(error) = socket.try_send_to(bytes, *address) {
+            log::debug!(address:% = address, error:% = error; "failed to send a datagram; it is not repeated");
         }
     }
 }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -20,6 +20,8 @@
     Targets,
     /// The gateways.
     Members,
+    /// The prompt parts that are held.
+    Quarantine,
 }
 
 impl Topic {
@@ -29,6 +31,7 @@
             Self::Operators => "operators",
             Self::Targets => "targets",
             Self::Members => "members",
+            Self::Quarantine => "quarantine",
         }
     }
 }
@@ -42,6 +45,15 @@
     pub address: std::net::SocketAddr,
 }
 
+/// The entry of a prompt part that is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The id of the part.
+    pub part: u64,
+    /// The number of trials so far.
+    pub trials: u8,
+}
+
 /// The decoded value of an entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -56,6 +68,8 @@
     Target(Announcement),
     /// A gateway.
     Member(Member),
+    /// A prompt part that is held.
+    Held(Held),
     /// The reason why the value cannot be decoded.
     Unreadable(SmolStr),
 }
@@ -118,6 +132,9 @@
 /// Adds a gateway to the list of gateways (`true`), or removes it (`false`).
 pub type Register = Box<dyn Fn(Member, bool) -> BoxFuture<'static, Result<()>> + Send + Sync>;
 
+/// Records that a prompt part is held (`true`), or removes the record (`false`).
+pub type Hold = Box<dyn Fn(Held, bool) -> BoxFuture<'static, Result<()>> + Send + Sync>;
+
 /// The calls to the store that all gateways of a deployment share.
 pub struct Source {
     /// Reads the complete list of a topic.
@@ -126,6 +143,8 @@
     pub watch: Watch,
     /// Adds a gateway to the list of gateways, or removes it.
     pub register: Register,
+    /// Records that a prompt part is held, or removes the record.
+    pub hold: Hold,
 }
 
 impl fmt::Debug for Source {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::prelude::*;
+use crate::quarantine::{Alarm, Quarantine};
 use crate::replication::View;
 use crate::settings::{Bounds, Settings};
 use crate::source::Topic;
@@ -60,6 +61,10 @@
     pub holders: Mutex<Holders>,
     /// The retry budget of each pool.
     pub retry_budgets: Mutex<IndexMap<SmolStr, Budget>>,
+    /// The evidence against prompt parts under which targets crash.
+    pub quarantine: Mutex<Quarantine>,
+    /// Wakes the task that sends reports when there are urgent notices.
+    pub quarantine_alarm: Alarm,
     /// Idle connections to targets.
     pub idle_connections: Mutex<IdlePool>,
     /// Detects that the process was suspended.
@@ -97,6 +102,8 @@
             views: Mutex::default(),
             holders: Mutex::default(),
             retry_budgets: Mutex::default(),
+            quarantine: Mutex::default(),
+            quarantine_alarm: Alarm::default(),
             idle_connections: Mutex::default(),
             suspension_detector: Mutex::default(),
             suspensions: watch::Sender::new(0),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use sardinemux_core::catalog::Kind;
 use sardinemux_core::event::Cursor;
+use sardinemux_core::quarantine::Suspicion;
 use sardinemux_core::roster::Evidence;
 use tokio::time::{self, Instant};
 
@@ -18,6 +19,7 @@
 use crate::answer::Serving;
 use crate::attempt::answer::Answer;
 use crate::prelude::*;
+use crate::quarantine::CLEARING_EVENTS;
 use crate::reply::{Body, BodyError};
 
 /// The longest time without data after which a resumable stream is resumed at another target, in milliseconds. Callers
@@ -128,10 +130,15 @@
                 Ok(None) => {
                     record_end(&serving, &answer, Progress::default(), None);
                     answer.complete();
+                    serving.clear_prompt();
                     return;
                 }
                 Err(cause) => {
+                    let key = answer.in_flight.key;
                     abort(&serving, answer, Progress::default(), cause);
+                    if cause.reason == Reason::Cut {
+                        serving.investigate(key, Suspicion::Waiting);
+                    }
                     yield Err(cause);
                     return;
                 }
@@ -154,6 +161,7 @@
         };
         loop {
             let mut assembler = Assembler::new(&answer, &cursor, is_resumable);
+            let mut has_cleared = false;
             let cause = loop {
                 match read_chunk(&mut answer, chunk_deadline(&serving, is_resumable)).await {
                     Ok(Some(data)) => {
@@ -169,11 +177,16 @@
                             yield Ok(Frame::data(rest));
                         }
                         answer.complete();
+                        serving.clear_prompt();
                         return;
                     }
                     Err(cause) => break cause,
                 }
                 let (bytes, is_in_order) = assembler.take_events(&mut cursor);
+                if !has_cleared && assembler.events() >= CLEARING_EVENTS {
+                    has_cleared = true;
+                    serving.clear_prompt();
+                }
                 if !bytes.is_empty() {
                     yield Ok(Frame::data(bytes));
                 }
@@ -182,8 +195,17 @@
                 }
             };
             let progress = Progress::new(&cursor, &assembler);
+            let key = answer.in_flight.key;
             abort(&serving, answer, progress, cause);
-            let next = match is_resumable {
+            let may_repeat = match cause.reason == Reason::Cut && !has_cleared {
+                true if is_resumable => serving.may_repeat_after(key, Suspicion::Begun).await,
+                true => {
+                    serving.investigate(key, Suspicion::Begun);
+                    false
+                }
+                false => true,
+            };
+            let next = match is_resumable && may_repeat {
                 true => resume(&mut serving, cause, cursor.last_id()).await,
                 false => Err(cause),
             };
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -34,17 +34,20 @@
 /// The users' time for the gateways to agree.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 
+/// The time between two fatal requests, more than a moment in which crashes have a common cause.
+const CRASH_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Starts gateways of one store, and returns the addresses of their servers for callers.
-async fn start_gateways(store: &Store, count: usize) -> Vec<SocketAddr> {
+async fn start_gateways(store: &Store, names: &[&str]) -> Vec<SocketAddr> {
     store.put(
         Topic::Operators,
         "config",
         Some(catalog_of(harness::definition())),
     );
     let mut addresses = Vec::new();
-    for index in 0..count {
+    for name in names {
         let settings = Settings {
-            name: format!("g{index}").into(),
+            name: (*name).into(),
             ..harness::settings()
         };
         let (caller, ready) = (settings.caller_address, settings.ready_address);
@@ -70,7 +73,7 @@
 async fn verify_part_that_crashes_engines_is_not_sent_to_one_after_the_other(#[case] path: &str) {
     let store = Store::default();
     let engines = Engines::start(&store, 4).await;
-    let gateways = start_gateways(&store, 3).await;
+    let gateways = start_gateways(&store, &["g0", "g1", "g2"]).await;
     for number in 0..9 {
         let answer = ask(gateways[number % 3], path, "sound:10", number).await;
         assert!(looks_complete(&answer), "{answer}");
@@ -93,3 +96,36 @@
         assert!(looks_complete(&answer), "{answer}");
     }
 }
+
+/// All gateways are killed and start again after they have found the part.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_restarted_gateways_do_not_learn_a_fatal_part_again() {
+    let store = Store::default();
+    let engines = Engines::start(&store, 4).await;
+    let former = start_gateways(&store, &["a0", "a1"]).await;
+    let mut number = 0;
+    while store.count(Topic::Quarantine) == 0 {
+        ask(former[number % 2], "/stream/", FATAL_PART, number).await;
+        // Crashes of one moment count as one.
+        time::sleep(CRASH_INTERVAL).await;
+        number += 1;
+        assert!(number < 100, "the part is not recorded");
+    }
+    let known = engines.fatal_arrivals();
+    // The former gateways are not listed any more, so that the new ones learn nothing from them.
+    for name in ["a0", "a1"] {
+        store.put(Topic::Members, name, None);
+    }
+    let gateways = start_gateways(&store, &["b0", "b1"]).await;
+    for number in number..number + 10 {
+        let answer = ask(gateways[number % 2], "/stream/", FATAL_PART, number).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(
+            harness::header(&answer, "retry-after").is_some(),
+            "{answer}"
+        );
+    }
+    assert_eq!(engines.fatal_arrivals(), known);
+    let answer = ask(gateways[0], "/stream/", "sound:10", number + 10).await;
+    assert!(looks_complete(&answer), "{answer}");
+}
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 use sardinemux_core::catalog::Definition;
 use sardinemux_gateway::settings::Settings;
-use sardinemux_gateway::source::{self, Batch, Entry, Fact, Member, Source, Topic};
+use sardinemux_gateway::source::{self, Batch, Entry, Fact, Held, Member, Source, Topic};
 use smol_str::SmolStr;
 use tokio::time;
 
@@ -56,6 +56,16 @@
         topic.insert(key.into(), entry);
     }
 
+    /// Returns the number of entries of a topic.
+    pub fn count(&self, topic: Topic) -> usize {
+        let state = self.0.lock();
+        let entries = state.topics.get(&topic).into_iter();
+        entries
+            .flat_map(IndexMap::values)
+            .filter(|entry| entry.fact.is_some())
+            .count()
+    }
+
     /// Lets open watches hang forever; new calls are answered.
     pub fn hang_watches(&self) {
         self.0.lock().hang_count += 1;
@@ -116,6 +126,7 @@
     /// Returns a source through which the gateway `name` reads this store.
     pub fn source(&self, name: &SmolStr) -> Source {
         let (lists, watches, enlists) = (self.clone(), self.clone(), self.clone());
+        let holds = self.clone();
         let (lister, watcher) = (name.clone(), name.clone());
         Source {
             list: Box::new(move |topic| {
@@ -131,6 +142,11 @@
                 enlists.put(Topic::Members, &member.name, fact);
                 async { Ok(()) }.boxed()
             }),
+            hold: Box::new(move |held: Held, is_held| {
+                let key = format!("{:016x}", held.part);
+                holds.put(Topic::Quarantine, &key, is_held.then_some(Fact::Held(held)));
+                async { Ok(()) }.boxed()
+            }),
         }
     }
 }
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -242,6 +242,7 @@
             .boxed()
         }),
         register: Box::new(|_, _| async { Ok(()) }.boxed()),
+        hold: Box::new(|_, _| async { Ok(()) }.boxed()),
     }
 }
 
