Do not fetch cached prompt parts from an engine that crashed

Cause: the engine that last processed a prefix stays its holder until its entry expires, about three seconds after a crash, so that requests on the prefix are told to fetch from an address that refuses, or that another service has taken over. Change: a confirmed crash removes the engine from the holders, and an engine in backoff is no source.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -240,7 +240,9 @@
     let now_ms = gateway.now_ms();
     let last_holder = gateway.holders.lock().get(prefix_id);
     let roster = gateway.roster.lock();
-    let is_usable = |holder: &Key| query::target(&roster, *holder).is_some();
+    let is_usable = |holder: &Key| {
+        query::target(&roster, *holder).is_some() && !query::is_in_backoff(&roster, *holder, now_ms)
+    };
     let holder = last_holder
         .filter(is_usable)
         .or_else(|| query::home_target(&roster, &inbound.pool, prefix_id, key, now_ms))?;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -188,6 +188,7 @@
     let Some((target_id, lifetime)) = find_crashed(&gateway, key, suspensions).await else {
         return true;
     };
+    gateway.holders.lock().remove_target(key);
     let crash = quarantine::crash_id(&target_id, lifetime);
     let now_ms = gateway.now_ms();
     let (changes, are_cleared) = {
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -129,3 +129,23 @@
     let answer = ask(gateways[0], "/stream/", "sound:10", number + 10).await;
     assert!(looks_complete(&answer), "{answer}");
 }
+
+/// The engine that last processed a prefix crashes, and the list still contains it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_prefix_is_not_fetched_from_a_crashed_engine() {
+    let store = Store::default();
+    let engines = Engines::start(&store, 3).await;
+    let gateway = start_gateways(&store, &["g0"]).await[0];
+    let ask = |parts: String| async move {
+        let headers = format!("x-prompt: {parts}\r\n");
+        let request = harness::request("POST", "/resumable/", &headers, "p");
+        exchange(gateway, &request).await
+    };
+    let answer = ask("common:10,prefix:10,own1:10".into()).await;
+    assert!(looks_complete(&answer), "{answer}");
+    ask(format!("{FATAL_PART},prefix:10,own2:10")).await;
+    assert_eq!(engines.crashes(), 1);
+    let answer = ask("common:10,prefix:10,own3:10".into()).await;
+    assert!(looks_complete(&answer), "{answer}");
+    assert_eq!(engines.dead_sources(), 0);
+}
--- a/crates/gateway/tests/support/engines.rs
+++ b/crates/gateway/tests/support/engines.rs
@@ -23,6 +23,9 @@
 /// The time between the head of an answer and the crash of its engine.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// How long the entry of a crashed engine stays in the list.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(500);
+
 /// The number of events in an answer.
 const EVENTS: usize = 4;
 
@@ -31,6 +34,9 @@
     started: usize,
     crashes: usize,
     fatal_arrivals: usize,
+    /// The addresses of crashed engines that requests named as a source of cached parts.
+    dead_sources: usize,
+    crashed_addresses: Vec<String>,
 }
 
 /// A pool that always has the same number of engines.
@@ -64,6 +70,11 @@
         self.counts.lock().fatal_arrivals
     }
 
+    /// Returns the number of requests that reached an engine and named a crashed one as a source of cached parts.
+    pub fn dead_sources(&self) -> usize {
+        self.counts.lock().dead_sources
+    }
+
     /// Lists a new engine, and returns its id and listener.
     async fn list_new(&self) -> (SmolStr, TcpListener) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -93,10 +104,20 @@
                     _ = crashed.changed() => break,
                 }
             }
+            let address = listener.local_addr().unwrap().to_string();
+            {
+                let mut counts = self.counts.lock();
+                counts.crashes += 1;
+                counts.crashed_addresses.push(address);
+            }
             drop(listener);
             connections.shutdown().await;
-            self.counts.lock().crashes += 1;
-            self.store.put(Topic::Targets, &id, None);
+            // The entry of a crashed engine stays in the list for a while.
+            let (store, former) = (self.store.clone(), id);
+            tokio::spawn(async move {
+                time::sleep(ENTRY_LIFETIME).await;
+                store.put(Topic::Targets, &former, None);
+            });
             (id, listener) = self.list_new().await;
         }
     }
@@ -110,7 +131,13 @@
             "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
         );
         let is_fatal = request.contains(FATAL_PART);
-        counts.lock().fatal_arrivals += usize::from(is_fatal);
+        let source = header(&request, "x-cache-source");
+        {
+            let mut counts = counts.lock();
+            counts.fatal_arrivals += usize::from(is_fatal);
+            let is_dead = source.is_some_and(|source| counts.crashed_addresses.contains(&source));
+            counts.dead_sources += usize::from(is_dead);
+        }
         if stream.write_all(head.as_bytes()).await.is_err() {
             return;
         }
