Send a chat that crashes its engine to one other engine only

A chat whose engine closes the connection before the first part was sent on in up to nine passes, as fast as engines came back; in the test to four engines. Change: after two targets that close the connection before the first part, the chat is given up with outcome unknown. Streams that break off later resume as before. The test failed before (4 engines accepted the chat, 2 are allowed) and passes. What remains there: no router remembers the content, so that each new chat with it crashes two engines again; listed.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -33,6 +33,10 @@
 /// for at most a third of their remaining time.
 const RETRY_AFTER_DIVISOR: u64 = 4;
 
+/// The number of targets on which an answer breaks off before its first part after which the request is not sent again:
+/// it may be the cause.
+pub const EARLY_BREAKS_MAX: u32 = 2;
+
 /// The attempts at one request so far, counted by result.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Attempts {
--- a/crates/proof/tests/path.rs
+++ b/crates/proof/tests/path.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use sardinemux_proof::fleet::{Fleet, Settings};
 use sardinemux_proof::matrix::{self, Told};
+use sardinemux_standin::engine::routes::FATAL_FIELD;
 use sardinemux_standin::service::BROKEN_EVENTS;
 use sardinemux_wire::caller::{ErrorBody, ErrorKind};
 use serde_json::{json, Value};
@@ -182,3 +183,21 @@
     let runs = matrix::runs(&fleet).await.unwrap();
     assert_eq!(runs.get("two"), Some(&1));
 }
+
+/// A chat that crashes each engine that begins to answer it is repeated once.
+#[tokio::test]
+async fn verify_chat_that_crashes_engines_is_not_sent_to_one_after_the_other() {
+    let fleet = Fleet::start(small()).await.unwrap();
+    let entry = fleet.routers[0].entry;
+    let message = json!([{"role": "user", "content": "hello"}]);
+    let body = json!({"model": "sardine-7b", "messages": message, FATAL_FIELD: true});
+    let chats = format!("http://{entry}/v1/chat/completions");
+    let request = fleet.client.post(&chats).json(&body);
+    let refused = refusal(request.bearer_auth(fleet.key(0))).await;
+    assert_eq!(refused, (StatusCode::BAD_GATEWAY, ErrorKind::TargetFailed));
+    let mut accepted = 0;
+    for index in 0..3 {
+        accepted += fleet.engine_stats(index).await.unwrap().accepted;
+    }
+    assert_eq!(accepted, 2);
+}
--- a/crates/router/src/entry/forwarding.rs
+++ b/crates/router/src/entry/forwarding.rs
@@ -11,6 +11,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use sardinemux_core::attempts::EARLY_BREAKS_MAX;
 use sardinemux_core::class::Class;
 use sardinemux_core::config::Organisation;
 use sardinemux_core::fence::RequestId;
@@ -105,6 +106,10 @@
     /// Whether the head was already returned; the heads of further dispatches are dropped.
     has_head: bool,
     last_target: Option<SmolStr>,
+    /// Whether the current dispatch has delivered a part.
+    has_part: bool,
+    /// The dispatches whose target closed the connection before the first part.
+    early_breaks: u32,
 }
 
 impl Forwarding {
@@ -126,6 +131,8 @@
             avoided: None,
             has_head: false,
             last_target: None,
+            has_part: false,
+            early_breaks: 0,
             router,
             job,
         };
@@ -184,6 +191,12 @@
             Ok(Body::Failed { outcome, reason }) => {
                 self.stream = None;
                 self.record_outcome(outcome);
+                let is_early =
+                    outcome != Outcome::NotRun && reason == Reason::Cut && !self.has_part;
+                self.early_breaks += u32::from(is_early);
+                if self.early_breaks >= EARLY_BREAKS_MAX {
+                    return Err(self.give_up(reason));
+                }
                 match outcome.allows_dispatch(self.job.repeatable) {
                     true => self.retry(reason).await,
                     false => Err(self.give_up(reason)),
@@ -207,7 +220,10 @@
             .as_ref()
             .map_or(RequestId::nil(), |stream| stream.id);
         match self.cursor.accept(id, part.offset, part.length) {
-            Ok(Continuity::Next) => Ok(Some(Event::Part(part))),
+            Ok(Continuity::Next) => {
+                self.has_part = true;
+                Ok(Some(Event::Part(part)))
+            }
             Ok(Continuity::Duplicate) => {
                 self.router.metrics.dropped_parts.inc();
                 Ok(None)
--- a/crates/router/src/entry/forwarding/open.rs
+++ b/crates/router/src/entry/forwarding/open.rs
@@ -28,6 +28,7 @@
         let id = RequestId::new_v4();
         self.cursor.set_dispatch(id);
         self.last_target = Some(target.id.clone());
+        self.has_part = false;
         let mut call = self.job.call.clone();
         if let Call::Chat { resume_offset, .. } = &mut call {
             *resume_offset = self.cursor.offset();
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -22,6 +22,9 @@
 use super::{Engine, Stats};
 use crate::text;
 
+/// A field of a chat under which the engine restarts as soon as the chat holds a slot.
+pub const FATAL_FIELD: &str = "crash_engine";
+
 /// The greatest length of a request body, in bytes.
 const BODY_MAX_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -144,6 +147,10 @@
             slot = engine.slots.acquire(priority) => progress.assign_slot(slot),
             _ = restarts.wait_for(|current| *current != generation) => return,
         }
+        if chat.rest.contains_key(FATAL_FIELD) {
+            engine.restart();
+            return;
+        }
         while engine.is_hung.load(Ordering::SeqCst) {
             time::sleep(Duration::from_millis(20)).await;
         }
