--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -16,9 +16,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use engines::{wait_until_serving, Engines, FATAL_PART};
+use engines::{Engines, FATAL_PART};
 use fleet::{catalog_of, Store};
-use harness::{exchange, looks_complete};
+use harness::{exchange, looks_complete, wait_until_serving};
 use rstest::rstest;
 use sardinemux_gateway::settings::Settings;
 use sardinemux_gateway::source::Topic;
--- a/crates/gateway/tests/support/engines.rs
+++ b/crates/gateway/tests/support/engines.rs
@@ -1,7 +1,6 @@
 //! A pool of mock engines in one process. An engine crashes when it begins to answer a prompt with a certain part: its
 //! listener and all of its connections are closed, and a replacement is listed in the store.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -173,16 +172,3 @@
         }
     }
 }
-
-/// Waits until a gateway accepts requests of callers and is ready.
-pub async fn wait_until_serving(caller_address: SocketAddr, ready_address: SocketAddr) {
-    let request = "GET /ready HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
-    while TcpStream::connect(caller_address).await.is_err()
-        || TcpStream::connect(ready_address).await.is_err()
-        || !super::harness::exchange(ready_address, request)
-            .await
-            .starts_with("HTTP/1.1 200")
-    {
-        time::sleep(Duration::from_millis(10)).await;
-    }
-}
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -339,3 +339,16 @@
     let _ = stream.read_to_end(&mut bytes).await;
     String::from_utf8(bytes).unwrap()
 }
+
+/// Waits until a gateway accepts requests of callers and is ready.
+pub async fn wait_until_serving(caller_address: SocketAddr, ready_address: SocketAddr) {
+    let request = "GET /ready HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+    while TcpStream::connect(caller_address).await.is_err()
+        || TcpStream::connect(ready_address).await.is_err()
+        || !exchange(ready_address, request)
+            .await
+            .starts_with("HTTP/1.1 200")
+    {
+        time::sleep(Duration::from_millis(10)).await;
+    }
+}
