Reproduce the excess over a target's stated limit

Targets in need state how many requests a second they take from all gateways together, and get as many as before.

--- a/crates/gateway/tests/support/mock.rs
+++ b/crates/gateway/tests/support/mock.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -16,6 +16,8 @@
 pub enum Behaviour {
     /// Sends a complete answer.
     Answer,
+    /// Sends a complete answer that states the requests a second that the target takes.
+    Limit(&'static str),
     /// Sends a complete answer with status 500.
     Fail,
     /// States that it did not run the request.
@@ -122,6 +124,8 @@
 pub struct Observed {
     /// The requests in the order of their arrival, each with head and body.
     pub requests: Vec<String>,
+    /// When each of them arrived.
+    pub arrivals: Vec<Instant>,
     /// The number of connections that ended before the request on them was answered.
     pub disconnects: usize,
 }
@@ -167,10 +171,16 @@
 /// Handles the requests on one connection.
 async fn serve(mut stream: TcpStream, behaviour: Behaviour, observed: Arc<Mutex<Observed>>) {
     while let Some(request) = read_request(&mut stream).await {
-        observed.lock().requests.push(request.clone());
+        {
+            let mut observed = observed.lock();
+            observed.requests.push(request.clone());
+            observed.arrivals.push(Instant::now());
+        }
         let id = header(&request, "x-id").unwrap_or_default();
         let answer = match behaviour {
             Behaviour::Answer => complete_response(200, &id, "answer"),
+            Behaviour::Limit(limit) => complete_response(200, &id, "answer")
+                .replace("x-signature", &format!("x-limit: {limit}\r\nx-signature")),
             Behaviour::Fail => complete_response(500, &id, "failed"),
             Behaviour::Reject => {
                 "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".into()
