Share the limits that targets state among the gateways

Callers saw nothing yet; the target is what suffers. Cause: nothing read the limit, and a limit of each gateway by itself would not hold for the fleet. Change: the limit is read from each answer and divided like that of a cold target, by one mechanism (cold_start becomes rate_share); the smaller share holds. Gateways exchange what targets stated to them. Limited targets are chosen last, but for a request now and then that shows whether the limit has ended. The datagrams beside the reports become one type with two kinds.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -37,6 +37,9 @@
     pub error_excess: f64,
     /// How long a report of another router is valid, in milliseconds: several periods, as datagrams get lost.
     pub report_ttl_ms: u64,
+    /// How long a stated limit holds without a further answer of the target, in milliseconds. The routers that send to
+    /// the target renew it, or learn of its end.
+    pub limit_ttl_ms: u64,
 }
 
 impl Default for Settings {
@@ -51,6 +54,7 @@
             error_half_life_ms: 3_000.0,
             error_excess: 0.25,
             report_ttl_ms: 1_500,
+            limit_ttl_ms: 60_000,
         }
     }
 }
@@ -86,8 +90,10 @@
 pub struct Condition {
     pub(crate) lifetime: u64,
     pub(crate) cold_until_ms: u64,
-    /// Limits the requests of this router to the target while it is cold.
-    pub(crate) cold_limiter: Option<TokenBucket>,
+    /// Limits the requests of this router to the target while it is cold or states a limit.
+    pub(crate) limiter: Option<TokenBucket>,
+    /// What the target last stated of its limit, if it ever stated one.
+    pub(crate) statement: Option<Statement>,
     /// Since when the target is no longer listed, while it stays in use after an outage of the list.
     pub(crate) missing_since_ms: Option<u64>,
     /// Whether another process answered at the target's address.
@@ -103,6 +109,36 @@
     pub(crate) backoff_until_ms: u64,
 }
 
+/// What a target stated of the requests a second that it takes from all routers together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Statement {
+    /// The limit, in requests a second; `None` once the target has stopped stating one.
+    pub(crate) per_s: Option<f64>,
+    pub(crate) at_ms: u64,
+    /// Whether this router got the answer, so that it tells the others.
+    pub(crate) is_own: bool,
+}
+
+/// A statement of a target's limit, as routers exchange it, with its age, since clocks of instances are not compared.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LimitNotice {
+    /// The id of the target.
+    pub target: SmolStr,
+    /// The limit, in requests a second; `None` once the target has stopped stating one.
+    pub per_s: Option<f64>,
+    /// The time since the target stated it, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// The shares of this router in the rate limits of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Shares {
+    /// In requests a second while the target is cold.
+    pub cold_per_s: f64,
+    /// In requests a second while the target states a limit; `None` if it states none.
+    pub stated_per_s: Option<f64>,
+}
+
 /// The requests of other routers on a target, computed from the load that the target last stated.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RemoteLoad {
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -3,7 +3,10 @@
 use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
-use super::{query, Announcement, Condition, Evidence, RemoteLoad, Report, Roster};
+use super::{
+    query, Announcement, Condition, Evidence, LimitNotice, RemoteLoad, Report, Roster, Shares,
+    Statement,
+};
 use crate::target::Key;
 use crate::token_bucket::TokenBucket;
 
@@ -133,27 +136,85 @@
 
 /// Counts a request as started on a target, and returns whether it may be sent.
 ///
-/// A cold target gets at most `cold_per_s` requests a second, this router's share of the target's limit. An unknown
-/// target gets none.
-pub fn start_request(roster: &mut Roster, key: Key, cold_per_s: f64, now_ms: u64) -> bool {
+/// A target that is cold or states a limit gets at most this router's share of the limit, and of the smaller one if
+/// both hold. An unknown target gets none.
+pub fn start_request(roster: &mut Roster, key: Key, shares: Shares, now_ms: u64) -> bool {
     let Some(condition) = roster.conditions.get_mut(&key) else {
         return false;
     };
-    if now_ms < condition.cold_until_ms {
-        if cold_per_s <= 0.0 {
-            return false;
-        }
-        let limiter = condition
-            .cold_limiter
-            .get_or_insert_with(|| TokenBucket::new(cold_per_s, 1.0, now_ms));
-        if !limiter.try_take(now_ms) {
-            return false;
+    let is_cold = now_ms < condition.cold_until_ms;
+    let cold_per_s = is_cold.then_some(shares.cold_per_s);
+    let rates = cold_per_s.into_iter().chain(shares.stated_per_s);
+    let Some(per_s) = rates.reduce(f64::min) else {
+        condition.limiter = None;
+        condition.running += 1;
+        return true;
+    };
+    if per_s <= 0.0 {
+        condition.limiter = None;
+        return false;
+    }
+    // A stated limit lasts, so that a router which gets a share of it begins without a token: whoever had the share before
+    // may just have used one.
+    let limiter = condition.limiter.get_or_insert_with(|| match is_cold {
+        true => TokenBucket::new(per_s, 1.0, now_ms),
+        false => TokenBucket::empty(per_s, 1.0, now_ms),
+    });
+    limiter.set_rate(per_s, now_ms);
+    let is_admitted = limiter.try_take(now_ms);
+    condition.running += u32::from(is_admitted);
+    is_admitted
+}
+
+/// Records what a target stated of its limit in the answer to a request that was sent at `sent_ms`; `per_s` is `None` if
+/// it stated none. Returns whether a limit began or ended.
+///
+/// Answers may overtake each other, so only the answer to a request that was sent after the last statement ends it.
+pub fn note_limit(
+    roster: &mut Roster,
+    key: Key,
+    per_s: Option<f64>,
+    sent_ms: u64,
+    now_ms: u64,
+) -> bool {
+    let Some(condition) = roster.conditions.get_mut(&key) else {
+        return false;
+    };
+    let known = condition.statement;
+    let was_limited = known.is_some_and(|known| known.per_s.is_some());
+    let is_change = per_s.is_some() != was_limited;
+    let is_late = known.is_some_and(|known| sent_ms <= known.at_ms);
+    if per_s.is_none() && (!was_limited || is_late) {
+        return false;
+    }
+    condition.statement = Some(Statement {
+        per_s,
+        at_ms: now_ms,
+        is_own: true,
+    });
+    is_change
+}
+
+/// Takes over the statements of targets that another router got, where they are newer than the known ones.
+pub fn merge_limits(roster: &mut Roster, notices: &[LimitNotice], now_ms: u64) {
+    for notice in notices {
+        let key = roster.table.key(&notice.target);
+        let Some(condition) = key.and_then(|key| roster.conditions.get_mut(&key)) else {
+            continue;
+        };
+        let at_ms = now_ms.saturating_sub(u64::from(notice.age_ms));
+        let is_newer = condition.statement.is_none_or(|known| at_ms > known.at_ms);
+        let is_valid = notice
+            .per_s
+            .is_none_or(|per_s| per_s.is_finite() && per_s >= 0.0);
+        if is_newer && is_valid {
+            condition.statement = Some(Statement {
+                per_s: notice.per_s,
+                at_ms,
+                is_own: false,
+            });
         }
-    } else {
-        condition.cold_limiter = None;
     }
-    condition.running += 1;
-    true
 }
 
 /// Counts a request on a target as ended, and updates the target's error rate and backoff from its result.
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
-use super::{Announcement, Condition, Roster, Settings};
+use super::{Announcement, Condition, LimitNotice, Roster, Settings};
 use crate::hash;
 use crate::target::{Key, Target};
 
@@ -110,6 +110,46 @@
     condition.is_some_and(|condition| now_ms < condition.cold_until_ms)
 }
 
+/// Returns the limit that a target states, in requests a second from all routers together; `None` if it states none.
+pub fn stated_limit(roster: &Roster, key: Key, now_ms: u64) -> Option<f64> {
+    let statement = roster.conditions.get(&key)?.statement?;
+    let age_ms = now_ms.saturating_sub(statement.at_ms);
+    let is_valid = age_ms < roster.settings.limit_ttl_ms;
+    statement.per_s.filter(|_| is_valid)
+}
+
+/// The age of a statement, in milliseconds, from which a target that states a limit is chosen like any other, if this
+/// router has a share of the limit: only its answers show when the limit ends.
+const STATEMENT_REFRESH_MS: u64 = 2_000;
+
+/// Returns whether a target states a limit and has done so recently.
+fn is_limited(roster: &Roster, key: Key, now_ms: u64) -> bool {
+    let condition = roster.conditions.get(&key);
+    let statement = condition.and_then(|condition| condition.statement);
+    statement.is_some_and(|statement| {
+        let age_ms = now_ms.saturating_sub(statement.at_ms);
+        statement.per_s.is_some() && age_ms < STATEMENT_REFRESH_MS
+    })
+}
+
+/// How long a router tells the others of a statement, in milliseconds: the routers that send to a target renew it sooner.
+const STATEMENT_NEWS_MS: u64 = 5_000;
+
+/// Returns the recent statements of limits that this router got from targets.
+pub fn limit_notices(roster: &Roster, now_ms: u64) -> Vec<LimitNotice> {
+    let notices = roster.table.iter().filter_map(|(key, target)| {
+        let statement = roster.conditions.get(&key)?.statement?;
+        let age_ms = now_ms.saturating_sub(statement.at_ms);
+        let is_news = statement.is_own && age_ms < STATEMENT_NEWS_MS;
+        is_news.then(|| LimitNotice {
+            target: target.id.clone(),
+            per_s: statement.per_s,
+            age_ms: age_ms as u32,
+        })
+    });
+    notices.collect()
+}
+
 /// Returns the number of requests on a target: those of this router and of others.
 ///
 /// Those of others are the sum of their reports or, where none reports any, what the target's last answer showed if it
@@ -152,6 +192,7 @@
     key: Key,
     load: f64,
     score: f64,
+    is_limited: bool,
 }
 
 /// Returns the targets for a request, best first.
@@ -161,6 +202,9 @@
 /// least loaded first. Without a subject, the least loaded targets come first, with a small penalty for other
 /// availability zones. In both cases, targets that are in backoff or outliers come after all others.
 ///
+/// Targets that state a limit count as above the bound, so that a subject does not alternate between such a target and
+/// another one, which costs a transfer of its cache each time. They are left out of the mean.
+///
 /// The load bound handles many subjects of unequal popularity, one of which may suddenly become hot. Source:
 /// Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018.
 pub fn rank_targets(roster: &Roster, criteria: Criteria<'_>, now_ms: u64) -> Vec<Key> {
@@ -172,15 +216,19 @@
             key,
             load: f64::from(load(roster, key, now_ms)),
             score: score(target, criteria),
+            is_limited: is_limited(roster, key, now_ms),
         })
         .collect();
-    let sum: f64 = candidates.iter().map(|candidate| candidate.load).sum();
-    let mean = sum / candidates.len().max(1) as f64;
+    let counted = candidates.iter().filter(|candidate| !candidate.is_limited);
+    let (sum, count) = counted.fold((0.0, 0), |(sum, count), candidate| {
+        (sum + candidate.load, count + 1)
+    });
+    let mean = sum / f64::from(count.max(1));
     let bound = roster.settings.load_multiple * mean + roster.settings.load_slack;
     let sort_key = |candidate: &Candidate| {
         let is_deferred = is_in_backoff(roster, candidate.key, now_ms)
             || is_outlier(roster, candidate.key, now_ms);
-        let is_over = candidate.load >= bound;
+        let is_over = candidate.is_limited || candidate.load >= bound;
         match criteria.subject {
             Some(_) if !is_over => (is_deferred, is_over, -candidate.score),
             Some(_) => (is_deferred, is_over, candidate.load),
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -5,10 +5,10 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use sardinemux_core::catalog::{Catalog, Definition, Kind, Organisation, Route, Share};
-use sardinemux_core::cold_start;
 use sardinemux_core::event::{self, Continuity, Cursor, Splitter};
+use sardinemux_core::rate_share;
 use sardinemux_core::roster::query::Criteria;
-use sardinemux_core::roster::{command, query, Announcement, Evidence, Roster, Settings};
+use sardinemux_core::roster::{command, query, Announcement, Evidence, Roster, Settings, Shares};
 use sardinemux_core::target::{self, Key, Target};
 
 fn route(name: &str, prefix: &str) -> Route {
@@ -131,7 +131,12 @@
             f64::from(load) <= 2.0 * mean + 3.0,
             "{load} at a mean of {mean}"
         );
-        assert!(command::start_request(&mut roster, key, 0.0, 0));
+        assert!(command::start_request(
+            &mut roster,
+            key,
+            Shares::default(),
+            0
+        ));
     }
     let busy = keys.iter().filter(|key| query::load(&roster, **key, 0) > 0);
     assert!(busy.count() > keys.len() / 2);
@@ -149,7 +154,12 @@
         let key = query::rank_targets(&roster, criteria(Some(prefix_id)), 0)[0];
         let home = query::home_target(&roster, "p", prefix_id, Key(u32::MAX), 0).unwrap();
         moved += usize::from(home != key);
-        assert!(command::start_request(&mut roster, key, 0.0, 0));
+        assert!(command::start_request(
+            &mut roster,
+            key,
+            Shares::default(),
+            0
+        ));
         running.push_back(key);
         if running.len() > 90 {
             let key = running.pop_front().unwrap();
@@ -183,7 +193,12 @@
     let (mut roster, keys) = roster(100);
     for (index, key) in keys.iter().enumerate() {
         for _ in 0..=index / 10 {
-            assert!(command::start_request(&mut roster, *key, 0.0, 0));
+            assert!(command::start_request(
+                &mut roster,
+                *key,
+                Shares::default(),
+                0
+            ));
         }
     }
     let reported = query::running(&roster, 10);
@@ -197,7 +212,12 @@
     let settings = Settings::default();
     let mut now_ms = 0;
     for failure in 0..3 {
-        assert!(command::start_request(&mut roster, keys[0], 0.0, now_ms));
+        assert!(command::start_request(
+            &mut roster,
+            keys[0],
+            Shares::default(),
+            now_ms
+        ));
         command::finish_request(&mut roster, keys[0], Evidence::TransportError, now_ms);
         let rest_ms = settings.backoff_ms << failure;
         assert!(query::is_in_backoff(&roster, keys[0], now_ms + rest_ms - 1));
@@ -219,7 +239,12 @@
         for round in 0..600_u64 {
             let now_ms = if is_grey { 0 } else { 60_000 } + round * 50;
             let key = query::rank_targets(&roster, criteria(Some(round)), now_ms)[0];
-            assert!(command::start_request(&mut roster, key, 0.0, now_ms));
+            assert!(command::start_request(
+                &mut roster,
+                key,
+                Shares::default(),
+                now_ms
+            ));
             let is_failure = match is_grey && key == keys[1] {
                 true => round % 2 == 0,
                 false => round % 16 == 0,
@@ -254,7 +279,12 @@
 #[test]
 fn verify_new_lifetime_resets_the_target() {
     let (mut roster, keys) = roster(1);
-    assert!(command::start_request(&mut roster, keys[0], 0.0, 0));
+    assert!(command::start_request(
+        &mut roster,
+        keys[0],
+        Shares::default(),
+        0
+    ));
     command::finish_request(&mut roster, keys[0], Evidence::AddressTaken, 0);
     assert!(!query::is_eligible(&roster, keys[0], 0));
     let again = Announcement {
@@ -278,7 +308,7 @@
         for (index, me) in names.iter().enumerate() {
             let known = if index % 2 == 0 { routers } else { kept.max(index + 1) };
             let members = names[..known].iter().map(String::as_str);
-            let share = cold_start::rate_share(per_s, me, members, "engine");
+            let share = rate_share::cold(per_s, me, members, "engine");
             // A token bucket of capacity one admits one request more than its rate.
             total += if share > 0.0 { share + 1.0 } else { 0.0 };
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -44,6 +44,7 @@
     gateway: Arc<Gateway>,
     /// The key of the target.
     pub key: Key,
+    begin_ms: u64,
     evidence: Evidence,
 }
 
@@ -62,18 +63,23 @@
     }
 }
 
-/// Counts a request as started on a target. Returns `None` if the target is unknown, or cold and at its rate limit.
+/// Counts a request as started on a target. Returns `None` if the target is unknown or at its rate limit.
 pub fn start(gateway: &Arc<Gateway>, key: Key) -> Option<(InFlight, Target)> {
     let now_ms = gateway.now_ms();
-    let target = query::target(&gateway.roster.lock(), key)?.clone();
-    let cold_per_s = gateway.cold_per_s(&target.pool, &target.id);
+    let (target, stated_limit) = {
+        let roster = gateway.roster.lock();
+        let target = query::target(&roster, key)?.clone();
+        (target, query::stated_limit(&roster, key, now_ms))
+    };
+    let shares = gateway.rate_shares(&target.pool, &target.id, stated_limit);
     let mut roster = gateway.roster.lock();
-    if !command::start_request(&mut roster, key, cold_per_s, now_ms) {
+    if !command::start_request(&mut roster, key, shares, now_ms) {
         return None;
     }
     let in_flight = InFlight {
         gateway: gateway.clone(),
         key,
+        begin_ms: now_ms,
         evidence: Evidence::Inconclusive,
     };
     Some((in_flight, target))
@@ -277,6 +283,7 @@
         return not_run(Reason::NoTarget, true);
     }
     if headers.contains_key(&dialect.not_run) {
+        record_limit(gateway, &in_flight, &head);
         return not_run(Reason::Full, true);
     }
     let is_signed = headers.contains_key(&dialect.signature);
@@ -284,6 +291,7 @@
         in_flight.set_evidence(Evidence::TransportError);
         return unknown(Reason::Crossed);
     }
+    record_limit(gateway, &in_flight, &head);
     if let (true, Some(prefix_id)) = (head.status.is_success(), inbound.prompt.prefix_id()) {
         gateway.holders.lock().put(prefix_id, in_flight.key);
     }
@@ -309,3 +317,28 @@
         command::note_cold(&mut roster, key, cold_ms, now_ms);
     }
 }
+
+/// Records the limit that the target stated in the head of its answer, or that it stated none. A value that is no
+/// number of requests a second is ignored, and the limit that was stated before stays.
+fn record_limit(gateway: &Gateway, in_flight: &InFlight, head: &Parts) {
+    let stated = head.headers.get(&gateway.dialect.limit);
+    let per_s = stated.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+    let per_s = per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0);
+    let key = in_flight.key;
+    if let (Some(value), None) = (stated, per_s) {
+        log::warn!(value:? = value; "ignoring the limit of a target, which is no number of requests a second");
+        return;
+    }
+    let now_ms = gateway.now_ms();
+    let mut roster = gateway.roster.lock();
+    if !command::note_limit(&mut roster, key, per_s, in_flight.begin_ms, now_ms) {
+        return;
+    }
+    let target_id = query::target(&roster, key).map(|target| target.id.clone());
+    drop(roster);
+    let target_id = target_id.unwrap_or_default();
+    match per_s {
+        Some(per_s) => log::info!(target_id:% = target_id, per_s = per_s; "target states a limit"),
+        None => log::info!(target_id:% = target_id; "target states no limit any more"),
+    }
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -24,6 +24,8 @@
     pub not_run: HeaderName,
     /// The load of a target, as stated in its response.
     pub load: HeaderName,
+    /// The number of requests a second that a target takes from all gateways together, while it states one.
+    pub limit: HeaderName,
     /// The priority of a request at an engine, 0 to 9; 0 is the most urgent.
     pub priority: HeaderName,
     /// The address of the engine from which the receiving engine can fetch cached parts of the prompt.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod source;
 pub mod state;
 pub mod stream;
+pub mod supplement;
 pub mod suspension;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -25,14 +25,12 @@
 use crate::prelude::*;
 use crate::request::Inbound;
 use crate::source::{Entry, Fact, Held, Source, Topic};
+use crate::supplement::{self, Supplement};
 use crate::suspension;
 
 /// The number of events after which an answer clears the parts of its prompt.
 pub const CLEARING_EVENTS: u64 = 2;
 
-/// The first byte of a datagram with notices. MessagePack, in which reports are encoded, never begins with it.
-pub const MARKER: u8 = 0xc1;
-
 /// The number of gateways that record a held part in the store, in case one of them cannot reach it.
 const RECORDERS: usize = 2;
 
@@ -288,7 +286,7 @@
     };
     let recent = gateway.members.lock().recent_addresses(now_ms);
     let recipients = recent.choose_multiple(&mut rand::rng(), FANOUT);
-    (encode(&messages), recipients.copied().collect())
+    (encode(messages), recipients.copied().collect())
 }
 
 /// Returns the notices of a round of reports.
@@ -308,35 +306,22 @@
         now_ms,
     );
     drop(quarantine);
-    encode(&messages)
+    encode(messages)
 }
 
-fn encode(messages: &[Vec<Notice>]) -> Vec<Vec<u8>> {
-    let mut encoded = Vec::new();
-    for message in messages {
-        let mut bytes = vec![MARKER];
-        match rmp_serde::encode::write(&mut bytes, message) {
-            Ok(()) => encoded.push(bytes),
-            Err(error) => log::warn!(error:% = error; "failed to encode notices; not sent"),
-        }
-    }
-    encoded
+fn encode(messages: Vec<Vec<Notice>>) -> Vec<Vec<u8>> {
+    let supplements = messages.into_iter().map(Supplement::Quarantine);
+    supplements
+        .filter_map(|supplement| supplement::encode(&supplement))
+        .collect()
 }
 
-/// Merges the notices of a datagram, whose first byte is [`MARKER`].
-pub fn receive(gateway: &Gateway, bytes: &[u8], sender: SocketAddr) {
-    let body = bytes.get(1..).unwrap_or_default();
-    let notices: Vec<Notice> = match rmp_serde::from_slice(body) {
-        Ok(notices) => notices,
-        Err(error) => {
-            log::warn!(sender:% = sender, error:% = error; "failed to decode received notices; ignored");
-            return;
-        }
-    };
+/// Merges the notices of another gateway.
+pub fn receive(gateway: &Gateway, notices: &[Notice]) {
     let now_ms = gateway.now_ms();
     let changes = {
         let mut quarantine = gateway.quarantine.lock();
-        command::merge(&mut quarantine.register, &notices, now_ms)
+        command::merge(&mut quarantine.register, notices, now_ms)
     };
     forward(gateway, &changes);
 }
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -20,6 +20,7 @@
 use crate::quarantine;
 use crate::replication;
 use crate::source::{Member, Topic};
+use crate::supplement::{self, Supplement};
 use crate::suspension;
 
 /// The largest datagram that is sent or received, in bytes. Loopback and the instances' links carry it unfragmented.
@@ -98,17 +99,18 @@
                 suspension::note_heartbeat(&gateway);
                 let recipients = choose_recipients(&gateway, round);
                 send_reports(&gateway, &socket, &recipients);
-                send_notices(&socket, &quarantine::next_round(&gateway, round), &recipients);
+                send_supplements(&socket, &quarantine::next_round(&gateway, round), &recipients);
+                send_supplements(&socket, &supplement::limits(&gateway), &recipients);
                 gateway.remove_expired();
                 round += 1;
             }
             () = gateway.quarantine_alarm.wait() => {
                 let (notices, recipients) = quarantine::take_urgent(&gateway);
-                send_notices(&socket, &notices, &recipients);
+                send_supplements(&socket, &notices, &recipients);
             }
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, sender)) if buffer[..length].first() == Some(&quarantine::MARKER) => {
-                    quarantine::receive(&gateway, &buffer[..length], sender);
+                Ok((length, sender)) if supplement::is_supplement(&buffer[..length]) => {
+                    receive_supplement(&gateway, &buffer[..length], sender);
                 }
                 Ok((length, sender)) => {
                     // A new gateway gets a report at once, so that it knows which gateway to follow.
@@ -139,8 +141,8 @@
     send_datagram(socket, &bytes, addresses);
 }
 
-fn send_notices(socket: &UdpSocket, notices: &[Vec<u8>], addresses: &[SocketAddr]) {
-    for bytes in notices {
+fn send_supplements(socket: &UdpSocket, supplements: &[Vec<u8>], addresses: &[SocketAddr]) {
+    for bytes in supplements {
         send_datagram(socket, bytes, addresses);
     }
 }
@@ -179,6 +181,19 @@
     addresses.filter(|address| *address != own).collect()
 }
 
+fn receive_supplement(gateway: &Gateway, bytes: &[u8], sender: SocketAddr) {
+    match supplement::decode(bytes) {
+        Ok(Supplement::Quarantine(notices)) => quarantine::receive(gateway, &notices),
+        Ok(Supplement::Limits(limits)) => {
+            let now_ms = gateway.now_ms();
+            command::merge_limits(&mut gateway.roster.lock(), &limits, now_ms);
+        }
+        Err(error) => {
+            log::warn!(sender:% = sender, error:% = error; "failed to decode a supplement to a report; ignored");
+        }
+    }
+}
+
 /// Applies a received report and returns the address of its sender if that gateway is new.
 fn receive_report(gateway: &Gateway, bytes: &[u8], sender: SocketAddr) -> Option<SocketAddr> {
     let report: Report = match rmp_serde::from_slice(bytes) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,10 +12,10 @@
 use sardinemux_core::prompt::Holders;
 use sardinemux_core::reports;
 use sardinemux_core::retry::{self, Budget};
-use sardinemux_core::roster::{self, Roster};
+use sardinemux_core::roster::{self, Roster, Shares};
 use sardinemux_core::suspension::Detector;
 use sardinemux_core::target::Key;
-use sardinemux_core::{cold_start, roster::query};
+use sardinemux_core::{rate_share, roster::query};
 use sardinemux_host::clock::Clock;
 use tokio::sync::watch;
 
@@ -154,14 +154,20 @@
         self.can_serve() && self.drain.phase() == Phase::Serving
     }
 
-    /// Returns the number of requests per second that this gateway may send to a target while the target is cold.
-    pub fn cold_per_s(&self, pool: &str, target: &str) -> f64 {
+    /// Returns the shares of this gateway in the rate limits of a target: that of its pool for cold targets, and the one
+    /// that the target states, if any.
+    pub fn rate_shares(&self, pool: &str, target: &str, stated_limit: Option<f64>) -> Shares {
         let per_s = self
             .catalog()
             .pool(pool)
             .map_or(0.0, |pool| pool.cold_per_s);
         let members = self.members.lock();
-        cold_start::rate_share(per_s, &self.settings.name, members.names(), target)
+        let me = &self.settings.name;
+        Shares {
+            cold_per_s: rate_share::cold(per_s, me, members.names(), target),
+            stated_per_s: stated_limit
+                .map(|limit| rate_share::stated(limit, me, members.names(), target)),
+        }
     }
 
     /// Returns the largest number of idle connections to a target that this gateway keeps open.
--- /dev/null
+++ b/crates/gateway/src/supplement.rs
@@ -0,0 +1,61 @@
+//! The datagrams that gateways send beside their reports: evidence against prompt parts, and limits that targets state.
+//!
+//! They are messages of their own, so that a gateway that does not know one of them still reads the reports.
+
+use sardinemux_core::quarantine::Notice;
+use sardinemux_core::roster::LimitNotice;
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// The first byte of a supplement. MessagePack, in which reports are encoded, never begins with it.
+const MARKER: u8 = 0xc1;
+
+/// The largest number of limits in one supplement. One takes about 30 bytes.
+pub const LIMITS_MAX: usize = 40;
+
+/// A datagram beside the reports.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Supplement {
+    /// Evidence against prompt parts.
+    Quarantine(Vec<Notice>),
+    /// The limits that targets stated to the sender.
+    Limits(Vec<LimitNotice>),
+}
+
+/// Returns whether a datagram is a supplement.
+pub fn is_supplement(bytes: &[u8]) -> bool {
+    bytes.first() == Some(&MARKER)
+}
+
+/// Returns the datagram of a supplement. One that cannot be encoded is logged and left out.
+pub fn encode(supplement: &Supplement) -> Option<Vec<u8>> {
+    let mut bytes = vec![MARKER];
+    match rmp_serde::encode::write(&mut bytes, supplement) {
+        Ok(()) => Some(bytes),
+        Err(error) => {
+            log::warn!(error:% = error; "failed to encode a supplement to a report; not sent");
+            None
+        }
+    }
+}
+
+/// Returns the supplement in a datagram.
+///
+/// # Errors
+///
+/// The decoder's error, also for a kind of supplement that this version does not know.
+pub fn decode(bytes: &[u8]) -> std::result::Result<Supplement, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(bytes.get(1..).unwrap_or_default())
+}
+
+/// Returns the limits that targets stated to this gateway recently.
+pub fn limits(gateway: &Gateway) -> Vec<Vec<u8>> {
+    let now_ms = gateway.now_ms();
+    let notices = sardinemux_core::roster::query::limit_notices(&gateway.roster.lock(), now_ms);
+    let supplements = notices.chunks(LIMITS_MAX);
+    let supplements = supplements.map(|limits| Supplement::Limits(limits.to_vec()));
+    supplements
+        .filter_map(|supplement| encode(&supplement))
+        .collect()
+}
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -44,6 +44,7 @@
         signature: name("x-signature"),
         not_run: name("x-not-run"),
         load: name("x-load"),
+        limit: name("x-limit"),
         priority: name("x-priority"),
         cache_source: name("x-cache-source"),
         last_event_id: name("last-event-id"),
