Break off the connection of a target whose answer has no end

Cause: the HTTP library reads informational answers one after the other without a limit, so that a target that sends nothing else kept the gateway reading until the deadline (270 MB in 1.5 s in the test). Change: at most 1 MiB is read from a connection before the head of an answer is complete, at targets, other gateways and the store. A stream is also broken off at its deadline if its target always has data: the timeout alone is only checked while there is none.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -143,7 +143,7 @@
         in_flight.set_evidence(Evidence::TransportError);
         return not_run(Reason::Refused, false);
     };
-    let sent = time::timeout_at(first_byte_deadline, link.sender.try_send_request(request)).await;
+    let sent = time::timeout_at(first_byte_deadline, link.send(request)).await;
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::TrySendError;
 use hyper::{Request, Response};
 use parking_lot::Mutex;
 use snafu::{OptionExt, ResultExt};
@@ -61,7 +62,7 @@
             Some(link) => link,
             None => connections::open(address).await?,
         };
-        let sent = link.sender.send_request(request).await;
+        let sent = link.send(request).await.map_err(TrySendError::into_error);
         let (parts, body) = sent.context(ExchangeSnafu { address })?.into_parts();
         let collected = Limited::new(body, ANSWER_MAX_BYTES).collect().await;
         let whole = match collected {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -3,12 +3,17 @@
 //! A connection carries one request at a time. After anything unexpected it is closed at once and not reused, which
 //! also makes the target cancel its work.
 
+mod head_limit;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::TrySendError;
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use sardinemux_core::target::Key;
@@ -18,6 +23,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{self, Instant};
 
+pub use self::head_limit::HEAD_MAX_BYTES;
+use self::head_limit::{Allowance, LimitedStream};
 use crate::errors::{ConnectSnafu, ExchangeSnafu, TimeoutSnafu};
 use crate::prelude::*;
 
@@ -90,11 +97,33 @@
 /// An open connection. Dropping it closes it.
 #[derive(Debug)]
 pub struct Connection {
-    /// Sends requests.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
     _driver: Driver,
 }
 
+impl Connection {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// The library's error, which holds the request if nothing of it was sent. More than [`HEAD_MAX_BYTES`] before the
+    /// end of the head break the connection off.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.allowance.await_head();
+        let response = self.sender.try_send_request(request).await?;
+        self.allowance.note_head();
+        Ok(response)
+    }
+
+    fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
 /// Opens a connection.
 ///
 /// # Errors
@@ -107,6 +136,8 @@
     let connected = snafu::OptionExt::context(connected, TimeoutSnafu { address, limit_ms })?;
     let stream = connected.context(ConnectSnafu { address })?;
     set_options(&stream).context(ConnectSnafu { address })?;
+    let allowance = Allowance::default();
+    let stream = LimitedStream::new(stream, allowance.clone());
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.context(ExchangeSnafu { address })?;
     let task = tokio::spawn(async move {
@@ -116,6 +147,7 @@
     });
     Ok(Connection {
         sender,
+        allowance,
         _driver: Driver(task.abort_handle()),
     })
 }
@@ -145,7 +177,7 @@
     pub fn take(&mut self, key: Key) -> Option<Connection> {
         let now = Instant::now();
         let connections = self.idle.get_mut(&key)?;
-        connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+        connections.retain(|idle| idle.expires_at > now && !idle.connection.is_closed());
         connections.pop().map(|idle| idle.connection)
     }
 
@@ -160,7 +192,7 @@
     ) {
         let timeout = stated.map_or(IDLE_TIMEOUT, |stated| stated.saturating_sub(IDLE_MARGIN));
         let connections = self.idle.entry(key).or_default();
-        if timeout.is_zero() || connections.len() >= idle_max || connection.sender.is_closed() {
+        if timeout.is_zero() || connections.len() >= idle_max || connection.is_closed() {
             return;
         }
         let expires_at = Instant::now() + timeout;
@@ -179,7 +211,7 @@
     pub fn prune(&mut self, is_known: impl Fn(Key) -> bool) {
         let now = Instant::now();
         self.idle.retain(|key, connections| {
-            connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+            connections.retain(|idle| idle.expires_at > now && !idle.connection.is_closed());
             is_known(*key) && !connections.is_empty()
         });
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -53,6 +53,10 @@
     deadline: Instant,
 ) -> std::result::Result<Option<Bytes>, BodyError> {
     loop {
+        // A target that always has data would never time out.
+        if Instant::now() >= deadline {
+            return Err(interrupted(Reason::Silence));
+        }
         let frame = match time::timeout_at(deadline, answer.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return Err(interrupted(Reason::Cut)),
