Bound the bodies and events that the own interface reads

Cause: routers and administration programs read reports, rejections, duties and answers of peers without a limit, and an engine's event without end until the time between two parts was over, so that one chat took 27 s to be given up. Change: one function reads a body up to a limit (reports, rejections and duties 1 MiB, messages 16 MiB), and an event has at most 1 MiB, as at the gateway.

--- a/crates/admin/src/fleet.rs
+++ b/crates/admin/src/fleet.rs
@@ -3,11 +3,13 @@
 use indexmap::IndexMap;
 use reqwest::Client;
 use sardinemux_core::config::{Entry, Version};
+use sardinemux_host::client;
 use sardinemux_platform::client::Platform;
 use sardinemux_wire::admin::{FleetLoad, RouterVersion, TargetLoad};
+use sardinemux_wire::codec::{self, MESSAGE_MAX_BYTES};
 use sardinemux_wire::gossip::Update;
+use sardinemux_wire::header;
 use sardinemux_wire::platform::Role;
-use sardinemux_wire::{codec, header};
 use serde::{de::DeserializeOwned, Serialize};
 use smol_str::SmolStr;
 
@@ -50,7 +52,8 @@
         if !response.status().is_success() {
             return None;
         }
-        codec::decode(&response.bytes().await.ok()?).ok()
+        let body = client::read_body(response, MESSAGE_MAX_BYTES).await.ok()?;
+        codec::decode(&body).ok()
     }
 
     /// Sends an entry to every router. A failed call is not repeated, as the router obtains the entry from its peers or
--- a/crates/admin/src/orders.rs
+++ b/crates/admin/src/orders.rs
@@ -22,6 +22,9 @@
 use crate::errors::Result;
 use crate::routes::Admin;
 
+/// The largest report of an engine's duty that is read, in bytes.
+const DUTY_MAX_BYTES: usize = 1 << 20;
+
 /// The time between two rounds of reconciliation.
 const ROUND_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -125,7 +128,8 @@
     async fn read_duty_state(&self, target: &Target) -> Option<DutyState> {
         let url = format!("http://{}/duty", target.address);
         let response = self.client.get(url).send().await.ok()?;
-        response.json().await.ok()
+        let body = client::read_body(response, DUTY_MAX_BYTES).await.ok()?;
+        serde_json::from_slice(&body).ok()
     }
 
     /// Sends one order, if the lease still holds.
--- a/crates/host/src/client.rs
+++ b/crates/host/src/client.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-use reqwest::Client;
-use snafu::ResultExt;
+use reqwest::{Client, Response};
+use snafu::{ensure, ResultExt};
 
-use crate::errors::{ClientSnafu, Result};
+use crate::errors::{AnswerSnafu, ClientSnafu, OversizedSnafu, Result};
 
 /// The timeouts and the connection pool of a client.
 #[derive(Clone, Copy, Debug)]
@@ -67,3 +67,17 @@
     }
     builder.build().context(ClientSnafu)
 }
+
+/// Reads the body of an answer, of at most `limit` bytes.
+///
+/// # Errors
+///
+/// `Error::Oversized` if the body is longer, `Error::Answer` if the connection fails before its end.
+pub async fn read_body(mut answer: Response, limit: usize) -> Result<Vec<u8>> {
+    let mut body = Vec::new();
+    while let Some(chunk) = answer.chunk().await.context(AnswerSnafu)? {
+        ensure!(body.len() + chunk.len() <= limit, OversizedSnafu { limit });
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
--- a/crates/host/src/errors.rs
+++ b/crates/host/src/errors.rs
@@ -93,6 +93,18 @@
         /// The cause.
         source: prometheus::Error,
     },
+    /// The connection failed before the end of an answer.
+    #[snafu(display("the answer broke off: {source}"))]
+    Answer {
+        /// The cause.
+        source: reqwest::Error,
+    },
+    /// The body of an answer is too long.
+    #[snafu(display("the body of the answer has more than {limit} bytes"))]
+    Oversized {
+        /// The largest accepted number of bytes.
+        limit: usize,
+    },
     /// A message cannot be decoded or encoded.
     #[snafu(display("{source}"))]
     Wire {
--- a/crates/proof/tests/path.rs
+++ b/crates/proof/tests/path.rs
@@ -2,11 +2,13 @@
 
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+use std::time::Duration;
+
 use reqwest::StatusCode;
 use rstest::rstest;
 use sardinemux_proof::fleet::{Fleet, Settings};
 use sardinemux_proof::matrix::{self, Told};
-use sardinemux_standin::engine::routes::FATAL_FIELD;
+use sardinemux_standin::engine::routes::{ENDLESS_FIELD, FATAL_FIELD};
 use sardinemux_standin::service::BROKEN_EVENTS;
 use sardinemux_wire::caller::{ErrorBody, ErrorKind};
 use serde_json::{json, Value};
@@ -201,3 +203,36 @@
     }
     assert_eq!(accepted, 2);
 }
+
+/// The memory that a router may use while an engine sends an event without end, in bytes.
+const ROUTER_MAX_BYTES: f64 = 200e6;
+
+/// The pause between two samples of the routers' memory.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// An engine sends one event that never ends.
+#[tokio::test]
+async fn verify_event_without_end_does_not_fill_the_memory() {
+    let fleet = Fleet::start(small()).await.unwrap();
+    let entry = fleet.routers[0].entry;
+    let message = json!([{"role": "user", "content": "hello"}]);
+    let body = json!({"model": "sardine-7b", "messages": message, ENDLESS_FIELD: true});
+    let chats = format!("http://{entry}/v1/chat/completions");
+    let request = fleet.client.post(&chats).json(&body);
+    let asked = refusal(request.bearer_auth(fleet.key(0)));
+    tokio::pin!(asked);
+    let mut most_bytes: f64 = 0.0;
+    let refused = loop {
+        tokio::select! {
+            refused = &mut asked => break refused,
+            () = tokio::time::sleep(SAMPLE_INTERVAL) => {
+                for index in 0..3 {
+                    let usage = fleet.usage(&fleet.routers[index].id);
+                    most_bytes = most_bytes.max(usage.map_or(0.0, |usage| usage.rss_bytes));
+                }
+            }
+        }
+    };
+    assert!(most_bytes <= ROUTER_MAX_BYTES, "{most_bytes} bytes");
+    assert_eq!(refused, (StatusCode::BAD_GATEWAY, ErrorKind::TargetFailed));
+}
--- a/crates/router/src/dispatch/engine.rs
+++ b/crates/router/src/dispatch/engine.rs
@@ -4,13 +4,16 @@
 //! tokens; the last chunk carries the usage, and `[DONE]` ends a complete answer. An answer that ends otherwise counts
 //! as cut.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use sardinemux_core::config::Parameter;
+use sardinemux_core::event::EVENT_MAX_BYTES;
 use sardinemux_core::stream::{Continuity, Cursor};
 use sardinemux_core::warmup::Observation;
+use sardinemux_host::client;
 use sardinemux_wire::forward::Call;
 use sardinemux_wire::frame::{Body, End, Head, Part};
 use sardinemux_wire::header;
@@ -20,6 +23,9 @@
 use crate::owner::admission;
 use crate::prelude::*;
 
+/// The largest body of a rejection that is forwarded, in bytes.
+const REJECTION_MAX_BYTES: usize = 1 << 20;
+
 /// The data of the event that ends a complete answer.
 const DONE: &str = "[DONE]";
 
@@ -106,7 +112,8 @@
 ) -> std::result::Result<Observation, Failure> {
     let status = response.status().as_u16();
     let to_failure = |_| Failure::unknown(Reason::Cut, Observation::None);
-    let data = response.bytes().await.map_err(to_failure)?.to_vec();
+    let data = client::read_body(response, REJECTION_MAX_BYTES).await;
+    let data = data.map_err(to_failure)?;
     let total = data.len() as u64;
     let head = Head {
         status,
@@ -141,14 +148,26 @@
     let timeout_ms = router.parameter(Parameter::BetweenPartsMs, &dispatch.target) as u64;
     let id = dispatch.request.id.to_string();
     let mut cursor = Cursor::from_offset(dispatch.request.id, resume_offset);
-    let mut events = response.bytes_stream().eventsource();
+    let unfinished_bytes = AtomicUsize::new(0);
+    let limited = response.bytes_stream().map(|chunk| {
+        let chunk = chunk.map_err(std::io::Error::other)?;
+        let before = unfinished_bytes.fetch_add(chunk.len(), Ordering::Relaxed);
+        match before + chunk.len() > EVENT_MAX_BYTES {
+            true => Err(std::io::Error::other("an event does not end")),
+            false => Ok(chunk),
+        }
+    });
+    let mut events = limited.eventsource();
     let mut ending: Option<(Usage, SmolStr)> = None;
     let mut first_token_ms = None;
     loop {
         let event = match wait_for(events.next(), reply, timeout_ms, true).await {
             Wait::EntryLeft => return Err(Failure::unknown(Reason::Cut, Observation::None)),
             Wait::TimedOut => return Err(Failure::unknown(Reason::Silence, Observation::None)),
-            Wait::Ready(Some(Ok(event))) => event,
+            Wait::Ready(Some(Ok(event))) => {
+                unfinished_bytes.store(0, Ordering::Relaxed);
+                event
+            }
             Wait::Ready(_) => {
                 return Err(Failure::unknown(Reason::Cut, Observation::ConnectionLost))
             }
--- a/crates/router/src/errors.rs
+++ b/crates/router/src/errors.rs
@@ -45,6 +45,12 @@
         /// The cause.
         source: reqwest::Error,
     },
+    /// The answer of a peer broke off or is too long.
+    #[snafu(display("cannot read the answer of a peer: {source}"))]
+    Body {
+        /// The cause.
+        source: sardinemux_host::errors::Error,
+    },
     /// A peer responded with an HTTP status other than success.
     #[snafu(display("the peer responded with HTTP status {status}"))]
     Status {
--- a/crates/router/src/peer_client.rs
+++ b/crates/router/src/peer_client.rs
@@ -7,7 +7,8 @@
 use sardinemux_core::control_traffic::Purpose;
 use sardinemux_core::fence::RequestId;
 use sardinemux_core::membership::Member;
-use sardinemux_wire::codec::{self, Decoder};
+use sardinemux_host::client;
+use sardinemux_wire::codec::{self, Decoder, MESSAGE_MAX_BYTES};
 use sardinemux_wire::forward::Request;
 use sardinemux_wire::frame::{Body, Frame};
 use sardinemux_wire::gossip::{Message, Update};
@@ -20,7 +21,7 @@
 use tokio::sync::mpsc;
 use tokio::time;
 
-use crate::errors::{CrossedSnafu, PeerSnafu, StatusSnafu};
+use crate::errors::{BodySnafu, CrossedSnafu, PeerSnafu, StatusSnafu};
 use crate::prelude::*;
 
 /// The bytes that an HTTP request takes on the socket besides its body.
@@ -78,7 +79,8 @@
             status: status.as_u16()
         }
     );
-    let bytes = response.bytes().await.context(PeerSnafu)?;
+    let bytes = client::read_body(response, MESSAGE_MAX_BYTES).await;
+    let bytes = bytes.context(BodySnafu)?;
     let received = bytes.len() + RESPONSE_OVERHEAD_BYTES;
     router.metrics.record_control_bytes(purpose, 0, received);
     Ok(codec::decode(&bytes)?)
--- a/crates/router/src/polling.rs
+++ b/crates/router/src/polling.rs
@@ -6,6 +6,7 @@
 use sardinemux_core::control_traffic::Purpose;
 use sardinemux_core::membership::{self, Member};
 use sardinemux_core::target::{Kind, Table, Target};
+use sardinemux_host::client;
 use sardinemux_platform::client::Traffic;
 use sardinemux_wire::platform::{Instance, Role};
 use sardinemux_wire::target::{CacheChange, CacheEvents, Load};
@@ -107,6 +108,9 @@
     router.recompute_owners();
 }
 
+/// The largest load report or list of cache events that is read, in bytes.
+const REPORT_MAX_BYTES: usize = 1 << 20;
+
 /// Reads the load reports and cache events of targets periodically, until the program ends.
 pub async fn poll_targets(router: Arc<Router>) {
     loop {
@@ -171,7 +175,7 @@
         return None;
     }
     let response = router.clients.report.get(url).send().await.ok()?;
-    let bytes = response.bytes().await.ok()?;
+    let bytes = client::read_body(response, REPORT_MAX_BYTES).await.ok()?;
     router.metrics.record_control_bytes(
         "reports",
         REQUEST_OVERHEAD_BYTES,
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -25,6 +25,12 @@
 /// A field of a chat under which the engine restarts as soon as the chat holds a slot.
 pub const FATAL_FIELD: &str = "crash_engine";
 
+/// A field of a chat under which the engine sends one event that never ends.
+pub const ENDLESS_FIELD: &str = "endless_event";
+
+/// The number of bytes of an endless event that are sent at once.
+const ENDLESS_PIECE_BYTES: usize = 64 << 10;
+
 /// The greatest length of a request body, in bytes.
 const BODY_MAX_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -151,6 +157,12 @@
             engine.restart();
             return;
         }
+        if chat.rest.contains_key(ENDLESS_FIELD) {
+            yield b"data: ".to_vec();
+            loop {
+                yield vec![b'a'; ENDLESS_PIECE_BYTES];
+            }
+        }
         while engine.is_hung.load(Ordering::SeqCst) {
             time::sleep(Duration::from_millis(20)).await;
         }
