--- a/crates/core/src/rate_share.rs
+++ b/crates/core/src/rate_share.rs
@@ -58,7 +58,8 @@
 ///     .iter()
 ///     .map(|me| rate_share::stated(1.5, me, members.iter().copied(), "target"));
 /// let shares: Vec<f64> = shares.filter(|share| *share > 0.0).collect();
-/// assert_eq!(shares, [0.4; 3]);
+/// assert_eq!(shares.len(), 3);
+/// assert!(shares.iter().all(|share| (share - 0.4).abs() < 1e-9));
 /// ```
 pub fn stated<'a>(
     limit_per_s: f64,
