--- a/crates/proof/src/gateways.rs
+++ b/crates/proof/src/gateways.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -298,6 +299,20 @@
         client::send(&url, self.client.post(&url)).await
     }
 
+    /// Lets the store come back from a copy that is `age` old.
+    ///
+    /// # Errors
+    ///
+    /// As for [`client::send`].
+    pub async fn restore_store(&self, age: Duration) -> Result<()> {
+        let age_ms = age.as_millis();
+        let url = format!(
+            "http://{}/standin/restore?age_ms={age_ms}",
+            self.store_address
+        );
+        client::send(&url, self.client.post(&url)).await
+    }
+
     /// Sets what is wrong with a replica.
     ///
     /// # Errors
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the platform's store: rows with conditional transactions, range queries and a change feed, and
-//! objects. It injects outages, rejected calls, delays, lost answers, late writes and a truncated change history.
+//! objects. It injects outages, rejected calls, delays, lost answers, late writes,
+//! a truncated change history, and the restore of a copy that is some seconds old, with which a new era begins.
 //!
 //! The list of instances is a table whose changes become visible after a lag.
 
@@ -12,6 +13,7 @@
 use base64::prelude::{Engine as _, BASE64_STANDARD};
 use parking_lot::Mutex;
 use rocket::data::ToByteUnit;
+use rocket::fairing::AdHoc;
 use rocket::http::{ContentType, Status};
 use rocket::{delete, get, post, put, routes, Data, FromForm, State};
 use sardinemux_wire::platform::Instance;
@@ -68,6 +70,9 @@
     pub writes: u64,
 }
 
+/// The number of the store's life, in all its answers.
+const ERA_HEADER: &str = "store-era";
+
 /// The time for which a lost answer is withheld.
 const LOST_ANSWER_SILENCE: Duration = Duration::from_secs(20);
 
@@ -248,7 +253,7 @@
         let changed = platform.changed.notified();
         {
             let database = platform.database.lock();
-            if feed.since < database.truncated_version {
+            if !database.has_history_since(feed.since) {
                 return empty_response(Status::Gone);
             }
             let rows = database.changes_since(&feed.table, feed.since);
@@ -299,7 +304,7 @@
     rocket::tokio::spawn(async move {
         time::sleep(lag).await;
         platform.update(|database| {
-            database.version += 1;
+            database.begin_version();
             for (id, value) in changes {
                 database.write_row((INSTANCES_TABLE.to_owned(), id), value);
             }
@@ -330,7 +335,7 @@
 #[post("/standin/forget")]
 fn forget_history(platform: &State<Arc<Platform>>) -> Status {
     platform.update(|database| {
-        database.version += 1;
+        database.begin_version();
         database.truncated_version = database.version;
         database.history.clear();
     });
@@ -341,7 +346,7 @@
 #[post("/standin/lapse/<table>")]
 fn expire_table(platform: &State<Arc<Platform>>, table: &str) -> Status {
     platform.update(|database| {
-        database.version += 1;
+        database.begin_version();
         let ids: Vec<RowId> = database
             .rows
             .keys()
@@ -355,6 +360,13 @@
     Status::Ok
 }
 
+/// Restores a copy of the contents that is `age_ms` old, with which a new era begins.
+#[post("/standin/restore?<age_ms>")]
+fn restore(platform: &State<Arc<Platform>>, age_ms: u64) -> Status {
+    platform.update(|database| database.restore(Duration::from_millis(age_ms)));
+    Status::Ok
+}
+
 #[post("/standin/faults", data = "<data>")]
 async fn set_faults(platform: &State<Arc<Platform>>, data: Data<'_>) -> Status {
     let Some(faults) = read_body::<Faults>(data).await else {
@@ -397,8 +409,18 @@
         delete_instance,
         forget_history,
         expire_table,
+        restore,
         set_faults,
         get_stats
     ];
-    serve::launch(serve::build(address, all).manage(platform)).await
+    let states_era = AdHoc::on_response("era", |request, response| {
+        Box::pin(async move {
+            if let Some(platform) = request.rocket().state::<Arc<Platform>>() {
+                let era = platform.database.lock().era;
+                response.set_raw_header(ERA_HEADER, era.to_string());
+            }
+        })
+    });
+    let server = serve::build(address, all).attach(states_era);
+    serve::launch(server.manage(platform)).await
 }
--- a/crates/standin/src/platform/database.rs
+++ b/crates/standin/src/platform/database.rs
@@ -1,6 +1,7 @@
 //! The rows and objects of the store, the change history, and the JSON form of rows in bodies.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -8,8 +9,23 @@
 /// The table and the key of a row.
 pub(super) type RowId = (String, String);
 
+/// The shortest time between two copies of the contents.
+const COPY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The number of copies that are kept.
+const COPIES_MAX: usize = 60;
+
+/// The contents of the store as they were before a change.
+#[derive(Clone, Debug)]
+struct Copy {
+    at: Instant,
+    rows: BTreeMap<RowId, (u64, String)>,
+    objects: IndexMap<String, Vec<u8>>,
+    version: u64,
+}
+
 /// The contents of the store and the number of calls on it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Database {
     /// The version in which each row was last written, and its value.
     pub(super) rows: BTreeMap<RowId, (u64, String)>,
@@ -23,6 +39,25 @@
     pub(super) objects: IndexMap<String, Vec<u8>>,
     pub(super) reads: u64,
     pub(super) writes: u64,
+    /// The number of the store's life, which begins anew with each restore of a copy.
+    pub(super) era: u64,
+    copies: VecDeque<Copy>,
+}
+
+impl Default for Database {
+    fn default() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            history: Vec::new(),
+            truncated_version: 0,
+            version: 0,
+            objects: IndexMap::new(),
+            reads: 0,
+            writes: 0,
+            era: 1,
+            copies: VecDeque::new(),
+        }
+    }
 }
 
 /// The JSON form of a row in bodies.
@@ -66,6 +101,45 @@
 }
 
 impl Database {
+    /// Begins a new version. Keeps a copy of the contents before it, unless there is a recent one.
+    pub(super) fn begin_version(&mut self) {
+        let is_due = |copy: &Copy| copy.at.elapsed() >= COPY_INTERVAL;
+        if self.copies.back().is_none_or(is_due) {
+            self.copies.push_back(Copy {
+                at: Instant::now(),
+                rows: self.rows.clone(),
+                objects: self.objects.clone(),
+                version: self.version,
+            });
+            let excess = self.copies.len().saturating_sub(COPIES_MAX);
+            self.copies.drain(..excess);
+        }
+        self.version += 1;
+    }
+
+    /// Replaces the contents by the newest copy that is at least as old as `age`, or by the oldest one, and begins a new
+    /// era. Versions go back to that of the copy.
+    pub(super) fn restore(&mut self, age: Duration) {
+        self.era += 1;
+        let is_old = |copy: &Copy| copy.at.elapsed() >= age;
+        let index = self.copies.iter().rposition(is_old).unwrap_or_default();
+        self.copies.truncate(index + 1);
+        let Some(copy) = self.copies.pop_back() else {
+            return;
+        };
+        self.rows = copy.rows;
+        self.objects = copy.objects;
+        self.version = copy.version;
+        self.history
+            .retain(|(version, _, _)| *version <= copy.version);
+        self.truncated_version = self.truncated_version.min(copy.version);
+    }
+
+    /// Returns whether the changes after a version can be told: they are in the history, and the version was reached.
+    pub(super) fn has_history_since(&self, since: u64) -> bool {
+        (self.truncated_version..=self.version).contains(&since)
+    }
+
     /// Writes a row in the current version, or removes it if there is no value, and records the change.
     pub(super) fn write_row(&mut self, id: RowId, value: Option<String>) {
         match &value {
@@ -90,7 +164,7 @@
         if !is_current {
             return false;
         }
-        self.version += 1;
+        self.begin_version();
         for row in &transaction.upserts {
             self.write_row(row_id(row), Some(row.value.clone().unwrap_or_default()));
         }
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -56,6 +56,10 @@
     pub const BRITTLE: &str = "server-brittle";
     /// The time for which the replica stays cold, in milliseconds.
     pub const COLD_MS: &str = "sardinemux-cold-ms";
+    /// States that the replica leaves.
+    pub const LEAVING: &str = "server-leaving";
+    /// The time for which the caller is to send nothing, in seconds.
+    pub const RETRY_AFTER: &str = "retry-after";
 }
 
 /// The settings of a replica.
@@ -111,6 +115,10 @@
     pub breaks: f64,
     /// The time until which the replica reports that it is cold, in Unix milliseconds.
     pub cold_until_ms: u64,
+    /// Whether the replica states in all answers that it leaves.
+    pub is_leaving: bool,
+    /// If not 0, requests are rejected until this time, in Unix milliseconds, with the time that is left as Retry-After.
+    pub pause_until_ms: u64,
 }
 
 /// The requests and tokens that a replica has counted.
@@ -125,6 +133,9 @@
     /// When the replica fell over as it had to reject too many requests, in Unix milliseconds.
     #[serde(default)]
     pub falls_ms: Vec<u64>,
+    /// When a request was rejected with Retry-After, in Unix milliseconds, and the end of the time that was stated.
+    #[serde(default)]
+    pub refusals_ms: Vec<(u64, u64)>,
     /// The number of requests that run or wait.
     pub running: u32,
     /// The number of accepted requests that ended before they were complete: the caller left, the deadline passed, or a
@@ -296,10 +307,34 @@
         response
     }
 
-    /// Answers one request; `Err` closes the connection without an answer.
+    /// Rejects a request if the replica wants none for a time, and states how much of it is left.
+    fn reject_paused(&self) -> Option<Response<Body>> {
+        let (now_ms, until_ms) = (unix_ms(), self.faults.lock().pause_until_ms);
+        if now_ms >= until_ms {
+            return None;
+        }
+        self.stats.lock().refusals_ms.push((now_ms, until_ms));
+        let mut response = self.reject(StatusCode::SERVICE_UNAVAILABLE);
+        let seconds = format!("{:.3}", (until_ms - now_ms) as f64 / 1_000.0);
+        answer::set_header(response.headers_mut(), header::RETRY_AFTER, &seconds);
+        Some(response)
+    }
+
+    /// Answers one request, and states whether the replica leaves; `Err` closes the connection without an answer.
     async fn answer_request(
         self: &Arc<Self>,
         request: Request<Incoming>,
+    ) -> std::result::Result<Response<Body>, Disconnect> {
+        let mut response = self.answer_or_reject(request).await?;
+        if self.faults.lock().is_leaving {
+            answer::set_header(response.headers_mut(), header::LEAVING, "1");
+        }
+        Ok(response)
+    }
+
+    async fn answer_or_reject(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
     ) -> std::result::Result<Response<Body>, Disconnect> {
         let (head, body) = request.into_parts();
         let path = head.uri.path().to_owned();
@@ -319,6 +354,9 @@
         if self.is_down() {
             return Err(Disconnect);
         }
+        if let Some(response) = self.reject_paused() {
+            return Ok(response);
+        }
         if self.stats.lock().running >= self.settings.slots + self.queue() {
             return self.reject_full();
         }
