Send nothing more to a target that states in an answer that it leaves

Cause: a target left the choice only by its entry in the store. The header Server-Leaving was not read at all: while the store is away, or the target is cut off from it, the entry stays as it was. Change: each answer that is the target's own is read for the statement: whole answers, errors, rejections, heads of streams, status checks. It counts for the process that made it (id and lifetime): neither an entry that says ready nor an older list takes it back, a later process with the same id is free, and an answer of the former one marks nobody. A request whose target leaves while it is connected goes on to the next one. The header is not passed on. Ruled out: a mark on the address, which a later process inherits; a mark in the entry, which the next announcement overwrites.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hash;
 pub mod idempotency;
 pub mod lease;
+pub mod leaving;
 pub mod load;
 pub mod membership;
 pub mod origin;
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -9,6 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
+use crate::leaving;
 use crate::target::{self, Key, Target};
 use crate::token_bucket::TokenBucket;
 
@@ -197,6 +198,7 @@
     pub(crate) evacuated: IndexSet<SmolStr>,
     pub(crate) reports: IndexMap<SmolStr, Report>,
     pub(crate) brittle: IndexMap<SmolStr, Brittleness>,
+    pub(crate) leaving: leaving::Register,
 }
 
 impl Roster {
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -7,6 +7,7 @@
     query, Announcement, BrittleNotice, Brittleness, Condition, Evidence, LimitNotice, RemoteLoad,
     Report, Roster, Shares, Statement,
 };
+use crate::leaving;
 use crate::target::Key;
 use crate::token_bucket::TokenBucket;
 
@@ -201,6 +202,37 @@
     is_change
 }
 
+/// Records that a target stated in an answer that it leaves. Returns whether that was news; an answer of a process that has
+/// been replaced is none.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::roster::{command, Roster};
+/// use sardinemux_core::target::Key;
+///
+/// let mut roster = Roster::default();
+/// assert!(!command::note_leaving(&mut roster, Key(7), 0));
+/// ```
+pub fn note_leaving(roster: &mut Roster, key: Key, now_ms: u64) -> bool {
+    let lifetime = query::lifetime(roster, key);
+    let target = roster.table.get(key);
+    let Some((target, lifetime)) = target.zip(lifetime) else {
+        return false;
+    };
+    roster.leaving.note(&target.id, lifetime, now_ms)
+}
+
+/// Takes over the statements of targets that they leave, which another router knows. Returns the ids of the targets of which
+/// that was news.
+pub fn merge_leaving(
+    roster: &mut Roster,
+    notices: &[leaving::Notice],
+    now_ms: u64,
+) -> Vec<SmolStr> {
+    roster.leaving.merge(notices, now_ms)
+}
+
 /// How long a brittle target that has rejected a request gets none from this router, in milliseconds.
 const REJECTION_PAUSE_MS: u64 = 1_000;
 
@@ -373,5 +405,16 @@
     for id in &expired {
         drop_target(roster, id);
     }
+    let Roster {
+        table,
+        conditions,
+        leaving,
+        ..
+    } = roster;
+    let is_listed = |id: &str, lifetime: u64| {
+        let condition = table.key(id).and_then(|key| conditions.get(&key));
+        condition.is_some_and(|condition| condition.lifetime == lifetime)
+    };
+    leaving.remove_expired(is_listed, now_ms);
     expired
 }
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -5,6 +5,7 @@
 
 use super::{Announcement, BrittleNotice, Condition, LimitNotice, Roster, Settings};
 use crate::hash;
+use crate::leaving;
 use crate::origin::Presence;
 use crate::target::{Key, Target};
 
@@ -51,6 +52,20 @@
         .map(|condition| condition.lifetime)
 }
 
+/// Returns whether a target stated in an answer that it leaves.
+pub fn has_stated_leaving(roster: &Roster, key: Key) -> bool {
+    let target = roster.table.get(key);
+    let lifetime = lifetime(roster, key);
+    target
+        .zip(lifetime)
+        .is_some_and(|(target, lifetime)| roster.leaving.contains(&target.id, lifetime))
+}
+
+/// Returns the statements of targets that they leave, of which the other routers are told.
+pub fn leaving_notices(roster: &Roster, now_ms: u64) -> Vec<leaving::Notice> {
+    roster.leaving.notices(now_ms)
+}
+
 /// Returns whether a target may get new requests: it is listed or may still be listed again, it is not leaving, its
 /// availability zone is not evacuated, and no other process has its address.
 pub fn is_eligible(roster: &Roster, key: Key, now_ms: u64) -> bool {
@@ -64,6 +79,7 @@
         .missing_since_ms
         .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= roster.settings.relist_ms);
     !target.leaving
+        && !has_stated_leaving(roster, key)
         && !condition.is_address_taken
         && !is_expired
         && !roster.evacuated.contains(&target.zone)
--- a/crates/gateway/src/answer/response.rs
+++ b/crates/gateway/src/answer/response.rs
@@ -36,7 +36,7 @@
     }
 
     /// Copies the status and headers of a target's answer, except hop-by-hop headers, the length and the target's
-    /// load, limit and brittleness.
+    /// load, limit, brittleness and leaving.
     pub fn copy_head(&self, mut head: Parts, response: &mut Response<Body>) {
         let dialect = &self.gateway.dialect;
         request::strip_hop_by_hop(&mut head.headers);
@@ -44,6 +44,7 @@
         head.headers.remove(&dialect.load);
         head.headers.remove(&dialect.limit);
         head.headers.remove(&dialect.brittle);
+        head.headers.remove(&dialect.leaving);
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
     }
--- a/crates/gateway/src/answer/selection.rs
+++ b/crates/gateway/src/answer/selection.rs
@@ -50,7 +50,9 @@
             };
             let key = in_flight.key;
             match attempt::connect(&self.inbound, in_flight, target, Link::Any).await {
-                Ok(ready) => return Ok(ready),
+                Ok(ready) if self.is_eligible(key) => return Ok(ready),
+                // The target has become unavailable while it was connected.
+                Ok(_) => self.tried.push(key),
                 Err(reason) => {
                     self.tried.push(key);
                     self.handle_not_run(reason, false)?;
@@ -95,6 +97,11 @@
         }
     }
 
+    /// Returns whether a target may get new requests.
+    pub(super) fn is_eligible(&self, key: Key) -> bool {
+        query::is_eligible(&self.gateway.roster.lock(), key, self.gateway.now_ms())
+    }
+
     /// Returns the eligible targets that have not been tried, the best one first.
     fn rank_targets(&self) -> Vec<Key> {
         let inbound = &self.inbound;
--- a/crates/gateway/src/answer/takeover.rs
+++ b/crates/gateway/src/answer/takeover.rs
@@ -149,7 +149,8 @@
             }
             let key = in_flight.key;
             match attempt::connect(&self.inbound, in_flight, target, Link::New).await {
-                Ok(ready) => return Ok(ready),
+                Ok(ready) if self.is_eligible(key) => return Ok(ready),
+                Ok(_) => self.tried.push(key),
                 Err(reason) => {
                     self.tried.push(key);
                     self.handle_not_run(reason, false)?;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one target, and determines from the result whether the request may have run.
 
 pub mod answer;
+pub mod statement;
 
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -10,8 +11,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
-use hyper::http::response::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use sardinemux_core::reach::Failure;
 use sardinemux_core::roster::{command, query, Evidence};
 use sardinemux_core::target::{self, Key, Target};
@@ -467,20 +467,22 @@
         in_flight.set_evidence(Evidence::TransportError);
         return unknown(Reason::Crossed);
     }
-    record_state(gateway, in_flight.key, &head);
+    let key = in_flight.key;
+    statement::record_state(gateway, key, &head);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
-        let rejecting = headers.get(&dialect.rejecting_target);
         // The target rejects only requests that are meant for others, so that this is the answer to one of those.
-        if rejecting.is_some_and(|id| id.as_bytes() == target.id.as_bytes()) {
+        if is_rejection_by(gateway, headers, &target.id) {
+            statement::record_leaving(gateway, key, headers);
             in_flight.set_evidence(Evidence::TransportError);
             return unknown(Reason::Crossed);
         }
         in_flight.set_evidence(Evidence::AddressTaken);
         return not_run(Reason::NoTarget, true);
     }
+    statement::record_leaving(gateway, key, headers);
     if headers.contains_key(&dialect.not_run) {
-        record_limit(gateway, &in_flight, &head);
-        record_brittleness(gateway, &in_flight, &head);
+        statement::record_limit(gateway, &in_flight, &head);
+        statement::record_brittleness(gateway, &in_flight, &head);
         let now_ms = gateway.now_ms();
         command::note_rejection(&mut gateway.roster.lock(), in_flight.key, now_ms);
         return not_run(Reason::Full, true);
@@ -490,8 +492,8 @@
         in_flight.set_evidence(Evidence::TransportError);
         return unknown(Reason::Crossed);
     }
-    record_limit(gateway, &in_flight, &head);
-    record_brittleness(gateway, &in_flight, &head);
+    statement::record_limit(gateway, &in_flight, &head);
+    statement::record_brittleness(gateway, &in_flight, &head);
     if let (true, Some(prefix_id)) = (head.status.is_success(), inbound.prompt.prefix_id()) {
         gateway.holders.lock().put(prefix_id, in_flight.key);
     }
@@ -505,72 +507,8 @@
     }))
 }
 
-/// Records the load and the remaining cold time that the target stated in the head of its answer.
-fn record_state(gateway: &Gateway, key: Key, head: &Parts) {
-    let dialect = &gateway.dialect;
-    let text = |name: &HeaderName| head.headers.get(name)?.to_str().ok();
-    let now_ms = gateway.now_ms();
-    let mut roster = gateway.roster.lock();
-    if let Some(load) = text(&dialect.load).and_then(dialect.parse_load) {
-        command::note_load(&mut roster, key, load, now_ms);
-    }
-    let cold_ms = text(&dialect.cold_ms).and_then(|text| text.trim().parse().ok());
-    if let Some(cold_ms) = cold_ms.filter(|cold_ms| *cold_ms > 0) {
-        command::note_cold(&mut roster, key, cold_ms, now_ms);
-    }
-}
-
-/// Records the limit that the target stated in the head of its answer, or that it stated none. A value that is no
-/// number of requests a second is ignored, and the limit that was stated before stays.
-fn record_limit(gateway: &Gateway, in_flight: &InFlight, head: &Parts) {
-    let stated = head.headers.get(&gateway.dialect.limit);
-    let per_s = stated.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
-    let per_s = per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0);
-    let key = in_flight.key;
-    if let (Some(value), None) = (stated, per_s) {
-        log::warn!(value:? = value; "ignoring the limit of a target, which is no number of requests a second");
-        return;
-    }
-    let now_ms = gateway.now_ms();
-    let mut roster = gateway.roster.lock();
-    if !command::note_limit(&mut roster, key, per_s, in_flight.begin_ms, now_ms) {
-        return;
-    }
-    let target_id = query::target(&roster, key).map(|target| target.id.clone());
-    drop(roster);
-    let target_id = target_id.unwrap_or_default();
-    match per_s {
-        Some(per_s) => log::info!(target_id:% = target_id, per_s = per_s; "target states a limit"),
-        None => log::info!(target_id:% = target_id; "target states no limit any more"),
-    }
-}
-
-/// Records what the head of an answer states of the brittleness of the target. A value that is no number of requests a second
-/// counts as the smallest one.
-fn record_brittleness(gateway: &Gateway, in_flight: &InFlight, head: &Parts) {
-    let stated = head.headers.get(&gateway.dialect.brittle);
-    let per_s = stated.map(|value| {
-        let number = value
-            .to_str()
-            .ok()
-            .and_then(|text| text.trim().parse().ok());
-        number
-            .filter(|per_s: &f64| per_s.is_finite())
-            .unwrap_or(0.0)
-    });
-    let now_ms = gateway.now_ms();
-    let key = in_flight.key;
-    let mut roster = gateway.roster.lock();
-    if !command::note_brittle(&mut roster, key, per_s, in_flight.begin_ms, now_ms) {
-        return;
-    }
-    let pool = query::target(&roster, key).map(|target| target.pool.clone());
-    drop(roster);
-    let pool = pool.unwrap_or_default();
-    match per_s {
-        Some(per_s) => {
-            log::warn!(pool:% = pool, rejections_per_s = per_s; "targets of a pool are brittle")
-        }
-        None => log::warn!(pool:% = pool; "targets of a pool are no longer brittle"),
-    }
+/// Returns whether the head of a rejection names this target as the one that sends it.
+pub(crate) fn is_rejection_by(gateway: &Gateway, headers: &HeaderMap, target_id: &str) -> bool {
+    let rejecting = headers.get(&gateway.dialect.rejecting_target);
+    rejecting.is_some_and(|id| id.as_bytes() == target_id.as_bytes())
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -233,6 +233,11 @@
         });
     }
 
+    /// Closes the connections to one target.
+    pub fn remove(&mut self, key: K) {
+        self.idle.swap_remove(&key);
+    }
+
     /// Closes all connections.
     pub fn clear(&mut self) {
         self.idle.clear();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -30,6 +30,8 @@
     pub limit: HeaderName,
     /// The number of requests a second above which a target that rejects them falls over, while it states one.
     pub brittle: HeaderName,
+    /// Present with the value `1` on each response of a target that leaves.
+    pub leaving: HeaderName,
     /// The priority of a request at an engine, 0 to 9; 0 is the most urgent.
     pub priority: HeaderName,
     /// The address of the engine from which the receiving engine can fetch cached parts of the prompt.
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -15,13 +15,13 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use rand::seq::IndexedRandom;
 use sardinemux_core::reach::{command, query, Candidate, Failure, Finding};
-use sardinemux_core::target::Key;
+use sardinemux_core::target::{Key, Target};
 use sardinemux_core::{roster, slot_share};
 use tokio::time::{self, Instant};
 
 use crate::answer;
 use crate::attempt::answer::{is_encoded, Answer};
-use crate::attempt::{self, AttemptOutcome, InFlight, Peer, Ready, Terms};
+use crate::attempt::{self, statement, AttemptOutcome, InFlight, Peer, Ready, Terms};
 use crate::connections::{self, Connection, IDLE_CONNECTIONS_MAX};
 use crate::prelude::*;
 use crate::reply::{self, Body};
@@ -149,17 +149,15 @@
 
 /// Sends status requests to some targets of a pool. Returns whether any answered.
 async fn probe_pool(gateway: &Gateway, pool: &str) -> bool {
-    let addresses: Vec<SocketAddr> = {
+    let targets: Vec<(Key, Target)> = {
         let roster = gateway.roster.lock();
         let eligible = roster::query::eligible(&roster, pool, gateway.now_ms());
-        let targets = eligible.choose_multiple(&mut rand::rng(), PROBES);
-        let targets = targets.filter_map(|key| roster::query::target(&roster, *key));
-        targets
-            .filter_map(|target| target.address.parse().ok())
-            .collect()
+        let keys = eligible.choose_multiple(&mut rand::rng(), PROBES);
+        let targets = keys.filter_map(|key| Some((*key, roster::query::target(&roster, *key)?)));
+        targets.map(|(key, target)| (key, target.clone())).collect()
     };
-    let probes = addresses.into_iter().map(|address| async move {
-        let is_answered = send_probe(gateway, address).await;
+    let probes = targets.into_iter().map(|(key, target)| async move {
+        let is_answered = send_probe(gateway, key, &target).await;
         if is_answered {
             note_answered(gateway, pool);
         }
@@ -170,11 +168,14 @@
 
 /// Sends a status request to a target. It names a target that does not exist, so that none queues or runs it. Returns
 /// whether any answer came.
-async fn send_probe(gateway: &Gateway, address: SocketAddr) -> bool {
+async fn send_probe(gateway: &Gateway, key: Key, target: &Target) -> bool {
+    let Ok(address) = target.address.parse() else {
+        return false;
+    };
     let Ok(mut link) = connections::open(address, gateway.settings.source_address).await else {
         return false;
     };
-    let Ok(host) = HeaderValue::from_str(&address.to_string()) else {
+    let Ok(host) = HeaderValue::from_str(&target.address) else {
         return false;
     };
     let mut request = Request::new(Full::new(Bytes::new()));
@@ -185,10 +186,13 @@
         gateway.dialect.expected_target.clone(),
         HeaderValue::from_static(NO_TARGET),
     );
-    matches!(
-        time::timeout(PROBE_TIMEOUT, link.send(request)).await,
-        Ok(Ok(_))
-    )
+    let Ok(Ok(response)) = time::timeout(PROBE_TIMEOUT, link.send(request)).await else {
+        return false;
+    };
+    if attempt::is_rejection_by(gateway, response.headers(), &target.id) {
+        statement::record_leaving(gateway, key, response.headers());
+    }
+    true
 }
 
 /// Returns the datagrams that tell others of the pools to which this gateway has lost its paths.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -70,6 +70,8 @@
     pub held_parts: IntGauge,
     /// Requests with shared prompt parts whose target crashed.
     pub suspected_crashes: IntCounter,
+    /// Targets that stated that they leave, by source: an `answer`, or another `gateway`.
+    pub leaving_targets: IntCounterVec,
     /// The version of the catalogue in force.
     pub catalog_version: IntGauge,
     /// The number of reports received from other gateways and applied.
@@ -139,6 +141,11 @@
                     "gateway_suspected_crashes_total",
                     "Requests whose target crashed and whose prompt has shared parts",
                 )?,
+                leaving_targets: counters(
+                    "gateway_leaving_targets_total",
+                    "Targets that stated in answers that they leave",
+                    &["source"],
+                )?,
                 catalog_version: IntGauge::new(
                     "gateway_catalog_version",
                     "The version of the catalogue in force",
@@ -154,7 +161,7 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 13] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
@@ -165,6 +172,7 @@
             Box::new(metrics.quarantined.clone()),
             Box::new(metrics.held_parts.clone()),
             Box::new(metrics.suspected_crashes.clone()),
+            Box::new(metrics.leaving_targets.clone()),
             Box::new(metrics.catalog_version.clone()),
             Box::new(metrics.peer_reports.clone()),
             Box::new(metrics.dropped_log_lines.clone()),
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -13,6 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::time;
 
+use crate::attempt::statement;
 use crate::drain::Phase;
 use crate::errors::ListenSnafu;
 use crate::hop;
@@ -103,7 +104,7 @@
                 let recipients = choose_recipients(&gateway, round);
                 send_reports(&gateway, &socket, &recipients);
                 send_supplements(&socket, &quarantine::next_round(&gateway, round), &recipients);
-                send_supplements(&socket, &supplement::limits(&gateway), &recipients);
+                send_supplements(&socket, &supplement::statements(&gateway), &recipients);
                 send_supplements(&socket, &origins::news(&gateway), &recipients);
                 send_supplements(&socket, &hop::news(&gateway), &recipients);
                 gateway.remove_expired();
@@ -226,6 +227,7 @@
             let now_ms = gateway.now_ms();
             command::merge_brittle(&mut gateway.roster.lock(), &notices, now_ms);
         }
+        Ok(Supplement::Leaving(notices)) => statement::receive_leaving(gateway, &notices),
         Ok(Supplement::Lost {
             gateway: name,
             pools,
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -2,9 +2,10 @@
 //!
 //! They are messages of their own, so that a gateway that does not know one of them still reads the reports.
 
+use sardinemux_core::leaving;
 use sardinemux_core::origin::{Origin, Stored};
 use sardinemux_core::quarantine::Notice;
-use sardinemux_core::roster::{BrittleNotice, LimitNotice};
+use sardinemux_core::roster::{query, BrittleNotice, LimitNotice};
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
@@ -12,7 +13,7 @@
 /// The first byte of a supplement. MessagePack, in which reports are encoded, never begins with it.
 const MARKER: u8 = 0xc1;
 
-/// The largest number of limits in one supplement. One takes about 30 bytes.
+/// The largest number of limits in one supplement, or of targets that leave. One takes about 30 bytes.
 pub const LIMITS_MAX: usize = 40;
 
 /// A datagram beside the reports.
@@ -40,6 +41,8 @@
     },
     /// Where streams began, to be recorded in the store by the recipient.
     Origins(Vec<Origin>),
+    /// The targets that stated in answers that they leave.
+    Leaving(Vec<leaving::Notice>),
 }
 
 /// Returns whether a datagram is a supplement.
@@ -68,15 +71,23 @@
     rmp_serde::from_slice(bytes.get(1..).unwrap_or_default())
 }
 
-/// Returns the limits and the brittleness that targets stated to this gateway recently.
-pub fn limits(gateway: &Gateway) -> Vec<Vec<u8>> {
+/// Returns what targets stated recently of their limits, brittleness and leaving.
+pub fn statements(gateway: &Gateway) -> Vec<Vec<u8>> {
     let now_ms = gateway.now_ms();
-    let notices = sardinemux_core::roster::query::limit_notices(&gateway.roster.lock(), now_ms);
-    let supplements = notices.chunks(LIMITS_MAX);
-    let supplements = supplements.map(|limits| Supplement::Limits(limits.to_vec()));
-    let brittle = sardinemux_core::roster::query::brittle_notices(&gateway.roster.lock(), now_ms);
+    let (limits, brittle, leaving) = {
+        let roster = gateway.roster.lock();
+        (
+            query::limit_notices(&roster, now_ms),
+            query::brittle_notices(&roster, now_ms),
+            query::leaving_notices(&roster, now_ms),
+        )
+    };
+    let limits = limits.chunks(LIMITS_MAX);
+    let limits = limits.map(|notices| Supplement::Limits(notices.to_vec()));
     let brittle = (!brittle.is_empty()).then_some(Supplement::Brittle(brittle));
-    let supplements = supplements.chain(brittle);
+    let leaving = leaving.chunks(LIMITS_MAX);
+    let leaving = leaving.map(|notices| Supplement::Leaving(notices.to_vec()));
+    let supplements = limits.chain(brittle).chain(leaving);
     supplements
         .filter_map(|supplement| encode(&supplement))
         .collect()
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -51,6 +51,7 @@
         load: name("x-load"),
         limit: name("x-limit"),
         brittle: name("x-brittle"),
+        leaving: name("x-leaving"),
         priority: name("x-priority"),
         cache_source: name("x-cache-source"),
         last_event_id: name("last-event-id"),
--- a/crates/gateway/tests/support/mock.rs
+++ b/crates/gateway/tests/support/mock.rs
@@ -48,6 +48,9 @@
     PauseAnswer(u64),
     /// Sends a body with a given framing, which may break off.
     Send(Script),
+    /// Sends this text, in which `{id}` stands for the request id and `{own}` for the id of the target that is meant, and
+    /// answers the next request on the connection in the same way.
+    Raw(&'static str),
 }
 
 /// What marks the end of the body of a scripted answer.
@@ -248,6 +251,10 @@
                 event_stream(&id, &all) + "0\r\n\r\n"
             }
             Behaviour::Send(script) => script.encode(&id),
+            Behaviour::Raw(text) => {
+                let own = header(&request, "x-expect").unwrap_or_default();
+                text.replace("{id}", &id).replace("{own}", &own)
+            }
             Behaviour::Reset | Behaviour::Hang => String::new(),
         };
         if behaviour == Behaviour::Hang {
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -1,5 +1,7 @@
 //! A peer of a gateway under test, which sends and receives datagrams.
 
+#![allow(dead_code, reason = "each test file uses a part of this")]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
