--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod outcome;
 pub mod ownership;
 pub mod placement;
+pub mod position;
 pub mod prelude;
 pub mod prompt;
 pub mod quarantine;
--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -21,6 +21,7 @@
 use smol_str::SmolStr;
 
 use crate::hash;
+use crate::position::{Era, Position};
 
 /// The delays and lifetimes of epochs and records.
 #[derive(Clone, Copy, Debug)]
@@ -82,8 +83,8 @@
 pub struct Stored {
     /// The epoch.
     pub epoch: Epoch,
-    /// The version of the store at which it was written.
-    pub version: u64,
+    /// The position at which it was written.
+    pub position: Position,
 }
 
 /// A change of an epoch, which takes effect only if the store holds the expected version.
@@ -93,8 +94,8 @@
     pub pool: SmolStr,
     /// The new epoch.
     pub epoch: Epoch,
-    /// The version that the epoch must have; zero if there must be none.
-    pub expected_version: u64,
+    /// The position that the epoch must have. Its version is zero if there must be none.
+    pub expected: Position,
 }
 
 /// Where a stream began.
@@ -123,8 +124,8 @@
     /// It has not been read.
     #[default]
     None,
-    /// The store holds none.
-    Absent,
+    /// The store holds none in this era.
+    Absent(Era),
     /// The store held this one.
     Stored(Stored),
 }
@@ -138,9 +139,9 @@
     last_ms: u64,
     /// The slots of those that may get new requests.
     slots: u32,
-    /// The version of the epoch before the build was absent for longer than [`Settings::absent_ms`]. Streams begin there
+    /// The position of the epoch before the build was absent for longer than [`Settings::absent_ms`]. Streams begin there
     /// again once the epoch has been written anew.
-    absent_at_version: Option<u64>,
+    absent_at: Option<Position>,
 }
 
 /// The state of one pool.
--- a/crates/core/src/origin/command.rs
+++ b/crates/core/src/origin/command.rs
@@ -2,21 +2,20 @@
 
 use smol_str::SmolStr;
 
+use crate::position::{Era, Position};
+
 use super::{query, Epoch, Knowledge, Known, Origin, Presence, Register, Sighting, Stored};
 
 /// Records which builds a pool has listed, and the slots of each that may get new requests.
 pub fn observe(register: &mut Register, pool: &SmolStr, present: &[Presence], now_ms: u64) {
     let settings = register.settings;
     let state = register.pools.entry(pool.clone()).or_default();
-    let version = match &state.epoch {
-        Knowledge::Stored(stored) => stored.version,
-        _ => 0,
-    };
+    let position = query::position(&state.epoch).unwrap_or_default();
     for (build, sighting) in &mut state.builds {
         sighting.slots = 0;
         let absence_ms = now_ms.saturating_sub(sighting.last_ms);
-        if absence_ms >= settings.absent_ms && sighting.absent_at_version.is_none() {
-            sighting.absent_at_version = Some(version);
+        if absence_ms >= settings.absent_ms && sighting.absent_at.is_none() {
+            sighting.absent_at = Some(position);
         }
         if absence_ms >= settings.absent_ms && present.iter().any(|it| it.build == *build) {
             sighting.since_ms = now_ms;
@@ -27,7 +26,7 @@
             since_ms: now_ms,
             last_ms: now_ms,
             slots: 0,
-            absent_at_version: None,
+            absent_at: None,
         });
         sighting.last_ms = now_ms;
         sighting.slots = *slots;
@@ -53,30 +52,27 @@
 }
 
 /// Records the epoch of a pool as it lies in the store, unless a newer one is known. `None` states that the store holds
-/// none. Returns whether that was news.
+/// none in this era. Returns whether that was news.
 pub fn note_epoch(
     register: &mut Register,
     pool: &SmolStr,
     stored: Option<Stored>,
+    era: Era,
     now_ms: u64,
 ) -> bool {
     let state = register.pools.entry(pool.clone()).or_default();
-    let known_version = match &state.epoch {
-        Knowledge::None => None,
-        Knowledge::Absent => Some(0),
-        Knowledge::Stored(known) => Some(known.version),
-    };
-    let version = stored.as_ref().map_or(0, |stored| stored.version);
-    if known_version.is_some_and(|known| version <= known) {
+    let absent = Position::new(era, 0);
+    let position = stored.as_ref().map_or(absent, |stored| stored.position);
+    if query::position(&state.epoch).is_some_and(|known| position <= known) {
         return false;
     }
     for sighting in state.builds.values_mut() {
-        let was_before = sighting.absent_at_version.is_some_and(|at| at < version);
+        let was_before = sighting.absent_at.is_some_and(|at| at < position);
         if was_before && now_ms.saturating_sub(sighting.last_ms) < register.settings.absent_ms {
-            sighting.absent_at_version = None;
+            sighting.absent_at = None;
         }
     }
-    state.epoch = stored.map_or(Knowledge::Absent, Knowledge::Stored);
+    state.epoch = stored.map_or(Knowledge::Absent(era), Knowledge::Stored);
     if query::is_mixed(register, pool, now_ms) {
         queue_pending(register, pool, now_ms);
     }
--- a/crates/core/src/origin/query.rs
+++ b/crates/core/src/origin/query.rs
@@ -2,6 +2,8 @@
 
 use smol_str::SmolStr;
 
+use crate::position::Position;
+
 use super::{command, Epoch, Knowledge, Origin, Pool, Proposal, Register, Sighting, Stored};
 
 /// What a gateway that is to take up a stream has to find out about its build.
@@ -22,7 +24,16 @@
 pub fn epoch<'a>(register: &'a Register, pool: &str) -> Option<&'a Stored> {
     match &register.pools.get(pool)?.epoch {
         Knowledge::Stored(stored) => Some(stored),
-        Knowledge::None | Knowledge::Absent => None,
+        Knowledge::None | Knowledge::Absent(_) => None,
+    }
+}
+
+/// Returns the position of what is known of an epoch, if it has been read.
+pub(super) fn position(epoch: &Knowledge) -> Option<Position> {
+    match epoch {
+        Knowledge::None => None,
+        Knowledge::Absent(era) => Some(Position::new(*era, 0)),
+        Knowledge::Stored(stored) => Some(stored.position),
     }
 }
 
@@ -46,7 +57,7 @@
     let pools = register.pools.iter();
     pools.filter_map(|(name, pool)| match &pool.epoch {
         Knowledge::Stored(stored) => Some((name, stored)),
-        Knowledge::None | Knowledge::Absent => None,
+        Knowledge::None | Knowledge::Absent(_) => None,
     })
 }
 
@@ -65,7 +76,7 @@
     };
     let has_base = match &state.epoch {
         Knowledge::Stored(stored) => stored.epoch.base.is_some(),
-        Knowledge::None | Knowledge::Absent => true,
+        Knowledge::None | Knowledge::Absent(_) => true,
     };
     !has_base || listed(state, register, now_ms).count() > 1
 }
@@ -93,12 +104,12 @@
     match &state.epoch {
         Knowledge::Stored(stored) => {
             let is_open = |(build, sighting): &&(&SmolStr, &Sighting)| {
-                stored.epoch.builds.contains(build) && sighting.absent_at_version.is_none()
+                stored.epoch.builds.contains(build) && sighting.absent_at.is_none()
             };
             let open = listed.iter().filter(is_open);
             open.map(|(build, _)| (*build).clone()).collect()
         }
-        Knowledge::None | Knowledge::Absent => match listed.as_slice() {
+        Knowledge::None | Knowledge::Absent(_) => match listed.as_slice() {
             [(build, _)] => vec![(*build).clone()],
             _ => Vec::new(),
         },
@@ -114,16 +125,16 @@
 
 fn propose(register: &Register, name: &SmolStr, pool: &Pool, now_ms: u64) -> Option<Proposal> {
     let listed: Vec<_> = listed(pool, register, now_ms).collect();
-    let (epoch, expected_version) = match &pool.epoch {
+    let (epoch, expected) = match &pool.epoch {
         Knowledge::None => return None,
-        Knowledge::Absent => {
+        Knowledge::Absent(era) => {
             let builds: Vec<SmolStr> = listed.iter().map(|(build, _)| (*build).clone()).collect();
             let base = match builds.as_slice() {
                 [] => return None,
                 [build] => Some(build.clone()),
                 _ => None,
             };
-            (Epoch { base, builds }, 0)
+            (Epoch { base, builds }, Position::new(*era, 0))
         }
         Knowledge::Stored(stored) => {
             let joining = joining(register, pool, &stored.epoch, &listed, now_ms);
@@ -131,13 +142,13 @@
                 false => command::join(&stored.epoch, joining),
                 true => settle(register, pool, &stored.epoch, now_ms)?,
             };
-            (epoch, stored.version)
+            (epoch, stored.position)
         }
     };
     Some(Proposal {
         pool: name.clone(),
         epoch,
-        expected_version,
+        expected,
     })
 }
 
@@ -151,7 +162,7 @@
 ) -> Vec<SmolStr> {
     let settings = register.settings;
     let is_open = |build: &SmolStr, sighting: &Sighting| {
-        epoch.builds.contains(build) && sighting.absent_at_version.is_none()
+        epoch.builds.contains(build) && sighting.absent_at.is_none()
     };
     let waiting: Vec<_> = listed
         .iter()
--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::hash;
+use crate::position::{Era, Position};
 
 /// The delay before a gateway reads the store as a fallback when no peer reports that it follows the store, in
 /// milliseconds: the time in which the successor of a silent reader reports itself.
@@ -57,8 +58,8 @@
     pub link_mbps: u32,
     /// Its state as a reader of the store.
     pub state: ReaderState,
-    /// The version of the newest entry that it has; zero if it has none.
-    pub newest_version: u64,
+    /// The position of the newest entry that it has. Its era is that of the last complete list.
+    pub newest: Position,
 }
 
 impl Peer<'_> {
@@ -69,15 +70,49 @@
     }
 }
 
+/// The time after a gateway has learned of an era of the store in which its peers learn of it too and report that, in
+/// milliseconds: three rounds of reports.
+const ERA_NOTICE_MS: u64 = 750;
+
+/// The latest era of the store that a gateway knows of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KnownEra {
+    /// The era.
+    pub era: Era,
+    /// Since when it is known, in milliseconds.
+    pub since_ms: u64,
+}
+
+impl KnownEra {
+    /// Returns whether a peer that reported at `reported_ms` to be at a position may have reached this era. One that has not holds
+    /// entries of a former era, or is of a build that states none, and does not read on behalf of others that know of this era.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::position::Position;
+    /// use sardinemux_core::readers::KnownEra;
+    ///
+    /// let known = KnownEra { era: Some(2), since_ms: 1_000 };
+    /// assert!(known.includes(Position::new(Some(2), 5), 9_000));
+    /// assert!(known.includes(Position::new(Some(1), 5), 900));
+    /// assert!(!known.includes(Position::new(Some(1), 5), 9_000));
+    /// ```
+    pub fn includes(self, newest: Position, reported_ms: u64) -> bool {
+        newest.era >= self.era || reported_ms < self.since_ms + ERA_NOTICE_MS
+    }
+}
+
 /// Returns whether gateway `me` is the reader of its availability zone: every gateway of the zone that ranks before it
 /// fails to read the store. `peers` are the other gateways whose reports are recent.
 ///
 /// # Examples
 ///
 /// ```
+/// use sardinemux_core::position::Position;
 /// use sardinemux_core::readers::{self, Peer, ReaderState};
 ///
-/// let peer = |name, link_mbps, state| Peer { name, zone: "z1", link_mbps, state, newest_version: 0 };
+/// let peer = |name, link_mbps, state| Peer { name, zone: "z1", link_mbps, state, newest: Position::default() };
 /// let me = peer("g1", 100, ReaderState::Idle);
 /// assert!(!readers::is_reader(me, [peer("g2", 200, ReaderState::Idle)].into_iter()));
 /// assert!(readers::is_reader(me, [peer("g2", 200, ReaderState::Failing)].into_iter()));
@@ -129,8 +164,8 @@
 /// ```
 /// use sardinemux_core::readers::{self, Peer, ReaderState};
 ///
-/// let peer = |name, newest_version| {
-///     Peer { name, zone: "z1", link_mbps: 10, state: ReaderState::Idle, newest_version }
+/// let peer = |name, version: u64| {
+///     Peer { name, zone: "z1", link_mbps: 10, state: ReaderState::Idle, newest: version.into() }
 /// };
 /// let peers = [peer("g1", 7), peer("g2", 0)];
 /// let peer = readers::choose_snapshot_peer("z1", peers.into_iter(), &mut rand::rng());
@@ -142,26 +177,26 @@
     peers: impl Iterator<Item = Peer<'a>>,
     random: &mut impl Rng,
 ) -> Option<Peer<'a>> {
-    let known: Vec<Peer<'a>> = peers.filter(|peer| peer.newest_version > 0).collect();
-    let newest = known.iter().map(|peer| peer.newest_version).max()?;
-    let rank = |peer: &Peer<'a>| (peer.newest_version < newest, peer.zone != zone);
+    let known: Vec<Peer<'a>> = peers.filter(|peer| peer.newest.version > 0).collect();
+    let newest = known.iter().map(|peer| peer.newest).max()?;
+    let rank = |peer: &Peer<'a>| (peer.newest < newest, peer.zone != zone);
     let best = known.iter().map(rank).min()?;
     let best: Vec<&Peer<'a>> = known.iter().filter(|peer| rank(peer) == best).collect();
     best.choose(random).map(|peer| **peer)
 }
 
-/// The versions up to which a gateway has the entries of a topic.
+/// The positions up to which a gateway has the entries of a topic.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
-    /// The version of the newest entry that the gateway has.
-    pub newest_version: u64,
-    /// The version of the store up to which the gateway has every entry.
-    pub complete_version: u64,
+    /// The position of the newest entry that the gateway has.
+    pub newest: Position,
+    /// The position up to which the gateway has every entry.
+    pub complete: Position,
 }
 
 /// Returns the peer with the newest entry, if it is newer than `progress`.
 ///
-/// A peer that follows the store is compared with the newest entry, any other peer with the version up to which all
+/// A peer that follows the store is compared with the newest entry, any other peer with the position up to which all
 /// entries are present. Such a peer exists if the connection of this gateway to the store, or that of the gateway that
 /// it gets changes from, has stalled without a reset, or if a reader lost the store right after it read a change.
 pub fn find_newer_peer<'a>(
@@ -169,12 +204,10 @@
     peers: impl Iterator<Item = Peer<'a>>,
 ) -> Option<Peer<'a>> {
     let is_newer = |peer: &Peer<'_>| match peer.state {
-        ReaderState::Following => peer.newest_version > progress.newest_version,
-        ReaderState::Idle | ReaderState::Failing => peer.newest_version > progress.complete_version,
+        ReaderState::Following => peer.newest > progress.newest,
+        ReaderState::Idle | ReaderState::Failing => peer.newest > progress.complete,
     };
-    peers
-        .filter(is_newer)
-        .max_by_key(|peer| peer.newest_version)
+    peers.filter(is_newer).max_by_key(|peer| peer.newest)
 }
 
 /// Returns a random delay before the next call to the store, in milliseconds, after `failures` failed calls in a row.
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -24,6 +24,9 @@
     /// How long a target stays in use that is not listed while the platform's list is being filled again after an
     /// outage, in milliseconds. Live targets are listed again within two seconds.
     pub relist_ms: u64,
+    /// How long a target stays unused that an older copy of the list brings back, unless it is announced anew, in
+    /// milliseconds. A live target writes its entry every second or so, and the entry of a dead one expires in this time.
+    pub restored_ms: u64,
     /// How long a target is in backoff after a transport error, in milliseconds; doubled with each consecutive one.
     pub backoff_ms: u64,
     /// The longest backoff of a target, in milliseconds.
@@ -49,6 +52,7 @@
             load_multiple: 1.4,
             load_slack: 2.0,
             relist_ms: 2_500,
+            restored_ms: 4_000,
             backoff_ms: 400,
             backoff_max_ms: 4_000,
             error_weight: 0.3,
@@ -97,6 +101,8 @@
     pub(crate) statement: Option<Statement>,
     /// Until when a brittle target gets no request, as it has rejected one, in milliseconds.
     pub(crate) rejected_until_ms: u64,
+    /// Until when the target gets no request, as only an older copy of the list has it, in milliseconds.
+    pub(crate) restored_until_ms: u64,
     /// Since when the target is no longer listed, while it stays in use after an outage of the list.
     pub(crate) missing_since_ms: Option<u64>,
     /// Whether another process answered at the target's address.
@@ -199,6 +205,8 @@
     pub(crate) reports: IndexMap<SmolStr, Report>,
     pub(crate) brittle: IndexMap<SmolStr, Brittleness>,
     pub(crate) leaving: leaving::Register,
+    /// The lifetimes of the targets that were removed last, oldest first.
+    pub(crate) removed: IndexMap<SmolStr, u64>,
 }
 
 impl Roster {
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -54,12 +54,72 @@
     let condition = roster.conditions.entry(key).or_default();
     condition.lifetime = lifetime;
     condition.missing_since_ms = None;
+    condition.restored_until_ms = 0;
     if cold_ms > 0 {
         condition.cold_until_ms = condition.cold_until_ms.max(now_ms + cold_ms);
     }
     key
 }
 
+/// The largest number of removed targets whose lifetimes are kept.
+const REMOVED_MAX: usize = 512;
+
+/// Applies the announcement of a target from the first list of an older copy of the platform's store, which may lack what the
+/// target has written since. Nothing that was known before is taken back:
+///
+/// - a target that was listed as leaving stays so until it is announced anew,
+/// - an earlier process does not replace a later one, which stays in use like one that is not listed after an outage,
+/// - a process that was removed stays unused for the time that
+///   [`Settings::restored_ms`](super::Settings::restored_ms) states.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::roster::{command, query, Announcement, Roster};
+/// use sardinemux_core::target::{Kind, Target};
+///
+/// let mut roster = Roster::default();
+/// let target = Target {
+///     id: "e1".into(),
+///     kind: Kind::Engine,
+///     pool: "model".into(),
+///     address: "127.0.0.1:1".into(),
+///     zone: "z1".into(),
+///     region: "r1".into(),
+///     slots: 8,
+///     leaving: true,
+///     build: "v1".into(),
+/// };
+/// let leaving = Announcement { target, lifetime: 1, cold_ms: 0 };
+/// let key = command::apply_announcement(&mut roster, leaving.clone(), 0);
+/// let mut restored = leaving;
+/// restored.target.leaving = false;
+/// command::apply_restored(&mut roster, restored, 0);
+/// assert!(!query::is_eligible(&roster, key, 0));
+/// ```
+pub fn apply_restored(roster: &mut Roster, announcement: Announcement, now_ms: u64) {
+    let mut announcement = announcement;
+    let id = announcement.target.id.clone();
+    let Some(key) = query::key(roster, &id) else {
+        let removed = roster.removed.get(&id).copied();
+        let was_removed = removed.is_some_and(|lifetime| announcement.lifetime <= lifetime);
+        let key = apply_announcement(roster, announcement, now_ms);
+        let restored_ms = roster.settings.restored_ms;
+        if let Some(condition) = roster.conditions.get_mut(&key).filter(|_| was_removed) {
+            condition.restored_until_ms = now_ms + restored_ms;
+        }
+        return;
+    };
+    let lifetime = query::lifetime(roster, key).unwrap_or_default();
+    if announcement.lifetime < lifetime {
+        remove_target(roster, &id, true, now_ms);
+        return;
+    }
+    let was_leaving = query::target(roster, key).is_some_and(|target| target.leaving);
+    announcement.target.leaving |= was_leaving && announcement.lifetime == lifetime;
+    apply_announcement(roster, announcement, now_ms);
+}
+
 /// Removes a target that the platform's list no longer contains.
 ///
 /// While the list is being filled again after an outage (`is_relisting`), the target stays in use for the time that
@@ -80,7 +140,13 @@
         return;
     };
     roster.table.remove(id);
-    roster.conditions.swap_remove(&key);
+    let Some(condition) = roster.conditions.swap_remove(&key) else {
+        return;
+    };
+    if roster.removed.len() >= REMOVED_MAX {
+        roster.removed.shift_remove_index(0);
+    }
+    roster.removed.insert(id.into(), condition.lifetime);
 }
 
 /// Removes every target that a complete list does not contain, as [`remove_target`] does.
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -82,6 +82,7 @@
         && !has_stated_leaving(roster, key)
         && !condition.is_address_taken
         && !is_expired
+        && now_ms >= condition.restored_until_ms
         && !roster.evacuated.contains(&target.zone)
 }
 
--- a/crates/core/tests/origin.rs
+++ b/crates/core/tests/origin.rs
@@ -168,7 +168,8 @@
         base: base.map(SmolStr::from),
         builds: builds.iter().map(|build| SmolStr::from(*build)).collect(),
     };
-    Some(Stored { epoch, version })
+    let position = version.into();
+    Some(Stored { epoch, position })
 }
 
 fn observe(register: &mut Register, builds: &[&str], now_ms: u64) {
@@ -192,6 +193,7 @@
         &mut register,
         &"p".into(),
         stored(None, &["v1", "v2"], 3),
+        None,
         0,
     );
     let mut now_ms = 0;
@@ -203,11 +205,12 @@
     assert_eq!(query::open_builds(&register, "p", now_ms), ["v2"]);
     let proposals = query::proposals(&register, now_ms);
     assert_eq!(proposals.len(), 1);
-    assert_eq!(proposals[0].expected_version, 3);
+    assert_eq!(proposals[0].expected.version, 3);
     command::note_epoch(
         &mut register,
         &"p".into(),
         stored(None, &["v1", "v2"], 4),
+        None,
         now_ms,
     );
     assert_eq!(query::open_builds(&register, "p", now_ms), ["v1", "v2"]);
@@ -222,6 +225,7 @@
         &mut register,
         &"p".into(),
         stored(Some("v1"), &["v1"], 1),
+        None,
         0,
     );
     let origin = Origin {
@@ -246,6 +250,7 @@
         &mut register,
         &"p".into(),
         stored(Some("v1"), &["v1"], 1),
+        None,
         0,
     );
     for stream in 0..3 {
@@ -273,12 +278,14 @@
         &mut register,
         &"p".into(),
         stored(Some("v2"), &["v2"], 5),
+        None,
         0,
     );
     assert!(!command::note_epoch(
         &mut register,
         &"p".into(),
         stored(None, &["v1", "v2"], 4),
+        None,
         0
     ));
     assert_eq!(query::open_builds(&register, "p", 0), ["v2"]);
@@ -289,13 +296,14 @@
 fn verify_base_is_the_only_build_that_streams_can_have_begun_at() {
     let settings = Settings::default();
     let mut register = Register::new(settings, 0);
-    command::note_epoch(&mut register, &"p".into(), None, 0);
+    command::note_epoch(&mut register, &"p".into(), None, None, 0);
     observe(&mut register, &["v1", "v2"], 0);
     assert_eq!(query::proposals(&register, 0)[0].epoch.base, None);
     command::note_epoch(
         &mut register,
         &"p".into(),
         stored(None, &["v1", "v2"], 1),
+        None,
         0,
     );
     let mut now_ms = 0;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -86,7 +86,7 @@
         zone: ["z0", "z1", "z2"][index % 3],
         link_mbps: 100,
         state: ReaderState::Following,
-        newest_version: index as u64,
+        newest: (index as u64).into(),
     })
 }
 
@@ -206,16 +206,16 @@
 ) {
     let names = names(6);
     let progress = Progress {
-        newest_version: newest,
-        complete_version: complete,
+        newest: newest.into(),
+        complete: complete.into(),
     };
-    let ahead = readers::find_newer_peer(progress, peers(&names)).map(|peer| peer.newest_version);
+    let ahead = readers::find_newer_peer(progress, peers(&names)).map(|peer| peer.newest.version);
     assert_eq!(ahead, expected);
     let failing = peers(&names).map(|peer| Peer {
         state: ReaderState::Failing,
         ..peer
     });
-    let ahead = readers::find_newer_peer(progress, failing).map(|peer| peer.newest_version);
+    let ahead = readers::find_newer_peer(progress, failing).map(|peer| peer.newest.version);
     assert_eq!(ahead, expected.filter(|newest| *newest > complete));
 }
 
@@ -270,7 +270,7 @@
             let all = peers(&names).zip(&has_snapshot);
             all.map(|(peer, is_served)| Peer {
                 state: ReaderState::Failing,
-                newest_version: u64::from(*is_served),
+                newest: u64::from(*is_served).into(),
                 ..peer
             })
         };
--- a/crates/core/tests/support/streams.rs
+++ b/crates/core/tests/support/streams.rs
@@ -128,7 +128,7 @@
         }
         let stored = self.epoch.clone();
         let register = &mut self.gateways[index].register;
-        command::note_epoch(register, &POOL.into(), stored, now_ms);
+        command::note_epoch(register, &POOL.into(), stored, None, now_ms);
         true
     }
 
@@ -148,11 +148,14 @@
         let proposals = query::proposals(&self.gateways[index].register, now_ms);
         for proposal in proposals.into_iter().filter(|_| is_writer) {
             self.outcome.calls += 1;
-            let version = self.epoch.as_ref().map_or(0, |stored| stored.version);
-            if self.is_up(now_ms) && version == proposal.expected_version {
+            let version = self
+                .epoch
+                .as_ref()
+                .map_or(0, |stored| stored.position.version);
+            if self.is_up(now_ms) && version == proposal.expected.version {
                 let epoch: Epoch = proposal.epoch;
-                let version = version + 1;
-                self.epoch = Some(Stored { epoch, version });
+                let position = (version + 1).into();
+                self.epoch = Some(Stored { epoch, position });
             }
             self.read_epoch(index, now_ms);
         }
@@ -376,7 +379,7 @@
             let stored = query::epoch(&self.gateways[sender].register, POOL).cloned();
             if stored.is_some() && self.random.random_bool(0.9) {
                 let register = &mut self.gateways[*index].register;
-                command::note_epoch(register, &POOL.into(), stored, now_ms);
+                command::note_epoch(register, &POOL.into(), stored, None, now_ms);
             }
         }
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,14 +7,15 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use sardinemux_core::position::Position;
 use sardinemux_core::readers::{self, Peer, Progress, ReaderState};
 use tokio::time;
 
-use crate::peers;
+use crate::peers::{self, Scope};
 use crate::prelude::*;
 use crate::replication::{
     self, apply_peer_batch, apply_store_batch, note_refresh, note_store_failure,
-    note_store_success, reset_watch_version, with_view,
+    note_store_success, reset_watch_position, with_view,
 };
 use crate::source::{self, Batch, Source, Topic, WATCH_WAIT};
 
@@ -38,6 +39,9 @@
 /// a store takes that is fifty times slower than usual, and a fraction of the seconds within which a change must be known.
 const OVERDUE_TIME: Duration = Duration::from_millis(400);
 
+/// The delay after a complete list of another gateway that brought no later catalogue.
+const WHOLE_RETRY_DELAY: Duration = Duration::from_millis(250);
+
 /// The time between two reads of the list of gateways. Between them, changes are known from reports.
 const MEMBERS_POLL_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -51,7 +55,7 @@
             time::sleep(POLL_INTERVAL).await;
             continue;
         }
-        let since = watch_version(&gateway, topic);
+        let since = watch_position(&gateway, topic);
         let suspension_count = *suspensions.borrow_and_update();
         let (call, limit) = match since {
             Some(since) => ((source.watch)(topic, since), WATCH_WAIT + OVERDUE_TIME),
@@ -64,6 +68,7 @@
             _ = suspensions.changed() => continue,
         };
         count_call(&gateway, topic, &result);
+        gateway.note_era((source.era)());
         let pause = match result {
             Ok(batch) => {
                 failures = 0;
@@ -71,7 +76,7 @@
                 note_refresh(&gateway, topic, suspension_count);
                 let is_empty = batch.entries.is_empty();
                 apply_store_batch(&gateway, topic, batch, since.is_none());
-                match (is_empty, watch_version(&gateway, topic)) {
+                match (is_empty, watch_position(&gateway, topic)) {
                     (false, _) => BATCH_DELAY,
                     (true, Some(_)) => Duration::ZERO,
                     (true, None) => EMPTY_LIST_DELAY,
@@ -79,10 +84,10 @@
             }
             Err(source::Error::Expired { since }) => {
                 log::info!(
-                    topic = topic.name(), since = since;
-                    "the store no longer keeps the changes since this version; reading the complete list"
+                    topic = topic.name(), since = since.version, era:? = since.era;
+                    "the store does not have the changes since this version; reading the complete list"
                 );
-                reset_watch_version(&gateway, topic);
+                reset_watch_position(&gateway, topic);
                 Duration::ZERO
             }
             Err(error) => {
@@ -116,7 +121,7 @@
     let mut excluded = None;
     let mut suspensions = gateway.suspensions.subscribe();
     loop {
-        let Some(address) = choose_peer(&gateway, topic, excluded) else {
+        let Some(choice) = choose_peer(&gateway, topic, excluded) else {
             excluded = None;
             time::sleep(POLL_INTERVAL).await;
             continue;
@@ -125,7 +130,12 @@
         let waits = with_view(&gateway, topic, |view| {
             view.refreshed_suspensions == suspension_count
         });
-        let call = peers::fetch_update(&gateway, address, topic, waits);
+        let scope = match choice.is_whole {
+            true => Scope::Whole,
+            false => Scope::Changes { waits },
+        };
+        let address = choice.address;
+        let call = peers::fetch_update(&gateway, address, topic, scope);
         let result = tokio::select! {
             result = call => result,
             _ = suspensions.changed() => continue,
@@ -136,7 +146,14 @@
                     note_refresh(&gateway, topic, suspension_count);
                 }
                 excluded = (!news.is_following).then_some(address);
+                let former = gateway.catalog.read().version();
                 apply_peer_batch(&gateway, topic, news);
+                let has_later = gateway.catalog.read().version() > former;
+                if choice.is_whole && !has_later {
+                    // A list that brings nothing is not read again at once.
+                    excluded = Some(address);
+                    time::sleep(WHOLE_RETRY_DELAY).await;
+                }
             }
             Err(error) => {
                 log::info!(peer:% = address, topic = topic.name(), error:% = error; "a gateway told nothing");
@@ -147,38 +164,62 @@
     }
 }
 
-/// Returns the address of the gateway from which to get entries, never `excluded`.
+/// The gateway from which to get entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Choice {
+    address: SocketAddr,
+    /// Whether to get all entries, also those of positions that this gateway has.
+    is_whole: bool,
+}
+
+/// Chooses the gateway from which to get entries, never `excluded`.
 ///
 /// Before the first complete list, this is a gateway that has the newest entry. Later it is one that has a newer entry
-/// than this gateway or, if this gateway does not follow the store, one that does.
-fn choose_peer(
-    gateway: &Gateway,
-    topic: Topic,
-    excluded: Option<SocketAddr>,
-) -> Option<SocketAddr> {
+/// than this gateway, one that has a later catalogue in force or, if this gateway does not follow the store, one that does.
+///
+/// A gateway has the newest entry and an earlier catalogue than others if the store came back from an older copy before it read
+/// the operators' entries for the first time.
+fn choose_peer(gateway: &Gateway, topic: Topic, excluded: Option<SocketAddr>) -> Option<Choice> {
     let now_ms = gateway.now_ms();
+    let catalog = gateway.catalog.read().version();
     let (is_following, is_filled, progress) = with_view(gateway, topic, |view| {
         let progress = Progress {
-            newest_version: view.log.newest_version(),
-            complete_version: view.log.version(),
+            newest: view.log.newest(),
+            complete: view.log.position(),
         };
         (view.is_following(), view.log.has_snapshot(), progress)
     });
+    let known = *gateway.era.borrow();
     let zone = &gateway.settings.zone;
     let members = gateway.members.lock();
     let peers = || {
-        let recent = members.iter_recent(topic, now_ms);
+        let recent = members.iter_in_era(topic, known, now_ms);
         recent.filter(|peer| members.address(peer.name) != excluded)
     };
+    let choose = |peer: Peer<'_>| {
+        let address = members.address(peer.name)?;
+        let is_whole = false;
+        Some(Choice { address, is_whole })
+    };
     if !is_filled {
-        let snapshot_peer = readers::choose_snapshot_peer(zone, peers(), &mut rand::rng());
-        return members.address(snapshot_peer?.name);
+        return choose(readers::choose_snapshot_peer(
+            zone,
+            peers(),
+            &mut rand::rng(),
+        )?);
+    }
+    if let Some(newer) = readers::find_newer_peer(progress, peers()) {
+        return choose(newer);
     }
-    let chosen = readers::find_newer_peer(progress, peers()).or_else(|| match is_following {
+    let later = members.holder_of_later_catalog(catalog, now_ms);
+    if let Some(address) = later.filter(|_| topic == Topic::Operators && later != excluded) {
+        let is_whole = true;
+        return Some(Choice { address, is_whole });
+    }
+    match is_following {
         true => None,
-        false => readers::choose_reader(zone, peers()),
-    });
-    members.address(chosen?.name)
+        false => choose(readers::choose_reader(zone, peers())?),
+    }
 }
 
 /// Reads the list of gateways at intervals. Never returns.
@@ -217,10 +258,11 @@
         zone: &settings.zone,
         link_mbps: settings.link_mbps,
         state: standing,
-        newest_version: 0,
+        newest: Position::default(),
     };
+    let known = *gateway.era.borrow();
     let members = gateway.members.lock();
-    let peers = || members.iter_recent(topic, now_ms);
+    let peers = || members.iter_in_era(topic, known, now_ms);
     let waited_ms = now_ms.saturating_sub(heard_ms);
     readers::is_reader(me, peers()) || readers::is_fallback_reader(me, peers(), waited_ms)
 }
@@ -234,8 +276,8 @@
     1 + failing.count()
 }
 
-fn watch_version(gateway: &Gateway, topic: Topic) -> Option<u64> {
-    with_view(gateway, topic, |view| view.watch_version)
+fn watch_position(gateway: &Gateway, topic: Topic) -> Option<Position> {
+    with_view(gateway, topic, |view| view.watch_position)
 }
 
 fn count_call(gateway: &Gateway, topic: Topic, result: &source::Result<Batch>) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! from a [`source::Source`]; the names of the headers of a deployment are given by a [`dialect::Dialect`].
 
 pub mod answer;
+pub mod appendix;
 pub mod attempt;
 pub mod caller;
 pub mod client;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use sardinemux_core::readers::{Peer, ReaderState};
+use sardinemux_core::position::{Era, Position};
+use sardinemux_core::readers::{KnownEra, Peer, ReaderState};
 use sardinemux_core::reports;
 use serde::{Deserialize, Serialize};
 
@@ -14,13 +15,12 @@
 
 /// The state of a gateway for one topic, as it reports it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Position {
+pub struct Standing {
     /// Its state as a reader of the store.
     #[serde(rename = "standing")]
     pub state: ReaderState,
-    /// The version of the newest entry that it has; zero if it has none.
-    #[serde(rename = "newest")]
-    pub newest_version: u64,
+    /// The position of the newest entry that it has; its version is zero if it has none.
+    pub newest: Position,
 }
 
 /// Another gateway.
@@ -31,16 +31,18 @@
     last_report_ms: Option<u64>,
     zone: SmolStr,
     link_mbps: u32,
-    operators: Position,
-    targets: Position,
+    operators: Standing,
+    targets: Standing,
+    /// The version of the catalogue that it has in force.
+    catalog: u64,
 }
 
 impl Contact {
-    fn position(&self, topic: Topic) -> Position {
+    fn standing(&self, topic: Topic) -> Standing {
         match topic {
             Topic::Operators => self.operators,
             Topic::Targets => self.targets,
-            _ => Position::default(),
+            _ => Standing::default(),
         }
     }
 
@@ -48,7 +50,7 @@
     fn is_store_reader(&self) -> bool {
         [self.operators, self.targets]
             .iter()
-            .any(|position| position.state != ReaderState::Idle)
+            .any(|standing| standing.state != ReaderState::Idle)
     }
 }
 
@@ -134,8 +136,9 @@
                     last_report_ms: None,
                     zone: SmolStr::default(),
                     link_mbps: 0,
-                    operators: Position::default(),
-                    targets: Position::default(),
+                    operators: Standing::default(),
+                    targets: Standing::default(),
+                    catalog: 0,
                 };
                 self.contacts.insert(name, contact);
             }
@@ -151,6 +154,7 @@
             link_mbps: report.link_mbps,
             operators: report.operators,
             targets: report.targets,
+            catalog: report.catalog,
         };
         let former = self.contacts.insert(report.member.name.clone(), contact);
         former.is_none_or(|former| former.last_report_ms.is_none())
@@ -168,21 +172,29 @@
 
     /// Returns the gateways that have sent a report within the silence timeout, with their state for one topic.
     pub fn iter_recent(&self, topic: Topic, now_ms: u64) -> impl Iterator<Item = Peer<'_>> {
-        let recent = self
-            .contacts
-            .iter()
-            .filter(move |(_, contact)| self.has_recent_report(contact, now_ms));
+        self.iter_in_era(topic, KnownEra::default(), now_ms)
+    }
+
+    /// Returns those of the same gateways that may have reached an era of the store.
+    pub fn iter_in_era(
+        &self,
+        topic: Topic,
+        known: KnownEra,
+        now_ms: u64,
+    ) -> impl Iterator<Item = Peer<'_>> {
+        let recent = self.contacts.iter().filter(move |(_, contact)| {
+            let newest = contact.standing(topic).newest;
+            let reported_ms = contact.last_report_ms.unwrap_or_default();
+            self.has_recent_report(contact, now_ms) && known.includes(newest, reported_ms)
+        });
         recent.map(move |(name, contact)| {
-            let Position {
-                state: standing,
-                newest_version: newest,
-            } = contact.position(topic);
+            let Standing { state, newest } = contact.standing(topic);
             Peer {
                 name,
                 zone: &contact.zone,
                 link_mbps: contact.link_mbps,
-                state: standing,
-                newest_version: newest,
+                state,
+                newest,
             }
         })
     }
@@ -199,6 +211,22 @@
         self.contacts.get(name).map(|contact| contact.address)
     }
 
+    /// Returns the address of a gateway that has recently reported to have a catalogue in force of a later version than this.
+    pub fn holder_of_later_catalog(&self, version: u64, now_ms: u64) -> Option<SocketAddr> {
+        let contacts = self.contacts.values();
+        let recent = contacts.filter(|contact| self.has_recent_report(contact, now_ms));
+        let later = recent.filter(|contact| contact.catalog > version);
+        let latest = later.max_by_key(|contact| contact.catalog)?;
+        Some(latest.address)
+    }
+
+    /// Returns the era of the entries that a gateway last reported to have of a topic.
+    pub fn era(&self, address: SocketAddr, topic: Topic) -> Era {
+        let mut contacts = self.contacts.values();
+        let contact = contacts.find(|contact| contact.address == address)?;
+        contact.standing(topic).newest.era
+    }
+
     /// Returns the client that calls a gateway for one topic. The topic's clients for other gateways are dropped.
     pub fn client(&mut self, address: SocketAddr, topic: Topic) -> Arc<Client> {
         self.clients.retain(|(other_address, other_topic), _| {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,6 +74,10 @@
     pub leaving_targets: IntCounterVec,
     /// The version of the catalogue in force.
     pub catalog_version: IntGauge,
+    /// The latest era of the store that is known; zero if the store states none.
+    pub store_era: IntGauge,
+    /// Entries from the first list of a new era of the store, by topic.
+    pub restored_entries: IntCounterVec,
     /// The number of reports received from other gateways and applied.
     pub peer_reports: IntCounter,
     /// The number of log lines dropped because the writer could not keep up.
@@ -150,6 +154,12 @@
                     "gateway_catalog_version",
                     "The version of the catalogue in force",
                 )?,
+                store_era: IntGauge::new("gateway_store_era", "The era of the store")?,
+                restored_entries: counters(
+                    "gateway_restored_entries_total",
+                    "Entries from the first list of a new era of the store",
+                    &["topic"],
+                )?,
                 peer_reports: IntCounter::new(
                     "gateway_peer_reports_total",
                     "Reports of other gateways taken in",
@@ -161,7 +171,7 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
@@ -174,6 +184,8 @@
             Box::new(metrics.suspected_crashes.clone()),
             Box::new(metrics.leaving_targets.clone()),
             Box::new(metrics.catalog_version.clone()),
+            Box::new(metrics.store_era.clone()),
+            Box::new(metrics.restored_entries.clone()),
             Box::new(metrics.peer_reports.clone()),
             Box::new(metrics.dropped_log_lines.clone()),
         ];
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -13,6 +13,7 @@
 use sardinemux_core::hash;
 use sardinemux_core::origin::query::Search;
 use sardinemux_core::origin::{self, command, query, Epoch, Origin, Register, Settings, Stored};
+use sardinemux_core::position::Era;
 use sardinemux_core::readers::ReaderState;
 use sardinemux_core::roster;
 use tokio::sync::{watch, Mutex as AsyncMutex, Notify};
@@ -314,33 +315,35 @@
             return false;
         }
     };
+    let era = batch.position.era;
+    gateway.note_era(era);
     let mut unlisted = stream_pools(&gateway.catalog());
     for entry in batch.entries {
+        let position = entry.position;
         unlisted.retain(|pool| *pool != entry.key);
         match entry.fact {
             Some(Fact::Builds(epoch)) => {
-                let version = entry.version;
-                note_epoch(gateway, &entry.key, Some(Stored { epoch, version }));
+                note_epoch(gateway, &entry.key, Some(Stored { epoch, position }), era);
             }
             Some(Fact::Unreadable(reason)) => {
                 log::warn!(pool:% = entry.key, reason:% = reason; "cannot decode the builds of a pool; its streams have no base");
                 let stored = Stored {
                     epoch: Epoch::default(),
-                    version: entry.version,
+                    position,
                 };
-                note_epoch(gateway, &entry.key, Some(stored));
+                note_epoch(gateway, &entry.key, Some(stored), era);
             }
             _ => {}
         }
     }
     for pool in unlisted {
-        note_epoch(gateway, &pool, None);
+        note_epoch(gateway, &pool, None, era);
     }
     *refreshed = Some(began_at);
     true
 }
 
-fn note_epoch(gateway: &Gateway, pool: &SmolStr, stored: Option<Stored>) {
+fn note_epoch(gateway: &Gateway, pool: &SmolStr, stored: Option<Stored>, era: Era) {
     let now_ms = gateway.now_ms();
     let (builds, base) = stored.as_ref().map_or_else(Default::default, |stored| {
         let base = stored.epoch.base.clone().unwrap_or_default();
@@ -349,7 +352,7 @@
     let has_epoch = stored.is_some();
     let is_news = {
         let mut register = gateway.origins.register.lock();
-        command::note_epoch(&mut register, pool, stored, now_ms)
+        command::note_epoch(&mut register, pool, stored, era, now_ms)
     };
     if !is_news {
         return;
@@ -432,6 +435,7 @@
     let now_ms = gateway.now_ms();
     let changed_ms = *gateway.origins.changed_ms.lock();
     let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < NEWS_MS;
+    let era = gateway.era.borrow().era;
     let epochs = {
         let register = gateway.origins.register.lock();
         let restart_ms = query::restart_ms(&register);
@@ -439,6 +443,7 @@
             return Vec::new();
         }
         let epochs = query::epochs(&register);
+        let epochs = epochs.filter(|(_, stored)| stored.position.era == era);
         epochs
             .map(|(pool, stored)| (pool.clone(), stored.clone()))
             .collect()
@@ -447,17 +452,20 @@
         uptime_ms: now_ms,
         epochs,
     };
-    supplement::encode(&supplement).into_iter().collect()
+    supplement::encode_in_era(&supplement, era)
+        .into_iter()
+        .collect()
 }
 
-/// Applies what another gateway tells of its start and of epochs.
-pub fn receive_news(gateway: &Gateway, uptime_ms: u64, epochs: Vec<(SmolStr, Stored)>) {
+/// Applies what another gateway tells of its start and of epochs, whose positions are of an era.
+pub fn receive_news(gateway: &Gateway, uptime_ms: u64, epochs: Vec<(SmolStr, Stored)>, era: Era) {
     let now_ms = gateway.now_ms();
     if uptime_ms < NEWS_MS {
         let mut register = gateway.origins.register.lock();
         command::note_restart(&mut register, now_ms.saturating_sub(uptime_ms));
     }
     for (pool, stored) in epochs {
-        note_epoch(gateway, &pool, Some(stored));
+        let position = stored.position.in_era(era);
+        note_epoch(gateway, &pool, Some(Stored { position, ..stored }), era);
     }
 }
--- a/crates/gateway/src/origins/record.rs
+++ b/crates/gateway/src/origins/record.rs
@@ -7,6 +7,7 @@
 
 use parking_lot::Mutex;
 use sardinemux_core::origin::{command, query, Origin};
+use sardinemux_core::position::Position;
 use sardinemux_core::readers::{self, Peer};
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{self, Instant};
@@ -76,7 +77,7 @@
         zone: &settings.zone,
         link_mbps: settings.link_mbps,
         state,
-        newest_version: 0,
+        newest: Position::default(),
     };
     let members = gateway.members.lock();
     let peers = members.iter_recent(Topic::Targets, gateway.now_ms());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,10 +9,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use sardinemux_core::position::{Era, Position};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use tokio::time;
 
+use crate::appendix;
 use crate::errors::{BuildSnafu, DecodeSnafu, EncodeSnafu, MismatchSnafu};
 use crate::hop;
 use crate::prelude::*;
@@ -39,8 +41,8 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct Query {
     topic: Topic,
-    /// The version up to which the sender has the topic; `None` requests the complete list.
-    since: Option<u64>,
+    /// The position up to which the sender has the topic; `None` requests the complete list.
+    since: Option<Position>,
     /// The version of the catalogue that the sender has in force, or zero if it has none.
     catalog: u64,
     /// Whether the response may be delayed until there are changes.
@@ -49,6 +51,14 @@
     id: u64,
 }
 
+/// The appendix of a query and of its answer.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+struct Appendix {
+    /// The era of the positions in the message.
+    era: Era,
+}
+
 /// The answer to a query.
 #[derive(Debug, Serialize, Deserialize)]
 struct Answer {
@@ -57,8 +67,19 @@
     update: Update,
 }
 
-/// Requests the changes of a topic from another gateway. With `waits`, the response may be delayed until there are
-/// some.
+/// What is requested from another gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// The complete list.
+    Whole,
+    /// The changes since the position that this gateway has, or the complete list if it has none.
+    Changes {
+        /// Whether the response may be delayed until there are some.
+        waits: bool,
+    },
+}
+
+/// Requests the entries of a topic from another gateway.
 ///
 /// # Errors
 ///
@@ -68,24 +89,31 @@
     gateway: &Gateway,
     address: SocketAddr,
     topic: Topic,
-    waits: bool,
+    scope: Scope,
 ) -> Result<Update> {
+    let era = gateway.members.lock().era(address, topic);
     let since = {
         let views = gateway.views.lock();
         let log = views.get(&topic).map(|view| &view.log);
-        log.filter(|log| log.has_snapshot())
-            .map(|log| log.version())
+        let position = log
+            .filter(|log| log.has_snapshot())
+            .map(|log| log.position());
+        // Only the complete list replaces entries of an earlier era.
+        position.filter(|position| position.era >= era && scope != Scope::Whole)
     };
     let catalog = gateway.catalog.read().version();
     let query = Query {
         topic,
         since,
-        catalog,
-        waits,
+        catalog: if scope == Scope::Whole { 0 } else { catalog },
+        waits: scope == Scope::Changes { waits: true },
         id: rand::random(),
     };
     let id = query.id;
-    let query = rmp_serde::to_vec(&query).context(EncodeSnafu)?;
+    let appendix = Appendix {
+        era: since.and_then(|since| since.era),
+    };
+    let query = appendix::encode(&query, &appendix).context(EncodeSnafu)?;
     let request = Request::post("/news")
         .header(hyper::header::HOST, address.to_string())
         .body(Full::from(query))
@@ -96,25 +124,34 @@
     };
     let client = gateway.members.lock().client(address, topic);
     let reply = client.call(request, limit).await?;
-    let answer: Answer =
-        rmp_serde::from_slice(reply.response().body()).context(DecodeSnafu { address })?;
+    let answer = appendix::decode(reply.response().body());
+    let (answer, appendix): (Answer, Option<Appendix>) = answer.context(DecodeSnafu { address })?;
     snafu::ensure!(answer.id == id, MismatchSnafu { address });
     reply.accept();
-    Ok(answer.update)
+    let era = appendix.unwrap_or_default().era;
+    Ok(Update {
+        batch: answer.update.batch.in_era(era),
+        ..answer.update
+    })
 }
 
 /// Returns the changes that answer a query.
 ///
 /// If there are none, the query allows a delay and this gateway follows the store, waits for some, at most for
 /// [`LONG_POLL_TIMEOUT`].
-async fn wait_for_update(gateway: &Gateway, query: Query) -> Update {
+///
+/// `era` is the era of the positions in the query; `None` if its sender is of a build that does not state it.
+async fn wait_for_update(gateway: &Gateway, query: Query, era: Option<Era>) -> Update {
     let until = time::Instant::now() + LONG_POLL_TIMEOUT;
     loop {
-        let (found, is_following, mut changed) = {
+        let (found, position, is_following, mut changed) = {
             let mut views = gateway.views.lock();
             let view = views.entry(query.topic).or_default();
-            let found = view.log.changes_since(query.since);
-            (found, view.is_following(), view.log.subscribe())
+            let era = era.unwrap_or(view.log.position().era);
+            let since = query.since.map(|since| since.in_era(era));
+            let found = view.log.changes_since(since);
+            let position = Position::new(view.log.position().era, 0);
+            (found, position, view.is_following(), view.log.subscribe())
         };
         let (is_complete, mut batch) = match found {
             Some(found) => found,
@@ -123,7 +160,10 @@
                 let _ = time::timeout_at(until, changed.changed()).await;
                 continue;
             }
-            None => (false, Batch::default()),
+            None => {
+                let entries = Vec::new();
+                (false, Batch { entries, position })
+            }
         };
         replication::substitute_patches(gateway, &mut batch, query.catalog);
         return Update {
@@ -151,17 +191,20 @@
         .collect()
         .await;
     let query = match body {
-        Ok(body) if is_known => rmp_serde::from_slice::<Query>(&body.to_bytes()),
+        Ok(body) if is_known => appendix::decode::<Query, Appendix>(&body.to_bytes()),
         _ => return Ok(empty_response(StatusCode::NOT_FOUND)),
     };
-    let Ok(query) = query else {
+    let Ok((query, appendix)) = query else {
         return Ok(empty_response(StatusCode::BAD_REQUEST));
     };
     let answer = Answer {
         id: query.id,
-        update: wait_for_update(&gateway, query).await,
+        update: wait_for_update(&gateway, query, appendix.map(|it| it.era)).await,
+    };
+    let appendix = Appendix {
+        era: answer.update.batch.position.era,
     };
-    let bytes = rmp_serde::to_vec(&answer).context(EncodeSnafu);
+    let bytes = appendix::encode(&answer, &appendix).context(EncodeSnafu);
     Ok(match bytes {
         Ok(bytes) => Response::new(reply::full_body(bytes.into())),
         Err(error) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,15 +1,16 @@
 //! The log of one topic's entries, from which a gateway relays changes of the store to other gateways.
 //!
 //! In each availability zone one gateway reads the store. The others of the zone get the entries from it or, if it
-//! stops responding, from another gateway that reads the store. All gateways use the versions of the store, so a
+//! stops responding, from another gateway that reads the store. All gateways use the positions of the store, so a
 //! gateway can get the entries from a different one at any time.
 
 use indexmap::IndexMap;
+use sardinemux_core::position::Position;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::prelude::*;
-use crate::source::{Batch, Entry};
+use crate::source::{Batch, Entry, Fact};
 
 /// The number of removals that the log keeps. A follower that lacks a pruned removal gets the complete list.
 const REMOVALS_MAX: usize = 512;
@@ -21,21 +22,31 @@
     pub is_following: bool,
     /// Whether the batch is the complete list of entries rather than the changes since a version.
     pub is_complete: bool,
-    /// The entries and the version up to which they are complete.
+    /// The entries and the position up to which they are complete.
     pub batch: Batch,
 }
 
+/// An entry that changed a log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// The entry.
+    pub entry: Entry,
+    /// Whether it comes from the first list of a later era, in which the store may have come back from an older copy. The
+    /// entry may then lack what was known of its key before.
+    pub is_restored: bool,
+}
+
 /// The newest entry of each key of one topic, removals included.
 #[derive(Clone, Debug)]
 pub struct Log {
     entries: IndexMap<SmolStr, Entry>,
     /// Whether a complete list was applied. Until then the log has nothing to relay.
     has_snapshot: bool,
-    version: u64,
-    newest_version: u64,
-    /// The version up to which removals may have been pruned.
-    pruned_version: u64,
-    changed: watch::Sender<u64>,
+    position: Position,
+    newest: Position,
+    /// The position up to which removals may have been pruned.
+    pruned: Position,
+    changed: watch::Sender<Position>,
 }
 
 impl Default for Log {
@@ -43,23 +54,23 @@
         Self {
             entries: IndexMap::new(),
             has_snapshot: false,
-            version: 0,
-            newest_version: 0,
-            pruned_version: 0,
-            changed: watch::Sender::new(0),
+            position: Position::default(),
+            newest: Position::default(),
+            pruned: Position::default(),
+            changed: watch::Sender::new(Position::default()),
         }
     }
 }
 
 impl Log {
-    /// Returns the version of the store up to which changes were applied.
-    pub fn version(&self) -> u64 {
-        self.version
+    /// Returns the position up to which changes were applied.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
-    /// Returns the version of the newest entry, or zero if there is none.
-    pub fn newest_version(&self) -> u64 {
-        self.newest_version
+    /// Returns the position of the newest entry. Without one, its version is zero, and its era that of the log.
+    pub fn newest(&self) -> Position {
+        self.newest
     }
 
     /// Returns whether a complete list was applied.
@@ -69,11 +80,11 @@
 
     /// Returns whether the log has had no entry so far.
     pub fn is_empty(&self) -> bool {
-        self.newest_version == 0
+        self.entries.is_empty()
     }
 
     /// Returns a receiver that is notified when entries change or a complete list is applied.
-    pub fn subscribe(&self) -> watch::Receiver<u64> {
+    pub fn subscribe(&self) -> watch::Receiver<Position> {
         self.changed.subscribe()
     }
 
@@ -81,41 +92,66 @@
     ///
     /// A complete list (`is_complete`) also removes the keys that it lacks, unless it is older than the log. These
     /// removals are among the returned entries and get the flag `may_return`.
-    pub fn apply(&mut self, batch: &Batch, is_complete: bool, may_return: bool) -> Vec<Entry> {
-        let mut changes = Vec::new();
-        if is_complete && (batch.version >= self.version || !self.has_snapshot) {
-            changes.extend(self.find_unlisted(batch, may_return));
+    ///
+    /// A batch of an earlier era is dropped, and so are changes of a later one: only the complete list replaces what was
+    /// known before. A catalogue is never replaced by one of a lower version, which an older copy of the store may hold.
+    pub fn apply(&mut self, batch: &Batch, is_complete: bool, may_return: bool) -> Vec<Change> {
+        let (known, era) = (self.position.era, batch.position.era);
+        let is_new_era = self.has_snapshot && era > known;
+        if era < known || is_new_era && !is_complete {
+            log::info!(
+                version = batch.position.version, era:? = era, known:? = known, entries = batch.entries.len();
+                "dropping entries of another era of the store"
+            );
+            return Vec::new();
+        }
+        let is_restored = is_new_era && known.is_some();
+        let mut entries = Vec::new();
+        if is_complete && (batch.position >= self.position || !self.has_snapshot) {
+            entries.extend(self.find_unlisted(batch, may_return || is_restored));
         }
         for entry in &batch.entries {
             let held = self.entries.get(&entry.key);
-            if held.is_none_or(|held| held.version < entry.version) {
-                changes.push(entry.clone());
+            let is_later = || has_later_catalog(held, entry);
+            if held.is_none_or(|held| held.position < entry.position || is_later()) {
+                entries.push(keep_newer_catalog(held, entry.clone()));
             }
         }
-        for entry in &changes {
-            self.newest_version = self.newest_version.max(entry.version);
-            self.entries.insert(entry.key.clone(), entry.clone());
+        if is_new_era || !self.has_snapshot {
+            self.newest = Position::new(era, 0);
         }
+        let changes = entries.into_iter().map(|entry| {
+            let held = self.entries.insert(entry.key.clone(), entry.clone());
+            self.newest = self.newest.max(entry.position);
+            Change {
+                is_restored: is_restored && held.is_some(),
+                entry,
+            }
+        });
+        let changes: Vec<Change> = changes.collect();
         self.has_snapshot |= is_complete;
-        self.version = self.version.max(batch.version);
+        self.position = self.position.max(batch.position);
         self.prune_removals();
         if !changes.is_empty() || is_complete {
-            self.changed.send_replace(self.version);
+            self.changed.send_replace(self.position);
         }
         changes
     }
 
-    /// Returns removals of the keys that a complete list lacks.
+    /// Returns removals of the keys that a complete list lacks. A catalogue that an older copy of the store lacks stays.
     fn find_unlisted(&self, batch: &Batch, may_return: bool) -> Vec<Entry> {
         let is_listed = |key: &SmolStr| batch.entries.iter().any(|entry| entry.key == *key);
         let unlisted = self.entries.values().filter(|entry| {
-            entry.fact.is_some() && entry.version <= batch.version && !is_listed(&entry.key)
+            entry.fact.is_some() && entry.position <= batch.position && !is_listed(&entry.key)
         });
+        let is_other_era = |entry: &Entry| entry.position.era != batch.position.era;
+        let is_kept =
+            |entry: &Entry| matches!(entry.fact, Some(Fact::Catalog(_))) && is_other_era(entry);
         unlisted
             .map(|entry| Entry {
                 key: entry.key.clone(),
-                fact: None,
-                version: batch.version,
+                fact: entry.fact.clone().filter(|_| is_kept(entry)),
+                position: batch.position,
                 may_return,
             })
             .collect()
@@ -124,33 +160,37 @@
     /// Drops the older half of the removals if there are more than [`REMOVALS_MAX`].
     fn prune_removals(&mut self) {
         let removals = self.entries.values().filter(|entry| entry.fact.is_none());
-        let mut versions: Vec<u64> = removals.map(|entry| entry.version).collect();
-        if versions.len() <= REMOVALS_MAX {
+        let mut positions: Vec<Position> = removals.map(|entry| entry.position).collect();
+        if positions.len() <= REMOVALS_MAX {
             return;
         }
-        versions.sort_unstable();
-        self.pruned_version = versions[versions.len() / 2];
-        let forgotten = self.pruned_version;
+        positions.sort_unstable();
+        self.pruned = positions[positions.len() / 2];
+        let forgotten = self.pruned;
         self.entries
-            .retain(|_, entry| entry.fact.is_some() || entry.version > forgotten);
+            .retain(|_, entry| entry.fact.is_some() || entry.position > forgotten);
     }
 
     /// Returns the entries that a follower lacks, and whether they are the complete list.
     ///
-    /// `since` is the version up to which the follower has the topic. A follower without one, or one that may lack
-    /// pruned removals, gets the complete list. Returns `None` if nothing has changed since then or the log itself has
-    /// no complete list.
-    pub fn changes_since(&self, since: Option<u64>) -> Option<(bool, Batch)> {
+    /// `since` is the position up to which the follower has the topic. A follower without one, one in another era, or one
+    /// that may lack pruned removals gets the complete list. Returns `None` if nothing has changed since then or the log
+    /// itself has no complete list.
+    pub fn changes_since(&self, since: Option<Position>) -> Option<(bool, Batch)> {
         if !self.has_snapshot {
             return None;
         }
-        let since = since.filter(|since| *since >= self.pruned_version);
+        let is_ahead = since.is_some_and(|since| since.era > self.position.era);
+        if is_ahead {
+            return None;
+        }
+        let since = since.filter(|since| *since >= self.pruned && since.era == self.position.era);
         let is_complete = since.is_none();
         let mut entries: Vec<Entry> = self
             .entries
             .values()
             .filter(|entry| match since {
-                Some(since) => entry.version > since,
+                Some(since) => entry.position > since,
                 None => entry.fact.is_some(),
             })
             .cloned()
@@ -158,8 +198,37 @@
         if entries.is_empty() && !is_complete {
             return None;
         }
-        entries.sort_by_key(|entry| entry.version);
-        let version = self.version;
-        Some((is_complete, Batch { entries, version }))
+        entries.sort_by_key(|entry| entry.position);
+        let position = self.position;
+        Some((is_complete, Batch { entries, position }))
+    }
+}
+
+/// Returns whether an entry of the same position as the held one has a later catalogue. A gateway that held that before the store
+/// came back from an older copy has kept it.
+fn has_later_catalog(held: Option<&Entry>, entry: &Entry) -> bool {
+    let Some(held) = held.filter(|held| held.position == entry.position) else {
+        return false;
+    };
+    match (&held.fact, &entry.fact) {
+        (Some(Fact::Catalog(held)), Some(Fact::Catalog(other))) => other.version > held.version,
+        _ => false,
+    }
+}
+
+/// Returns the entry, with the held catalogue in place of an older one: the version that operators give orders catalogues
+/// also across eras of the store.
+fn keep_newer_catalog(held: Option<&Entry>, entry: Entry) -> Entry {
+    let held = held.and_then(|held| held.fact.as_ref());
+    match (held, &entry.fact) {
+        (Some(Fact::Catalog(held)), Some(Fact::Catalog(listed)))
+            if held.version > listed.version =>
+        {
+            Entry {
+                fact: Some(Fact::Catalog(held.clone())),
+                ..entry
+            }
+        }
+        _ => entry,
     }
 }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -8,21 +8,25 @@
 
 use indexmap::{IndexMap, IndexSet};
 use sardinemux_core::catalog::Catalog;
+use sardinemux_core::position::Position;
 use sardinemux_core::readers::ReaderState;
 use sardinemux_core::roster::{command, query, Announcement};
 
 use crate::prelude::*;
-use crate::quarantine;
-use crate::relay::{Log, Update};
+use crate::relay::{Change, Log, Update};
 use crate::source::{self, Batch, Entry, Fact, Topic};
 
+/// How long an evacuation stays in force that a store which came back from an older copy lacks, in milliseconds: the time in
+/// which operators write again what the copy lacks.
+const RESTORED_MS: u64 = 4_000;
+
 /// The replica of one topic, and the state of this gateway as a reader of the store for it.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     /// The entries received so far.
     pub log: Log,
-    /// The version after which the store is watched for changes; `None` if the complete list must be read.
-    pub(crate) watch_version: Option<u64>,
+    /// The position after which the store is watched for changes; `None` if the complete list must be read.
+    pub(crate) watch_position: Option<Position>,
     /// Since when every call to the store has succeeded, in milliseconds; `None` if the store is not followed.
     pub(crate) following_since_ms: Option<u64>,
     /// Since when calls to the store have failed, in milliseconds, up to the next success; `None` otherwise.
@@ -41,7 +45,16 @@
     /// follows it. If there have been more since then, the entries may be out of date.
     pub(crate) refreshed_suspensions: u64,
     /// The evacuated availability zones, by the key of their entry.
-    pub evacuated: IndexMap<SmolStr, SmolStr>,
+    pub evacuated: IndexMap<SmolStr, Evacuation>,
+}
+
+/// An availability zone that is evacuated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Evacuation {
+    /// The name of the zone.
+    pub zone: SmolStr,
+    /// Since when the entry is missing from a store that came back from an older copy, in milliseconds.
+    pub missing_since_ms: Option<u64>,
 }
 
 impl View {
@@ -107,11 +120,11 @@
     is_topic_refreshed(Topic::Operators) && is_topic_refreshed(Topic::Targets)
 }
 
-/// Invalidates the versions up to which the store was read, so that the complete lists are read again.
+/// Invalidates the positions up to which the store was read, so that the complete lists are read again.
 pub fn invalidate_versions(gateway: &Gateway) {
     for topic in [Topic::Operators, Topic::Targets] {
         with_view(gateway, topic, |view| {
-            view.watch_version = None;
+            view.watch_position = None;
             view.following_since_ms = None;
         });
     }
@@ -160,7 +173,7 @@
         view.is_overdue = false;
         view.following_since_ms = None;
         view.failing_since_ms = None;
-        view.watch_version = None;
+        view.watch_position = None;
     });
 }
 
@@ -169,7 +182,7 @@
     let now_ms = gateway.now_ms();
     with_view(gateway, topic, |view| {
         // The complete list is read once the store is back: its history may lack entries that expired meanwhile.
-        view.watch_version = None;
+        view.watch_position = None;
         view.is_overdue = false;
         view.following_since_ms = None;
         if view.failing_since_ms.is_none() {
@@ -179,9 +192,9 @@
     });
 }
 
-/// Resets the watched version of a topic, so that the complete list is read next.
-pub(crate) fn reset_watch_version(gateway: &Gateway, topic: Topic) {
-    with_view(gateway, topic, |view| view.watch_version = None);
+/// Resets the watched position of a topic, so that the complete list is read next.
+pub(crate) fn reset_watch_position(gateway: &Gateway, topic: Topic) {
+    with_view(gateway, topic, |view| view.watch_position = None);
 }
 
 /// Applies entries from the store. If `is_complete`, entries that the batch lacks are removed.
@@ -193,11 +206,11 @@
         if is_complete && batch.entries.is_empty() && view.log.is_empty() {
             return Vec::new();
         }
-        view.watch_version = Some(batch.version);
+        view.watch_position = Some(batch.position);
         let may_return = is_complete && std::mem::take(&mut view.is_relisting);
         view.log.apply(&batch, is_complete, may_return)
     });
-    apply_entries(gateway, topic, changes);
+    apply_changes(gateway, topic, changes);
 }
 
 /// Applies entries from another gateway.
@@ -213,41 +226,63 @@
         return;
     }
     let now_ms = gateway.now_ms();
+    gateway.note_era(batch.position.era);
     let changes = with_view(gateway, topic, |view| {
         if is_following {
             view.last_contact_ms = now_ms;
         }
         view.log.apply(&batch, is_complete, false)
     });
-    apply_entries(gateway, topic, changes);
+    apply_changes(gateway, topic, changes);
 }
 
-fn apply_entries(gateway: &Gateway, topic: Topic, entries: Vec<Entry>) {
+fn apply_changes(gateway: &Gateway, topic: Topic, changes: Vec<Change>) {
+    let restored = changes.iter().filter(|change| change.is_restored).count();
+    let counter = &gateway.metrics.restored_entries;
+    counter
+        .with_label_values(&[topic.name()])
+        .inc_by(restored as u64);
+    if restored > 0 {
+        log::warn!(
+            topic = topic.name(), entries = restored;
+            "the store may have come back from an older copy; nothing that was known before is taken back"
+        );
+    }
     match topic {
-        Topic::Operators => apply_operators(gateway, entries),
-        Topic::Targets => apply_targets(gateway, entries),
-        Topic::Members => apply_members(gateway, entries),
-        Topic::Quarantine => quarantine::restore(gateway, entries),
-        // These are read on demand.
-        Topic::Builds | Topic::Origins => {}
+        Topic::Operators => apply_operators(gateway, changes),
+        Topic::Targets => apply_targets(gateway, changes),
+        // The others are read on demand, and are not relayed.
+        Topic::Members | Topic::Quarantine | Topic::Builds | Topic::Origins => {}
     }
 }
 
-fn apply_operators(gateway: &Gateway, entries: Vec<Entry>) {
+fn apply_operators(gateway: &Gateway, changes: Vec<Change>) {
+    let now_ms = gateway.now_ms();
     let mut evacuated = with_view(gateway, Topic::Operators, |view| view.evacuated.clone());
-    for entry in entries {
+    for Change { entry, is_restored } in changes {
         match entry.fact {
             Some(Fact::Catalog(definition)) => set_catalog(gateway, Catalog::new(definition)),
             Some(Fact::Evacuated(zone)) => {
-                evacuated.insert(entry.key, zone);
+                let missing_since_ms = None;
+                let evacuation = Evacuation {
+                    zone,
+                    missing_since_ms,
+                };
+                evacuated.insert(entry.key, evacuation);
             }
             Some(Fact::Unreadable(reason)) => {
                 log::warn!(
-                    key:% = entry.key, version = entry.version, reason:% = reason;
+                    key:% = entry.key, version = entry.position.version, reason:% = reason;
                     "cannot decode an entry of the operators; the previous one stays in force"
                 );
             }
             Some(_) => {}
+            // An older copy of the store may lack the evacuation. Operators write it again then.
+            None if is_restored => {
+                if let Some(evacuation) = evacuated.get_mut(&entry.key) {
+                    evacuation.missing_since_ms.get_or_insert(now_ms);
+                }
+            }
             None => {
                 evacuated.shift_remove(&entry.key);
             }
@@ -256,6 +291,20 @@
     set_evacuated(gateway, evacuated);
 }
 
+/// Ends the evacuations that a store which came back from an older copy lacks, and that operators have not written again.
+pub fn remove_unconfirmed(gateway: &Gateway) {
+    let now_ms = gateway.now_ms();
+    let mut evacuated = with_view(gateway, Topic::Operators, |view| view.evacuated.clone());
+    let is_expired = |evacuation: &Evacuation| {
+        let since_ms = evacuation.missing_since_ms;
+        since_ms.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= RESTORED_MS)
+    };
+    if evacuated.values().any(is_expired) {
+        evacuated.retain(|_, evacuation| !is_expired(evacuation));
+        set_evacuated(gateway, evacuated);
+    }
+}
+
 /// Puts a catalogue in force, unless the version in force is the same or newer.
 pub fn set_catalog(gateway: &Gateway, catalog: Catalog) {
     let mut current = gateway.catalog.write();
@@ -325,8 +374,9 @@
     is_resolved
 }
 
-fn set_evacuated(gateway: &Gateway, evacuated: IndexMap<SmolStr, SmolStr>) {
-    let zones: IndexSet<SmolStr> = evacuated.values().cloned().collect();
+fn set_evacuated(gateway: &Gateway, evacuated: IndexMap<SmolStr, Evacuation>) {
+    let zones = evacuated.values().map(|evacuation| &evacuation.zone);
+    let zones: IndexSet<SmolStr> = zones.cloned().collect();
     let catalog = gateway.catalog();
     let cold_ms = |pool: &str| catalog.pool(pool).map_or(0, |pool| pool.cold_ms);
     let now_ms = gateway.now_ms();
@@ -341,17 +391,17 @@
     command::set_evacuated(&mut roster, zones, cold_ms, now_ms);
 }
 
-fn apply_targets(gateway: &Gateway, entries: Vec<Entry>) {
+fn apply_targets(gateway: &Gateway, changes: Vec<Change>) {
     let now_ms = gateway.now_ms();
-    for entry in entries {
+    for Change { entry, is_restored } in changes {
         let mut roster = gateway.roster.lock();
         match entry.fact {
             Some(Fact::Target(announcement)) => {
-                apply_announcement(&mut roster, announcement, now_ms)
+                apply_announcement(&mut roster, announcement, is_restored, now_ms)
             }
             Some(Fact::Unreadable(reason)) => {
                 log::warn!(
-                    key:% = entry.key, version = entry.version, reason:% = reason;
+                    key:% = entry.key, version = entry.position.version, reason:% = reason;
                     "cannot decode the entry of a target; removing the target"
                 );
                 command::remove_target(&mut roster, &entry.key, false, now_ms);
@@ -359,7 +409,7 @@
             Some(_) => {}
             None => {
                 log::info!(
-                    target_id:% = entry.key, version = entry.version, may_return = entry.may_return;
+                    target_id:% = entry.key, version = entry.position.version, may_return = entry.may_return;
                     "target is no longer listed"
                 );
                 command::remove_target(&mut roster, &entry.key, entry.may_return, now_ms);
@@ -371,6 +421,7 @@
 fn apply_announcement(
     roster: &mut sardinemux_core::roster::Roster,
     announcement: Announcement,
+    is_restored: bool,
     now_ms: u64,
 ) {
     let target = &announcement.target;
@@ -379,11 +430,16 @@
         log::info!(
             target_id:% = target.id, pool:% = target.pool, zone:% = target.zone,
             address:% = target.address, build:% = target.build, lifetime = announcement.lifetime,
-            cold_ms = announcement.cold_ms, is_leaving = target.leaving;
+            cold_ms = announcement.cold_ms, is_leaving = target.leaving, is_restored = is_restored;
             "target announced"
         );
     }
-    command::apply_announcement(roster, announcement, now_ms);
+    match is_restored {
+        true => command::apply_restored(roster, announcement, now_ms),
+        false => {
+            command::apply_announcement(roster, announcement, now_ms);
+        }
+    }
 }
 
 pub(crate) fn apply_members(gateway: &Gateway, entries: Vec<Entry>) {
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -1,11 +1,12 @@
 //! The reports that gateways send each other several times a second as datagrams: the requests that each has in flight,
-//! and its state and version as a reader of operators' entries and targets. A lost report is not repeated; the next one
+//! and its state and position as a reader of operators' entries and targets. A lost report is not repeated; the next one
 //! replaces it.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use sardinemux_core::position::Era;
 use sardinemux_core::reports;
 use sardinemux_core::roster::{command, query};
 use serde::{Deserialize, Serialize};
@@ -13,11 +14,12 @@
 use tokio::net::UdpSocket;
 use tokio::time;
 
+use crate::appendix;
 use crate::attempt::statement;
 use crate::drain::Phase;
 use crate::errors::ListenSnafu;
 use crate::hop;
-use crate::members::{Broadcast, Position};
+use crate::members::{Broadcast, Standing};
 use crate::origins;
 use crate::prelude::*;
 use crate::quarantine;
@@ -48,22 +50,69 @@
     pub followed_ms: u64,
     /// The bandwidth of its network link, in Mbit/s.
     pub link_mbps: u32,
-    /// Its reader state and newest version for the operators' entries.
-    pub operators: Position,
-    /// Its reader state and newest version for the targets.
-    pub targets: Position,
+    /// Its reader state and newest position for the operators' entries.
+    pub operators: Standing,
+    /// Its reader state and newest position for the targets.
+    pub targets: Standing,
     /// The number of its requests in flight to each target.
     pub running: IndexMap<SmolStr, u32>,
+    /// The version of the catalogue that it has in force; zero if that is not known. It is in the appendix.
+    #[serde(skip)]
+    pub catalog: u64,
+}
+
+/// The appendix of a report.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+struct Appendix {
+    /// The era of the position for the operators' entries.
+    operators: Era,
+    /// The era of the position for the targets.
+    targets: Era,
+    catalog: u64,
+}
+
+/// Returns the datagram of a report.
+///
+/// # Errors
+///
+/// The encoder's error.
+pub fn encode(report: &Report) -> std::result::Result<Vec<u8>, rmp_serde::encode::Error> {
+    let appendix = Appendix {
+        operators: report.operators.newest.era,
+        targets: report.targets.newest.era,
+        catalog: report.catalog,
+    };
+    appendix::encode(report, &appendix)
+}
+
+/// Returns the report in a datagram. The positions in one of an earlier build have no era, and its catalogue is not known.
+///
+/// # Errors
+///
+/// The decoder's error.
+pub fn decode(bytes: &[u8]) -> std::result::Result<Report, rmp_serde::decode::Error> {
+    let (mut report, appendix): (Report, Option<Appendix>) = appendix::decode(bytes)?;
+    let appendix = appendix.unwrap_or_default();
+    report.catalog = appendix.catalog;
+    for (standing, era) in [
+        (&mut report.operators, appendix.operators),
+        (&mut report.targets, appendix.targets),
+    ] {
+        standing.newest = standing.newest.in_era(era);
+    }
+    Ok(report)
 }
 
 fn build_report(gateway: &Gateway) -> Report {
     let running = query::running(&gateway.roster.lock(), TARGETS_MAX);
+    let catalog = gateway.catalog.read().version();
     let views = gateway.views.lock();
-    let position = |topic: Topic| {
+    let standing = |topic: Topic| {
         let view = views.get(&topic);
-        view.map_or_else(Position::default, |view| Position {
+        view.map_or_else(Standing::default, |view| Standing {
             state: view.reader_state(),
-            newest_version: view.log.newest_version(),
+            newest: view.log.newest(),
         })
     };
     Report {
@@ -77,9 +126,10 @@
             .get(&Topic::Targets)
             .map_or(0, |view| replication::following_ms(view, gateway.now_ms())),
         link_mbps: gateway.settings.link_mbps,
-        operators: position(Topic::Operators),
-        targets: position(Topic::Targets),
+        operators: standing(Topic::Operators),
+        targets: standing(Topic::Targets),
         running,
+        catalog,
     }
 }
 
@@ -159,7 +209,7 @@
     if addresses.is_empty() {
         return;
     }
-    let bytes = match rmp_serde::to_vec(&build_report(gateway)) {
+    let bytes = match encode(&build_report(gateway)) {
         Ok(bytes) if bytes.len() <= DATAGRAM_MAX_BYTES => bytes,
         Ok(bytes) => {
             log::warn!(bytes = bytes.len(); "the report is too large for a datagram; not sent in this round");
@@ -215,24 +265,27 @@
 
 fn receive_supplement(gateway: &Gateway, bytes: &[u8], sender: SocketAddr) {
     match supplement::decode(bytes) {
-        Ok(Supplement::Quarantine(notices)) => quarantine::receive(gateway, &notices),
-        Ok(Supplement::Limits(limits)) => {
+        Ok((Supplement::Quarantine(notices), _)) => quarantine::receive(gateway, &notices),
+        Ok((Supplement::Limits(limits), _)) => {
             let now_ms = gateway.now_ms();
             command::merge_limits(&mut gateway.roster.lock(), &limits, now_ms);
         }
-        Ok(Supplement::Builds { uptime_ms, epochs }) => {
-            origins::receive_news(gateway, uptime_ms, epochs);
+        Ok((Supplement::Builds { uptime_ms, epochs }, era)) => {
+            origins::receive_news(gateway, uptime_ms, epochs, era);
         }
-        Ok(Supplement::Brittle(notices)) => {
+        Ok((Supplement::Brittle(notices), _)) => {
             let now_ms = gateway.now_ms();
             command::merge_brittle(&mut gateway.roster.lock(), &notices, now_ms);
         }
-        Ok(Supplement::Leaving(notices)) => statement::receive_leaving(gateway, &notices),
-        Ok(Supplement::Lost {
-            gateway: name,
-            pools,
-        }) => hop::receive_news(gateway, name, pools),
-        Ok(Supplement::Origins(records)) => origins::receive_records(gateway, records),
+        Ok((Supplement::Leaving(notices), _)) => statement::receive_leaving(gateway, &notices),
+        Ok((
+            Supplement::Lost {
+                gateway: name,
+                pools,
+            },
+            _,
+        )) => hop::receive_news(gateway, name, pools),
+        Ok((Supplement::Origins(records), _)) => origins::receive_records(gateway, records),
         Err(error) => {
             log::warn!(sender:% = sender, error:% = error; "failed to decode a supplement to a report; ignored");
         }
@@ -241,7 +294,7 @@
 
 /// Applies a received report and returns the address of its sender if that gateway is new.
 fn receive_report(gateway: &Gateway, bytes: &[u8], sender: SocketAddr) -> Option<SocketAddr> {
-    let report: Report = match rmp_serde::from_slice(bytes) {
+    let report = match decode(bytes) {
         Ok(report) => report,
         Err(error) => {
             log::warn!(sender:% = sender, error:% = error; "failed to decode a received report; ignored");
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -8,6 +8,7 @@
 use sardinemux_core::catalog::patch::Patch;
 use sardinemux_core::catalog::Definition;
 use sardinemux_core::origin::{Epoch, Origin, Proposal};
+use sardinemux_core::position::{Era, Position};
 use sardinemux_core::roster::Announcement;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -93,30 +94,42 @@
     pub key: SmolStr,
     /// The value; `None` if the entry was removed.
     pub fact: Option<Fact>,
-    /// The version of the store at which the entry last changed.
-    pub version: u64,
+    /// The position at which the entry last changed.
+    pub position: Position,
     /// Whether a removal may result from an outage of the store, in which entries of live targets expire. The target
     /// may then be listed again soon.
     pub may_return: bool,
 }
 
-/// Entries of one topic up to a version.
+/// Entries of one topic up to a position.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Batch {
     /// The entries, oldest change first.
     pub entries: Vec<Entry>,
-    /// The version of the store up to which the batch has every change.
-    pub version: u64,
+    /// The position up to which the batch has every change. All its entries are of the same era.
+    pub position: Position,
+}
+
+impl Batch {
+    /// Returns the batch with its position and those of its entries in another era.
+    pub fn in_era(mut self, era: Era) -> Self {
+        for entry in &mut self.entries {
+            entry.position = entry.position.in_era(era);
+        }
+        self.position = self.position.in_era(era);
+        self
+    }
 }
 
 /// Every way in which a call to the store can fail.
 #[derive(Clone, Debug, PartialEq, Eq, snafu::Snafu)]
 pub enum Error {
-    /// The store no longer keeps the changes since this version; the complete list must be read.
-    #[snafu(display("the store no longer keeps the changes since version {since}"))]
+    /// The store does not have the changes since this position; the complete list must be read. It no longer keeps them, or
+    /// is in another era.
+    #[snafu(display("the store does not have the changes since version {since}"))]
     Expired {
-        /// The requested version.
-        since: u64,
+        /// The requested position.
+        since: Position,
     },
     /// The store rejected the call; nothing was written.
     #[snafu(display("the store rejected the call with status {status}"))]
@@ -138,8 +151,8 @@
 /// Reads the complete list of a topic.
 pub type List = Box<dyn Fn(Topic) -> BoxFuture<'static, Result<Batch>> + Send + Sync>;
 
-/// Waits for changes of a topic after a version.
-pub type Watch = Box<dyn Fn(Topic, u64) -> BoxFuture<'static, Result<Batch>> + Send + Sync>;
+/// Waits for changes of a topic after a position.
+pub type Watch = Box<dyn Fn(Topic, Position) -> BoxFuture<'static, Result<Batch>> + Send + Sync>;
 
 /// Adds a gateway to the list of gateways (`true`), or removes it (`false`).
 pub type Register = Box<dyn Fn(Member, bool) -> BoxFuture<'static, Result<()>> + Send + Sync>;
@@ -157,6 +170,9 @@
 /// Reads the record of a stream, if there is one.
 pub type FindOrigin = Box<dyn Fn(u64) -> BoxFuture<'static, Result<Option<Origin>>> + Send + Sync>;
 
+/// Returns the era of the store, as far as its answers have shown it.
+pub type CurrentEra = Box<dyn Fn() -> Era + Send + Sync>;
+
 /// How long a watch without changes may take, apart from the time for the store's answer. A shorter wait makes more
 /// calls, each of which has a price. A longer one delays the detection of a store that accepts calls and never responds,
 /// which must leave time for another reader within the two seconds in which changes must be known.
@@ -178,6 +194,8 @@
     pub record_origins: RecordOrigins,
     /// Reads where a stream began.
     pub find_origin: FindOrigin,
+    /// Returns the last era that the store has stated in any answer.
+    pub era: CurrentEra,
 }
 
 impl fmt::Debug for Source {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,8 +9,10 @@
 use parking_lot::{Mutex, RwLock};
 use sardinemux_core::catalog::patch::History;
 use sardinemux_core::catalog::Catalog;
+use sardinemux_core::position::Era;
 use sardinemux_core::prompt::Holders;
 use sardinemux_core::reach::{self, Reach};
+use sardinemux_core::readers::KnownEra;
 use sardinemux_core::reports;
 use sardinemux_core::retry::{self, Budget};
 use sardinemux_core::roster::{self, Roster, Shares};
@@ -75,6 +77,8 @@
     pub idle_hops: Mutex<IdlePool<SocketAddr>>,
     /// Idle connections to targets.
     pub idle_connections: Mutex<IdlePool>,
+    /// The latest era of the store that is known here.
+    pub era: watch::Sender<KnownEra>,
     /// Detects that the process was suspended.
     pub suspension_detector: Mutex<Detector>,
     /// The number of detected suspensions of the process.
@@ -116,6 +120,7 @@
             reach: Mutex::default(),
             idle_hops: Mutex::default(),
             idle_connections: Mutex::default(),
+            era: watch::Sender::new(KnownEra::default()),
             suspension_detector: Mutex::default(),
             suspensions: watch::Sender::new(0),
             bounds: RwLock::new(settings.bounds),
@@ -150,6 +155,22 @@
         self.clock.now_ms()
     }
 
+    /// Records an era of the store that an answer of the store, or another gateway, has stated. Earlier ones are ignored.
+    pub fn note_era(&self, era: Era) {
+        let since_ms = self.now_ms();
+        let is_news = self.era.send_if_modified(|known| {
+            let is_news = era > known.era;
+            if is_news {
+                log::warn!(era:? = era, former:? = known.era; "the store states a new era; versions of the former one no longer count");
+                *known = KnownEra { era, since_ms };
+            }
+            is_news
+        });
+        if is_news {
+            self.metrics.store_era.set(era.map_or(0, i64::from));
+        }
+    }
+
     /// Returns the catalogue in force.
     pub fn catalog(&self) -> Arc<Catalog> {
         self.catalog.read().clone()
@@ -249,6 +270,7 @@
         let is_known = |key: Key| query::target(&roster, key).is_some();
         self.idle_connections.lock().prune(is_known);
         drop(roster);
+        crate::replication::remove_unconfirmed(self);
         self.idle_hops.lock().prune(|_| true);
         let catalog = self.catalog();
         let mut reach = self.reach.lock();
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -4,10 +4,12 @@
 
 use sardinemux_core::leaving;
 use sardinemux_core::origin::{Origin, Stored};
+use sardinemux_core::position::Era;
 use sardinemux_core::quarantine::Notice;
 use sardinemux_core::roster::{query, BrittleNotice, LimitNotice};
 use serde::{Deserialize, Serialize};
 
+use crate::appendix;
 use crate::prelude::*;
 
 /// The first byte of a supplement. MessagePack, in which reports are encoded, never begins with it.
@@ -45,6 +47,14 @@
     Leaving(Vec<leaving::Notice>),
 }
 
+/// The appendix of a supplement with positions.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+struct Appendix {
+    /// The era of the positions.
+    era: Era,
+}
+
 /// Returns whether a datagram is a supplement.
 pub fn is_supplement(bytes: &[u8]) -> bool {
     bytes.first() == Some(&MARKER)
@@ -62,13 +72,27 @@
     }
 }
 
-/// Returns the supplement in a datagram.
+/// Returns the datagram of a supplement whose positions are of an era. One that cannot be encoded is logged and left out.
+pub fn encode_in_era(supplement: &Supplement, era: Era) -> Option<Vec<u8>> {
+    let mut bytes = encode(supplement)?;
+    match rmp_serde::to_vec_named(&Appendix { era }) {
+        Ok(appendix) => bytes.extend(appendix),
+        Err(error) => {
+            log::warn!(error:% = error; "failed to encode the era of a supplement; sent without it")
+        }
+    }
+    Some(bytes)
+}
+
+/// Returns the supplement in a datagram, and the era of its positions.
 ///
 /// # Errors
 ///
 /// The decoder's error, also for a kind of supplement that this version does not know.
-pub fn decode(bytes: &[u8]) -> std::result::Result<Supplement, rmp_serde::decode::Error> {
-    rmp_serde::from_slice(bytes.get(1..).unwrap_or_default())
+pub fn decode(bytes: &[u8]) -> std::result::Result<(Supplement, Era), rmp_serde::decode::Error> {
+    let (supplement, appendix) = appendix::decode(bytes.get(1..).unwrap_or_default())?;
+    let Appendix { era } = appendix.unwrap_or_default();
+    Ok((supplement, era))
 }
 
 /// Returns what targets stated recently of their limits, brittleness and leaving.
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -132,7 +132,7 @@
 fn apply(gateway: &Gateway, announcement: Announcement, version: u64) {
     let batch = Batch {
         entries: vec![entry(announcement, version)],
-        version,
+        position: version.into(),
     };
     replication::apply_store_batch(gateway, Topic::Targets, batch, false);
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use harness::{announcement, dialect, settings};
-use sardinemux_gateway::peers;
+use sardinemux_gateway::peers::{self, Scope};
 use sardinemux_gateway::prelude::*;
 use sardinemux_gateway::source::Topic;
 use tokio::io::{self, AsyncReadExt, AsyncWriteExt};
@@ -63,7 +63,7 @@
     let address = listener.local_addr().unwrap();
     tokio::spawn(exchange_first_answers(listener, peer.settings.peer_address));
     let follower = Gateway::new(settings(), dialect()).unwrap();
-    let fetch = |topic| peers::fetch_update(&follower, address, topic, false);
+    let fetch = |topic| peers::fetch_update(&follower, address, topic, Scope::Whole);
     let (operators, targets) = tokio::join!(fetch(Topic::Operators), fetch(Topic::Targets));
     operators.unwrap_err();
     targets.unwrap_err();
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -3,20 +3,26 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use rstest::rstest;
-use sardinemux_gateway::relay::Log;
+use sardinemux_gateway::relay::{Change, Log};
 use sardinemux_gateway::source::{Batch, Entry, Fact};
 
 fn entry(key: &str, version: u64, is_present: bool) -> Entry {
     Entry {
         key: key.into(),
         fact: is_present.then(|| Fact::Evacuated(key.into())),
-        version,
+        position: version.into(),
         may_return: false,
     }
 }
 
 fn batch(entries: Vec<Entry>, version: u64) -> Batch {
-    Batch { entries, version }
+    let position = version.into();
+    Batch { entries, position }
+}
+
+fn changed_keys(changes: &[Change]) -> Vec<&str> {
+    let keys = changes.iter().map(|change| change.entry.key.as_str());
+    keys.collect()
 }
 
 fn keys(entries: &[Entry]) -> Vec<&str> {
@@ -35,9 +41,9 @@
     let (is_complete, whole) = log.changes_since(None).unwrap();
     assert!(is_complete);
     assert_eq!(keys(&whole.entries), ["a", "b"]);
-    assert_eq!(log.changes_since(Some(3)), None);
+    assert_eq!(log.changes_since(Some(3.into())), None);
     log.apply(&batch(vec![entry("a", 5, false)], 5), false, false);
-    let (is_complete, changes) = log.changes_since(Some(3)).unwrap();
+    let (is_complete, changes) = log.changes_since(Some(3.into())).unwrap();
     assert!(!is_complete);
     assert_eq!(keys(&changes.entries), ["a"]);
     assert_eq!(changes.entries[0].fact, None);
@@ -56,10 +62,10 @@
         false,
     );
     let changes = log.apply(&batch(vec![entry("a", 1, true)], 9), true, may_return);
-    assert_eq!(keys(&changes), ["b"]);
-    assert_eq!(changes[0].may_return, may_return);
+    assert_eq!(changed_keys(&changes), ["b"]);
+    assert_eq!(changes[0].entry.may_return, may_return);
     let again = log.apply(&batch(vec![entry("b", 12, true)], 12), false, false);
-    assert!(again[0].fact.is_some());
+    assert!(again[0].entry.fact.is_some());
 }
 
 /// An entry that is older than the one in the log, whether from the store or from another gateway, is ignored.
@@ -73,7 +79,7 @@
     assert!(log
         .apply(&batch(vec![entry("a", 4, true)], 4), true, false)
         .is_empty());
-    assert_eq!(log.newest_version(), 5);
+    assert_eq!(log.newest().version, 5);
 }
 
 /// A follower that may lack pruned removals gets the complete list.
@@ -91,8 +97,8 @@
             false,
         );
     }
-    let (is_complete, whole) = log.changes_since(Some(1)).unwrap();
+    let (is_complete, whole) = log.changes_since(Some(1.into())).unwrap();
     assert!(is_complete);
     assert_eq!(keys(&whole.entries), ["a"]);
-    assert!(!log.changes_since(Some(1_990)).unwrap().0);
+    assert!(!log.changes_since(Some(1_990.into())).unwrap().0);
 }
--- a/crates/gateway/tests/replication.rs
+++ b/crates/gateway/tests/replication.rs
@@ -29,7 +29,8 @@
 }
 
 fn apply_list(gateway: &Gateway, entries: Vec<Entry>, version: u64) {
-    let batch = Batch { entries, version };
+    let position = version.into();
+    let batch = Batch { entries, position };
     replication::apply_store_batch(gateway, Topic::Targets, batch, true);
 }
 
@@ -78,12 +79,12 @@
     let removal = Entry {
         key: "e1".into(),
         fact: None,
-        version: 3,
+        position: 3.into(),
         may_return: false,
     };
     let batch = Batch {
         entries: vec![removal],
-        version: 3,
+        position: 3.into(),
     };
     replication::apply_store_batch(&gateway, Topic::Targets, batch, false);
     assert!(!is_eligible(&gateway, "e1"));
@@ -103,7 +104,7 @@
         };
         let batch = Batch {
             entries,
-            version: 9,
+            position: 9.into(),
         };
         async move { Ok(batch) }.boxed()
     };
@@ -151,7 +152,7 @@
 fn catalog_entry(definition: Definition) -> Entry {
     Entry {
         key: "config".into(),
-        version: definition.version,
+        position: definition.version.into(),
         fact: Some(Fact::Catalog(Arc::new(definition))),
         may_return: false,
     }
@@ -161,7 +162,7 @@
     let version = definition.version;
     let batch = Batch {
         entries: vec![catalog_entry(definition)],
-        version,
+        position: version.into(),
     };
     replication::apply_store_batch(gateway, Topic::Operators, batch, version == 1);
 }
@@ -170,7 +171,7 @@
     let since = {
         let views = follower.views.lock();
         let view = views.get(&Topic::Operators);
-        view.map(|view| view.log.version())
+        view.map(|view| view.log.position())
     };
     let (is_complete, mut batch) = {
         let mut views = peer.views.lock();
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use sardinemux_core::catalog::Definition;
 use sardinemux_core::origin::{Origin, Proposal};
+use sardinemux_core::position::{Era, Position};
 use sardinemux_gateway::settings::Settings;
 use sardinemux_gateway::source::{
     self, Batch, Entry, Fact, Held, Member, Source, Topic, WATCH_WAIT,
@@ -31,6 +32,7 @@
 
 #[derive(Debug, Default)]
 struct State {
+    era: Era,
     version: u64,
     topics: IndexMap<Topic, IndexMap<SmolStr, Entry>>,
     rejected: IndexSet<(SmolStr, Topic)>,
@@ -44,6 +46,12 @@
     loses_answer: bool,
 }
 
+impl State {
+    fn position(&self) -> Position {
+        Position::new(self.era, self.version)
+    }
+}
+
 /// An in-memory store.
 #[derive(Clone, Debug, Default)]
 pub struct Store(Arc<Mutex<State>>);
@@ -56,13 +64,18 @@
         let entry = Entry {
             key: key.into(),
             fact,
-            version: state.version,
+            position: state.position(),
             may_return: false,
         };
         let topic = state.topics.entry(topic).or_default();
         topic.insert(key.into(), entry);
     }
 
+    /// Returns the era, if the store states one.
+    pub fn era(&self) -> Era {
+        self.0.lock().era
+    }
+
     /// Returns the number of entries of a topic.
     pub fn count(&self, topic: Topic) -> usize {
         let state = self.0.lock();
@@ -115,7 +128,7 @@
         if self.is_silenced(name) {
             return time_out(CALL_TIMEOUT).await;
         }
-        self.read(name, topic, 0)
+        self.read(name, topic, None)
     }
 
     /// Returns the number of gateways that were served a topic so far.
@@ -124,7 +137,7 @@
         state.served.keys().filter(|(_, its)| *its == topic).count()
     }
 
-    fn read(&self, name: &SmolStr, topic: Topic, since: u64) -> source::Result<Batch> {
+    fn read(&self, name: &SmolStr, topic: Topic, since: Option<Position>) -> source::Result<Batch> {
         let mut state = self.0.lock();
         let reader = (name.clone(), topic);
         if state.rejected.contains(&reader) {
@@ -137,16 +150,16 @@
             .into_iter()
             .flat_map(IndexMap::values);
         let entries = entries.filter(|entry| match since {
-            0 => entry.fact.is_some(),
-            _ => entry.version > since,
+            None => entry.fact.is_some(),
+            Some(since) => entry.position > since,
         });
         Ok(Batch {
             entries: entries.cloned().collect(),
-            version: state.version,
+            position: state.position(),
         })
     }
 
-    async fn watch(&self, name: &SmolStr, topic: Topic, since: u64) -> source::Result<Batch> {
+    async fn watch(&self, name: &SmolStr, topic: Topic, since: Position) -> source::Result<Batch> {
         let until = time::Instant::now() + WATCH_WAIT;
         let silenced = self.0.lock().hang_count;
         loop {
@@ -157,7 +170,10 @@
                 let left = until.saturating_duration_since(time::Instant::now());
                 return time_out(left + CALL_TIMEOUT).await;
             }
-            let batch = self.read(name, topic, since)?;
+            if since.era != self.era() {
+                return Err(source::Error::Expired { since });
+            }
+            let batch = self.read(name, topic, Some(since))?;
             if !batch.entries.is_empty() || time::Instant::now() >= until {
                 return Ok(batch);
             }
@@ -170,6 +186,7 @@
         let (lists, watches, enlists) = (self.clone(), self.clone(), self.clone());
         let holds = self.clone();
         let (advances, records, finds) = (self.clone(), self.clone(), self.clone());
+        let eras = self.clone();
         let (lister, watcher) = (name.clone(), name.clone());
         Source {
             list: Box::new(move |topic| {
@@ -211,6 +228,7 @@
                 let found = finds.origin(stream);
                 async move { Ok(found) }.boxed()
             }),
+            era: Box::new(move || eras.era()),
         }
     }
 
@@ -221,9 +239,9 @@
             let state = self.0.lock();
             let builds = state.topics.get(&Topic::Builds);
             let entry = builds.and_then(|builds| builds.get(&key));
-            entry.map_or(0, |entry| entry.version)
+            entry.map_or(0, |entry| entry.position.version)
         };
-        let is_expected = version == proposal.expected_version;
+        let is_expected = version == proposal.expected.version;
         if is_expected {
             self.put(Topic::Builds, &key, Some(Fact::Builds(proposal.epoch)));
         }
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -172,7 +172,7 @@
     Entry {
         key: announcement.target.id.clone(),
         fact: Some(Fact::Target(announcement)),
-        version,
+        position: version.into(),
         may_return: false,
     }
 }
@@ -243,7 +243,7 @@
                 let entry = |catalog: Arc<Definition>| Entry {
                     key: "config".into(),
                     fact: Some(Fact::Catalog(catalog)),
-                    version: 1,
+                    position: 1.into(),
                     may_return: false,
                 };
                 catalog.clone().map(entry).into_iter().collect()
@@ -253,7 +253,7 @@
                 let entry = |(key, (epoch, version)): (&SmolStr, &(Epoch, u64))| Entry {
                     key: key.clone(),
                     fact: Some(Fact::Builds(epoch.clone())),
-                    version: *version,
+                    position: (*version).into(),
                     may_return: false,
                 };
                 builds.iter().map(entry).collect()
@@ -264,7 +264,7 @@
         async move {
             Ok(Batch {
                 entries,
-                version: 1,
+                position: 1.into(),
             })
         }
         .boxed()
@@ -276,7 +276,7 @@
                 time::sleep(Duration::from_secs(60)).await;
                 Ok(Batch {
                     entries: Vec::new(),
-                    version: since,
+                    position: since,
                 })
             }
             .boxed()
@@ -288,7 +288,7 @@
             let version = builds
                 .get(&proposal.pool)
                 .map_or(0, |(_, version)| *version);
-            let is_expected = version == proposal.expected_version;
+            let is_expected = version == proposal.expected.version;
             if is_expected {
                 builds.insert(proposal.pool, (proposal.epoch, version + 1));
             }
@@ -303,6 +303,7 @@
             let found = streams.lock().get(&stream).cloned();
             async move { Ok(found) }.boxed()
         }),
+        era: Box::new(|| None),
     }
 }
 
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sardinemux_core::quarantine::Notice;
-use sardinemux_gateway::members::Position;
+use sardinemux_gateway::members::Standing;
 use sardinemux_gateway::reports::Report;
 use sardinemux_gateway::source::Member;
 use sardinemux_gateway::supplement::{self, Supplement};
@@ -49,9 +49,10 @@
             zone: "z1".into(),
             followed_ms: 0,
             link_mbps: 1,
-            operators: Position::default(),
-            targets: Position::default(),
+            operators: Standing::default(),
+            targets: Standing::default(),
             running: Default::default(),
+            catalog: 0,
         };
         let bytes = rmp_serde::to_vec(&report).unwrap();
         self.socket.send_to(&bytes, self.gateway).await.unwrap();
@@ -73,7 +74,7 @@
             if !supplement::is_supplement(bytes) {
                 continue;
             }
-            let Ok(Supplement::Quarantine(notices)) = supplement::decode(bytes) else {
+            let Ok((Supplement::Quarantine(notices), _)) = supplement::decode(bytes) else {
                 continue;
             };
             for notice in notices {
--- a/crates/proof/tests/restore.rs
+++ b/crates/proof/tests/restore.rs
@@ -59,7 +59,11 @@
 
 async fn store_version(fleet: &Fleet) -> u64 {
     let page = fleet.store.read_table("op").await.unwrap();
-    page.rows.iter().map(|row| row.version).max().unwrap()
+    page.rows
+        .iter()
+        .map(|row| row.position.version)
+        .max()
+        .unwrap()
 }
 
 /// Lets the store come back from a copy. Operators and replicas write again.
@@ -82,7 +86,7 @@
         };
         fleet.store.write_row(change).await.unwrap();
         let page = fleet.store.read_table("other").await.unwrap();
-        if page.rows[0].version > version {
+        if page.rows[0].position.version > version {
             return;
         }
     }
