Write again what a restored store lacks, and keep the epochs of builds

Cause: the copy may lack that a further build has joined the epoch of a pool, and records of streams. The base that it states was believed, so that a stream without a record was taken to have begun there. Gateways also did not write again their own entries and the prompt parts that are held. Change: a gateway that knew more of an epoch writes the union again, and has no base until the store holds it; it has its running streams recorded again. An epoch states the era in which it was written: a gateway that has started since believes an older one only once no other build has been listed for 2.5 s. Rows of earlier builds, without an era, count as before. Result: verify_epoch_does_not_go_back_with_the_store and the two cases beside it; without the union the base of the copy is in force there. All tests of core, gateway and platform pass. Open: a join that no live gateway knows of, with all gateways killed and no target of that build listed.

--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -7,6 +7,10 @@
 //! its build is not known. Once all builds but one have been absent for longer than a stream can be resumed, that one is the
 //! base of the next epoch.
 //!
+//! The store may come back from an older copy, without a build that has joined since and without the latest records. A gateway
+//! that knows more writes both again, and has streams recorded meanwhile. One that knows nothing of the time before sees from
+//! the era in which an epoch was written that it may lack a build, and believes its base only once no other build is listed.
+//!
 //! Each change of an epoch is a write under the condition that the epoch is the one that the writer has read, so that a
 //! delayed write cannot undo a later one. A gateway that takes up a stream reads the epoch after the request has arrived: no
 //! build can have joined after the stream began there.
@@ -39,6 +43,12 @@
     pub absent_ms: u64,
     /// The longest time from the beginning of a stream in which its caller may take it up, in milliseconds.
     pub stream_ms: u64,
+    /// How long other gateways have after a restore of the store to tell what they know of an epoch, before it is written again,
+    /// in milliseconds.
+    pub confirm_ms: u64,
+    /// How long no other build has been listed before a doubtful base is believed, in milliseconds. Targets write their entries
+    /// again in this time.
+    pub doubt_ms: u64,
     /// The largest number of streams that are kept.
     pub streams_max: usize,
 }
@@ -51,6 +61,8 @@
             slots_min: 0.2,
             absent_ms: 10_000,
             stream_ms: 30_000,
+            confirm_ms: 1_000,
+            doubt_ms: 2_500,
             streams_max: 4_096,
         }
     }
@@ -85,6 +97,9 @@
     pub epoch: Epoch,
     /// The position at which it was written.
     pub position: Position,
+    /// The era in which it was written; `None` if that is not known. Gateways do not tell each other.
+    #[serde(skip)]
+    pub written: Era,
 }
 
 /// A change of an epoch, which takes effect only if the store holds the expected version.
@@ -94,7 +109,7 @@
     pub pool: SmolStr,
     /// The new epoch.
     pub epoch: Epoch,
-    /// The position that the epoch must have. Its version is zero if there must be none.
+    /// The position that the epoch must have. Its version is zero if there must be none. The new epoch is written in its era.
     pub expected: Position,
 }
 
@@ -149,6 +164,20 @@
 struct Pool {
     epoch: Knowledge,
     builds: IndexMap<SmolStr, Sighting>,
+    /// The epoch of an earlier era of the store, until the store holds it again.
+    kept: Option<Epoch>,
+    /// The base that the store states and that is not certain.
+    doubt: Option<Doubt>,
+    /// When an epoch of a later era was read, in milliseconds.
+    era_ms: u64,
+}
+
+/// A base that was written in an earlier era of the store and read by a gateway that knows nothing of that era: the store may lack
+/// that a further build has joined since.
+#[derive(Clone, Debug)]
+struct Doubt {
+    base: SmolStr,
+    since_ms: u64,
 }
 
 /// A stream whose origin is known here.
@@ -156,6 +185,8 @@
 struct Known {
     origin: Origin,
     at_ms: u64,
+    /// Whether this gateway began it.
+    is_own: bool,
     /// Whether this gateway began it and has not passed on its record.
     is_pending: bool,
 }
--- a/crates/core/src/origin/command.rs
+++ b/crates/core/src/origin/command.rs
@@ -4,12 +4,15 @@
 
 use crate::position::{Era, Position};
 
-use super::{query, Epoch, Knowledge, Known, Origin, Presence, Register, Sighting, Stored};
+use super::{
+    query, Doubt, Epoch, Knowledge, Known, Origin, Pool, Presence, Register, Sighting, Stored,
+};
 
 /// Records which builds a pool has listed, and the slots of each that may get new requests.
 pub fn observe(register: &mut Register, pool: &SmolStr, present: &[Presence], now_ms: u64) {
     let settings = register.settings;
     let state = register.pools.entry(pool.clone()).or_default();
+    settle_doubt(state, present, settings.doubt_ms, now_ms);
     let position = query::position(&state.epoch).unwrap_or_default();
     for (build, sighting) in &mut state.builds {
         sighting.slots = 0;
@@ -72,13 +75,107 @@
             sighting.absent_at = None;
         }
     }
-    state.epoch = stored.map_or(Knowledge::Absent(era), Knowledge::Stored);
+    let former = std::mem::take(&mut state.epoch);
+    let is_restored = replace_epoch(state, former, stored, era, now_ms);
+    if is_restored {
+        renew_records(register, pool, now_ms);
+    }
     if query::is_mixed(register, pool, now_ms) {
         queue_pending(register, pool, now_ms);
     }
     true
 }
 
+/// Replaces what is known of an epoch by what the store states. Returns whether the store may have come back from an older copy,
+/// so that the former epoch must be written again unless the store still holds it.
+fn replace_epoch(
+    state: &mut Pool,
+    former: Knowledge,
+    stored: Option<Stored>,
+    era: Era,
+    now_ms: u64,
+) -> bool {
+    let known = query::position(&former).and_then(|position| position.era);
+    let is_first = matches!(former, Knowledge::None);
+    let is_later_era = query::position(&former).is_some_and(|position| era > position.era);
+    if is_later_era {
+        state.era_ms = now_ms;
+    }
+    let is_restored = is_later_era && known.is_some();
+    if let (true, Knowledge::Stored(former)) = (is_restored, former) {
+        state.kept = Some(former.epoch);
+    }
+    let position = Position::new(era, 0);
+    let mut stored = stored;
+    match (&state.kept, &mut stored) {
+        (Some(kept), Some(stored)) if covers(&stored.epoch, kept) => state.kept = None,
+        (Some(kept), Some(stored)) => stored.epoch = union(&stored.epoch, kept),
+        (Some(kept), None) => {
+            stored = Some(Stored {
+                epoch: kept.clone(),
+                position,
+                written: era,
+            });
+        }
+        (None, _) => {}
+    }
+    state.doubt = None;
+    if let Some(stored) = stored.as_mut().filter(|_| is_first) {
+        let is_earlier = stored.written.is_some() && stored.written < stored.position.era;
+        if let Some(base) = stored.epoch.base.take_if(|_| is_earlier) {
+            let since_ms = now_ms;
+            state.doubt = Some(Doubt { base, since_ms });
+        }
+    }
+    state.epoch = stored.map_or(Knowledge::Absent(era), Knowledge::Stored);
+    is_restored
+}
+
+/// Returns whether an epoch has all builds of another one, and states no base that the other does not.
+fn covers(epoch: &Epoch, other: &Epoch) -> bool {
+    let has_builds = other
+        .builds
+        .iter()
+        .all(|build| epoch.builds.contains(build));
+    has_builds && (epoch.base.is_none() || epoch.base == other.base)
+}
+
+/// Returns the epoch with the builds of both. It has a base only if both have the same.
+fn union(epoch: &Epoch, other: &Epoch) -> Epoch {
+    let mut joined = epoch.clone();
+    joined.base = joined.base.filter(|base| other.base.as_ref() == Some(base));
+    for build in &other.builds {
+        if !joined.builds.contains(build) {
+            joined.builds.push(build.clone());
+        }
+    }
+    joined
+}
+
+/// Queues again the records of the streams that began here, which a store that came back from an older copy may lack.
+fn renew_records(register: &mut Register, pool: &SmolStr, now_ms: u64) {
+    let stream_ms = register.settings.stream_ms;
+    for known in register.streams.values_mut() {
+        let is_running = now_ms.saturating_sub(known.at_ms) <= stream_ms;
+        known.is_pending |= known.is_own && is_running && known.origin.pool == *pool;
+    }
+}
+
+/// Believes a doubtful base once no other build has been listed for long enough, and gives it up if one is.
+fn settle_doubt(state: &mut Pool, present: &[Presence], doubt_ms: u64, now_ms: u64) {
+    let Some(doubt) = &state.doubt else {
+        return;
+    };
+    let is_alone = present.iter().all(|presence| presence.build == doubt.base);
+    if is_alone && now_ms.saturating_sub(doubt.since_ms) < doubt_ms {
+        return;
+    }
+    if let (true, Knowledge::Stored(stored)) = (is_alone, &mut state.epoch) {
+        stored.epoch.base = Some(doubt.base.clone());
+    }
+    state.doubt = None;
+}
+
 /// Records that a stream has begun here, and queues its record if it needs one.
 ///
 /// # Examples
@@ -100,6 +197,7 @@
     let known = Known {
         origin,
         at_ms: now_ms,
+        is_own: true,
         is_pending: !is_recorded,
     };
     insert(register, stream, known, now_ms);
@@ -118,6 +216,7 @@
     let known = Known {
         origin,
         at_ms: now_ms,
+        is_own: false,
         is_pending: false,
     };
     insert(register, stream, known, now_ms);
--- a/crates/core/src/origin/query.rs
+++ b/crates/core/src/origin/query.rs
@@ -136,6 +136,9 @@
             };
             (Epoch { base, builds }, Position::new(*era, 0))
         }
+        Knowledge::Stored(stored) if is_unwritten(register, pool, stored, now_ms) => {
+            (stored.epoch.clone(), stored.position)
+        }
         Knowledge::Stored(stored) => {
             let joining = joining(register, pool, &stored.epoch, &listed, now_ms);
             let epoch = match joining.is_empty() {
@@ -152,6 +155,14 @@
     })
 }
 
+/// Returns whether an epoch must be written as it is known: the store lacks a part of it, or was written in an earlier era, so that
+/// gateways which start believe it late.
+fn is_unwritten(register: &Register, pool: &Pool, stored: &Stored, now_ms: u64) -> bool {
+    let is_settled = now_ms.saturating_sub(pool.era_ms) >= register.settings.confirm_ms;
+    let is_earlier = stored.written < stored.position.era && pool.doubt.is_none();
+    pool.kept.is_some() || is_earlier && is_settled
+}
+
 /// Returns the listed builds at which streams may not begin, once they are due to join.
 fn joining(
     register: &Register,
--- a/crates/core/src/quarantine/query.rs
+++ b/crates/core/src/quarantine/query.rs
@@ -29,6 +29,13 @@
     cases.filter(|case| case.hold.is_some()).count()
 }
 
+/// Returns the held parts.
+pub fn held(register: &Register) -> Vec<u64> {
+    let held = register.cases.iter();
+    let held = held.filter(|(_, case)| case.hold.is_some());
+    held.map(|(part, _)| *part).collect()
+}
+
 /// Returns the number of trials of a held part.
 pub fn trials(register: &Register, part: u64) -> Option<u8> {
     Some(register.cases.get(&part)?.hold?.trials)
--- a/crates/core/tests/origin.rs
+++ b/crates/core/tests/origin.rs
@@ -9,6 +9,7 @@
 use sardinemux_core::origin::{
     command, query, Epoch, Origin, Presence, Register, Settings, Stored,
 };
+use sardinemux_core::position::Position;
 use smol_str::SmolStr;
 use streams::{run, Outcome, Policy, Scenario};
 
@@ -169,7 +170,11 @@
         builds: builds.iter().map(|build| SmolStr::from(*build)).collect(),
     };
     let position = version.into();
-    Some(Stored { epoch, position })
+    Some(Stored {
+        epoch,
+        position,
+        written: None,
+    })
 }
 
 fn observe(register: &mut Register, builds: &[&str], now_ms: u64) {
@@ -315,3 +320,89 @@
     let proposal = &query::proposals(&register, now_ms)[0];
     assert_eq!(proposal.epoch.base.as_deref(), Some("v2"));
 }
+
+fn at(base: Option<&str>, builds: &[&str], era: u32, version: u64) -> Option<Stored> {
+    let epoch = stored(base, builds, version).map(|stored| stored.epoch);
+    let position = Position::new(Some(era), version);
+    Some(Stored {
+        epoch: epoch.unwrap_or_default(),
+        position,
+        written: Some(1),
+    })
+}
+
+fn note(register: &mut Register, stored: Option<Stored>, era: u32, now_ms: u64) {
+    command::note_epoch(register, &"p".into(), stored, Some(era), now_ms);
+}
+
+/// A base that has gone back would let streams that began at the lost build go on at another one.
+#[rstest]
+#[case::older_row(at(Some("v1"), &["v1"], 2, 3))]
+#[case::no_row(None)]
+fn verify_epoch_does_not_go_back_with_the_store(#[case] restored: Option<Stored>) {
+    let mut register = Register::new(Settings::default(), 0);
+    observe(&mut register, &["v1", "v2"], 0);
+    note(&mut register, at(None, &["v1", "v2"], 1, 9), 1, 0);
+    let origin = Origin {
+        stream: 7,
+        pool: "p".into(),
+        build: "v2".into(),
+    };
+    command::begin(&mut register, origin.clone(), 0);
+    assert_eq!(command::take_records(&mut register, 10), [origin.clone()]);
+    let version = restored
+        .as_ref()
+        .map_or(0, |stored| stored.position.version);
+    note(&mut register, restored, 2, 100);
+    let known = query::epoch(&register, "p").map(|stored| &stored.epoch);
+    assert_eq!(known.and_then(|epoch| epoch.base.as_ref()), None);
+    assert_eq!(query::open_builds(&register, "p", 100), ["v1", "v2"]);
+    let proposals = query::proposals(&register, 100);
+    assert_eq!(proposals[0].epoch.builds, ["v1", "v2"]);
+    assert_eq!(proposals[0].expected, Position::new(Some(2), version));
+    // The record of the stream may be lost too.
+    assert_eq!(command::take_records(&mut register, 10), [origin]);
+    note(&mut register, at(None, &["v1", "v2"], 2, 12), 2, 200);
+    assert!(query::proposals(&register, 200).is_empty());
+}
+
+/// A gateway that has started after a restore cannot know whether a build had joined that the copy lacks.
+#[rstest]
+#[case::another_build(&["v1", "v2"], None)]
+#[case::alone(&["v1"], Some("v1"))]
+fn verify_base_of_an_earlier_era_is_believed_late(
+    #[case] builds: &[&str],
+    #[case] expected: Option<&str>,
+) {
+    let settings = Settings::default();
+    let mut register = Register::new(settings, 0);
+    let base =
+        |register: &Register| query::epoch(register, "p").and_then(|it| it.epoch.base.clone());
+    note(&mut register, at(Some("v1"), &["v1"], 2, 3), 2, 0);
+    assert_eq!(base(&register), None);
+    let mut now_ms = 0;
+    while now_ms <= settings.doubt_ms {
+        assert_eq!(base(&register), None);
+        observe(&mut register, builds, now_ms);
+        now_ms += 100;
+    }
+    assert_eq!(base(&register).as_deref(), expected);
+    assert!(!query::proposals(&register, now_ms).is_empty());
+}
+
+/// An epoch that nothing has changed is written again in the new era, so that gateways that start believe it at once.
+#[test]
+fn verify_epoch_is_written_again_in_a_new_era() {
+    let settings = Settings::default();
+    let mut register = Register::new(settings, 0);
+    observe(&mut register, &["v1"], 0);
+    note(&mut register, at(Some("v1"), &["v1"], 1, 3), 1, 0);
+    note(&mut register, at(Some("v1"), &["v1"], 2, 3), 2, 100);
+    let base = query::epoch(&register, "p").and_then(|stored| stored.epoch.base.clone());
+    assert_eq!(base.as_deref(), Some("v1"));
+    assert!(query::proposals(&register, 100).is_empty());
+    let due_ms = 100 + settings.confirm_ms;
+    observe(&mut register, &["v1"], due_ms);
+    let proposals = query::proposals(&register, due_ms);
+    assert_eq!(proposals[0].epoch.base.as_deref(), Some("v1"));
+}
--- a/crates/core/tests/support/streams.rs
+++ b/crates/core/tests/support/streams.rs
@@ -155,7 +155,11 @@
             if self.is_up(now_ms) && version == proposal.expected.version {
                 let epoch: Epoch = proposal.epoch;
                 let position = (version + 1).into();
-                self.epoch = Some(Stored { epoch, position });
+                self.epoch = Some(Stored {
+                    epoch,
+                    position,
+                    written: None,
+                });
             }
             self.read_epoch(index, now_ms);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod settings;
 pub mod source;
 pub mod state;
+pub mod store_writes;
 pub mod stream;
 pub mod supplement;
 pub mod suspension;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -23,6 +23,7 @@
 use crate::replication::with_view;
 use crate::request::Inbound;
 use crate::source::{Fact, Source, Topic};
+use crate::store_writes;
 use crate::supplement::{self, Supplement};
 
 pub use record::{receive as receive_records, run as record_streams, take_datagrams};
@@ -45,6 +46,9 @@
 /// The longest time for which a new stream waits for a build to join the epoch.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The range over which gateways read the epochs after the store has stated a new era.
+const REFRESH_SPREAD: Duration = Duration::from_millis(400);
+
 /// How long a gateway tells the others of a new epoch, in milliseconds.
 const NEWS_MS: u64 = 5_000;
 
@@ -322,14 +326,20 @@
         let position = entry.position;
         unlisted.retain(|pool| *pool != entry.key);
         match entry.fact {
-            Some(Fact::Builds(epoch)) => {
-                note_epoch(gateway, &entry.key, Some(Stored { epoch, position }), era);
+            Some(Fact::Builds { epoch, written }) => {
+                let stored = Stored {
+                    epoch,
+                    position,
+                    written,
+                };
+                note_epoch(gateway, &entry.key, Some(stored), era);
             }
             Some(Fact::Unreadable(reason)) => {
                 log::warn!(pool:% = entry.key, reason:% = reason; "cannot decode the builds of a pool; its streams have no base");
                 let stored = Stored {
                     epoch: Epoch::default(),
                     position,
+                    written: position.era,
                 };
                 note_epoch(gateway, &entry.key, Some(stored), era);
             }
@@ -379,6 +389,7 @@
     let _ = gateway.origins.source.set(source.clone());
     let mut pending_since: Option<Instant> = None;
     let mut is_read = false;
+    let mut eras = gateway.era.subscribe();
     loop {
         let woken = gateway.origins.join_request.notified();
         // Both ends of the wait lead to the same check.
@@ -397,7 +408,13 @@
         if query::has_records(&gateway.origins.register.lock()) {
             gateway.origins.records.queued.notify_one();
         }
+        // The sender lives as long as the gateway, so that an error cannot occur.
+        if is_read && eras.has_changed().unwrap_or_default() {
+            is_read = false;
+            time::sleep(store_writes::spread(REFRESH_SPREAD)).await;
+        }
         if !is_read {
+            eras.mark_unchanged();
             is_read = refresh(&gateway).await;
             if !is_read {
                 time::sleep(STORE_RETRY_DELAY).await;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -305,6 +305,14 @@
     }
 }
 
+/// Has all held parts recorded again, which a store that came back from an older copy may lack.
+pub fn record_again(gateway: &Gateway) {
+    let held = query::held(&gateway.quarantine.lock().register);
+    for part in held {
+        record(gateway, part, true);
+    }
+}
+
 /// Returns the notices to send at once, each group with the gateways that get it.
 pub fn take_urgent(gateway: &Gateway) -> Vec<(Vec<Vec<u8>>, Vec<SocketAddr>)> {
     let now_ms = evidence_ms(gateway);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,7 +12,7 @@
 use crate::prelude::*;
 use crate::settings::Settings;
 use crate::source::{Member, Source, Topic};
-use crate::{caller, follow, hop, internal, origins, peers, quarantine, reports};
+use crate::{caller, follow, hop, internal, origins, peers, quarantine, reports, store_writes};
 
 /// The time for which a stopping gateway still accepts requests: the load balancer probes it once per second and stops
 /// sending requests to it after two failed probes.
@@ -52,6 +52,7 @@
     tokio::spawn(hop::probe(gateway.clone()));
     tokio::spawn(origins::follow(gateway.clone(), source.clone()));
     tokio::spawn(origins::record_streams(gateway.clone(), source.clone()));
+    tokio::spawn(store_writes::run(gateway.clone(), source.clone()));
     let settings = &gateway.settings;
     tokio::try_join!(
         caller::listen(gateway.clone()),
@@ -86,11 +87,21 @@
 /// Registers this gateway in the store's list of gateways, so that the others find it, and then reads that list for as
 /// long as the process runs.
 async fn register(gateway: Arc<Gateway>, source: Arc<Source>) {
-    while let Err(error) = (source.register)(own_member(&gateway), true).await {
+    enlist(&gateway, &source).await;
+    follow::poll_members(gateway, source).await;
+}
+
+/// Writes the entry of this gateway into the store's list of gateways, again until the store takes it or the gateway stops.
+pub(crate) async fn enlist(gateway: &Gateway, source: &Source) {
+    while gateway.drain.phase() == Phase::Serving {
+        let enlisted = (source.register)(own_member(gateway), true).await;
+        gateway.note_era((source.era)());
+        let Err(error) = enlisted else {
+            return;
+        };
         log::warn!(error:% = error; "failed to register in the list of gateways; retrying");
         time::sleep(REGISTRATION_RETRY_DELAY).await;
     }
-    follow::poll_members(gateway, source).await;
 }
 
 /// Reloads the settings on `SIGHUP`. On `SIGTERM` or `SIGINT`, moves to [`Phase::Leaving`] and, after
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -80,7 +80,12 @@
     /// A prompt part that is held.
     Held(Held),
     /// The builds at which the streams of a pool may begin. The key is the name of the pool.
-    Builds(Epoch),
+    Builds {
+        /// The builds.
+        epoch: Epoch,
+        /// The era of the store in which they were written, if that is known.
+        written: Era,
+    },
     /// The build at which a stream began.
     Origin(Origin),
     /// The reason why the value cannot be decoded.
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -243,7 +243,9 @@
         };
         let is_expected = version == proposal.expected.version;
         if is_expected {
-            self.put(Topic::Builds, &key, Some(Fact::Builds(proposal.epoch)));
+            let epoch = proposal.epoch;
+            let written = proposal.expected.era;
+            self.put(Topic::Builds, &key, Some(Fact::Builds { epoch, written }));
         }
         is_expected
     }
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -252,7 +252,10 @@
                 let builds = builds.lock();
                 let entry = |(key, (epoch, version)): (&SmolStr, &(Epoch, u64))| Entry {
                     key: key.clone(),
-                    fact: Some(Fact::Builds(epoch.clone())),
+                    fact: Some(Fact::Builds {
+                        epoch: epoch.clone(),
+                        written: None,
+                    }),
                     position: (*version).into(),
                     may_return: false,
                 };
