Send nothing to a target for the time that its Retry-After states

Cause: the Retry-After of a target's 503 was not read. Change: it pauses the target for this gateway, from the answer's arrival, for at most 30 s and up to a fifth longer at random; seconds with a fraction are read, dates and negative values are ignored with a log line. All kinds of requests and repeated attempts heed it. After the pause one request goes every 200 ms until the target has accepted one. If all eligible targets pause, the caller is refused at once with the shortest time that is left.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -99,6 +99,8 @@
     pub(crate) limiter: Option<TokenBucket>,
     /// What the target last stated of its limit, if it ever stated one.
     pub(crate) statement: Option<Statement>,
+    /// The pause that the target asked this router for, if any.
+    pub(crate) pause: Option<Pause>,
     /// Until when a brittle target gets no request, as it has rejected one, in milliseconds.
     pub(crate) rejected_until_ms: u64,
     /// Until when the target gets no request, as only an older copy of the list has it, in milliseconds.
@@ -118,6 +120,15 @@
     pub(crate) backoff_until_ms: u64,
 }
 
+/// A time in which a target wants no requests of this router, and the return of requests after it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Pause {
+    /// The end of the time, in milliseconds.
+    pub(crate) until_ms: u64,
+    /// From when the next request may be sent, in milliseconds. Few are sent until the target has accepted one.
+    pub(crate) next_ms: u64,
+}
+
 /// What a target stated of the requests a second that it takes from all routers together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Statement {
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -4,8 +4,8 @@
 use smol_str::SmolStr;
 
 use super::{
-    query, Announcement, BrittleNotice, Brittleness, Condition, Evidence, LimitNotice, RemoteLoad,
-    Report, Roster, Shares, Statement,
+    query, Announcement, BrittleNotice, Brittleness, Condition, Evidence, LimitNotice, Pause,
+    RemoteLoad, Report, Roster, Shares, Statement,
 };
 use crate::leaving;
 use crate::target::Key;
@@ -210,6 +210,12 @@
     let Some(condition) = roster.conditions.get_mut(&key) else {
         return false;
     };
+    if condition
+        .pause
+        .is_some_and(|pause| now_ms < pause.until_ms.max(pause.next_ms))
+    {
+        return false;
+    }
     if let Some(in_flight_max) = shares.in_flight_max {
         if condition.running >= in_flight_max || now_ms < condition.rejected_until_ms {
             return false;
@@ -220,7 +226,7 @@
     let rates = cold_per_s.into_iter().chain(shares.stated_per_s);
     let Some(per_s) = rates.reduce(f64::min) else {
         condition.limiter = None;
-        condition.running += 1;
+        begin_request(condition, now_ms);
         return true;
     };
     if per_s <= 0.0 {
@@ -235,10 +241,50 @@
     });
     limiter.set_rate(per_s, now_ms);
     let is_admitted = limiter.try_take(now_ms);
-    condition.running += u32::from(is_admitted);
+    if is_admitted {
+        begin_request(condition, now_ms);
+    }
     is_admitted
 }
 
+/// The time between two requests to a target after a pause, until it has accepted one, in milliseconds.
+const PAUSE_TRIAL_MS: u64 = 200;
+
+fn begin_request(condition: &mut Condition, now_ms: u64) {
+    condition.running += 1;
+    if let Some(pause) = &mut condition.pause {
+        pause.next_ms = now_ms + PAUSE_TRIAL_MS;
+    }
+}
+
+/// Records that a target wants no requests of this router for a time, which replaces what it stated before.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::roster::{command, query, Roster};
+/// use sardinemux_core::target::Key;
+///
+/// let mut roster = Roster::default();
+/// command::note_pause(&mut roster, Key(0), 2_000, 0);
+/// assert!(!query::is_paused(&roster, Key(0), 0));
+/// ```
+pub fn note_pause(roster: &mut Roster, key: Key, pause_ms: u64, now_ms: u64) {
+    if let Some(condition) = roster.conditions.get_mut(&key) {
+        condition.pause = Some(Pause {
+            until_ms: now_ms + pause_ms,
+            next_ms: 0,
+        });
+    }
+}
+
+/// Records that a target accepted a request of this router, which ends the return after a pause that is over.
+pub fn note_accepted(roster: &mut Roster, key: Key, now_ms: u64) {
+    if let Some(condition) = roster.conditions.get_mut(&key) {
+        condition.pause = condition.pause.filter(|pause| now_ms < pause.until_ms);
+    }
+}
+
 /// Records what a target stated of its limit in the answer to a request that was sent at `sent_ms`; `per_s` is `None` if
 /// it stated none. Returns whether a limit began or ended.
 ///
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -86,6 +86,26 @@
         && !roster.evacuated.contains(&target.zone)
 }
 
+/// Returns whether a target wants no requests of this router now.
+pub fn is_paused(roster: &Roster, key: Key, now_ms: u64) -> bool {
+    pause_ms(roster, key, now_ms).is_some()
+}
+
+/// Returns the rest of the time in which a target wants no requests of this router, in milliseconds.
+fn pause_ms(roster: &Roster, key: Key, now_ms: u64) -> Option<u64> {
+    let pause = roster.conditions.get(&key)?.pause?;
+    let left_ms = pause.until_ms.saturating_sub(now_ms);
+    (left_ms > 0).then_some(left_ms)
+}
+
+/// Returns the shortest time until a target of a pool takes requests of this router again, in milliseconds; `None` unless all
+/// eligible ones want none.
+pub fn shortest_pause_ms(roster: &Roster, pool: &str, now_ms: u64) -> Option<u64> {
+    let pauses = eligible(roster, pool, now_ms).into_iter();
+    let pauses: Option<Vec<u64>> = pauses.map(|key| pause_ms(roster, key, now_ms)).collect();
+    pauses?.into_iter().min()
+}
+
 /// Returns whether a target is in backoff after transport errors, so that it is used last.
 pub fn is_in_backoff(roster: &Roster, key: Key, now_ms: u64) -> bool {
     let condition = roster.conditions.get(&key);
@@ -266,6 +286,7 @@
         .table
         .iter_pool(criteria.pool)
         .filter(|(key, _)| is_eligible(roster, *key, now_ms) && !criteria.tried.contains(key))
+        .filter(|(key, _)| !is_paused(roster, *key, now_ms))
         .filter(|(_, target)| criteria.builds.is_none_or(|it| it.contains(&target.build)))
         .map(|(key, target)| Candidate {
             key,
--- a/crates/gateway/src/answer/selection.rs
+++ b/crates/gateway/src/answer/selection.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rand::Rng;
 use sardinemux_core::roster::query::{self, Criteria};
 use sardinemux_core::target::{Key, Target};
 
@@ -16,6 +17,9 @@
 /// The largest number of other gateways through which one request is sent.
 const THROUGH_MAX: usize = 3;
 
+/// The share of a pause by which callers return later than it ends.
+const PAUSE_SPREAD: f64 = 0.2;
+
 /// The interval at which a waiting request looks for a free slot.
 const SLOT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -46,6 +50,7 @@
                     continue;
                 }
                 self.record_denial("no_target");
+                self.retry_after = self.pause();
                 return Err(self.failure(self.reason));
             };
             let key = in_flight.key;
@@ -99,7 +104,19 @@
 
     /// Returns whether a target may get new requests.
     pub(super) fn is_eligible(&self, key: Key) -> bool {
-        query::is_eligible(&self.gateway.roster.lock(), key, self.gateway.now_ms())
+        let now_ms = self.gateway.now_ms();
+        let roster = self.gateway.roster.lock();
+        query::is_eligible(&roster, key, now_ms) && !query::is_paused(&roster, key, now_ms)
+    }
+
+    /// Returns the time after which the caller may return, if all targets of the pool want no requests now. It is spread, so that
+    /// callers that were refused together do not return together.
+    fn pause(&self) -> Option<Duration> {
+        let now_ms = self.gateway.now_ms();
+        let roster = self.gateway.roster.lock();
+        let pause_ms = query::shortest_pause_ms(&roster, &self.inbound.pool, now_ms)?;
+        let spread = 1.0 + rand::rng().random_range(0.0..PAUSE_SPREAD);
+        Some(Duration::from_millis(pause_ms).mul_f64(spread))
     }
 
     /// Returns the eligible targets that have not been tried, the best one first.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -480,6 +480,7 @@
         return not_run(Reason::NoTarget, true);
     }
     statement::record_leaving(gateway, key, headers);
+    statement::record_pause(gateway, key, &head);
     if headers.contains_key(&dialect.not_run) {
         statement::record_limit(gateway, &in_flight, &head);
         statement::record_brittleness(gateway, &in_flight, &head);
@@ -494,6 +495,8 @@
     }
     statement::record_limit(gateway, &in_flight, &head);
     statement::record_brittleness(gateway, &in_flight, &head);
+    let now_ms = gateway.now_ms();
+    command::note_accepted(&mut gateway.roster.lock(), key, now_ms);
     if let (true, Some(prefix_id)) = (head.status.is_success(), inbound.prompt.prefix_id()) {
         gateway.holders.lock().put(prefix_id, in_flight.key);
     }
--- a/crates/gateway/src/attempt/statement.rs
+++ b/crates/gateway/src/attempt/statement.rs
@@ -1,8 +1,11 @@
 //! What targets state of themselves in the heads of their answers: load, cold time, limits, brittleness, and that they leave.
 
-use hyper::header::HeaderName;
+use std::time::Duration;
+
+use hyper::header::{HeaderName, RETRY_AFTER};
 use hyper::http::response::Parts;
-use hyper::HeaderMap;
+use hyper::{HeaderMap, StatusCode};
+use rand::Rng;
 use sardinemux_core::leaving;
 use sardinemux_core::roster::{command, query};
 use sardinemux_core::target::Key;
@@ -33,6 +36,58 @@
     count_leaving(gateway, "answer", 1);
 }
 
+/// The longest pause that is heeded. A target that wants none for longer states that again.
+const PAUSE_MAX: Duration = Duration::from_secs(30);
+
+/// The share of a pause by which requests may return later than it ends, so that gateways do not return at once.
+const PAUSE_SPREAD: f64 = 0.2;
+
+/// Returns the delay of a `Retry-After` header: seconds, which may have a fraction. Source: RFC 9110, section 10.2.3. A date is not
+/// read, since clocks of instances are not compared.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use sardinemux_gateway::attempt::statement;
+///
+/// assert_eq!(statement::parse_retry_after("1.5"), Some(Duration::from_millis(1_500)));
+/// assert_eq!(statement::parse_retry_after("86400"), Some(Duration::from_secs(30)));
+/// assert_eq!(statement::parse_retry_after("-1"), None);
+/// assert_eq!(statement::parse_retry_after("Fri, 31 Dec 1999 23:59:59 GMT"), None);
+/// ```
+pub fn parse_retry_after(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    let is_delay = seconds.is_finite() && seconds >= 0.0;
+    is_delay.then(|| Duration::from_secs_f64(seconds.min(PAUSE_MAX.as_secs_f64())))
+}
+
+/// Records for how long a target that turns a request away wants none of this gateway, if the head of its answer states that.
+pub(super) fn record_pause(gateway: &Gateway, key: Key, head: &Parts) {
+    let stated = head.headers.get(RETRY_AFTER);
+    let Some(value) = stated.filter(|_| head.status == StatusCode::SERVICE_UNAVAILABLE) else {
+        return;
+    };
+    let Some(delay) = value.to_str().ok().and_then(parse_retry_after) else {
+        log::info!(value:? = value; "ignoring the Retry-After of a target, which is no number of seconds");
+        return;
+    };
+    let spread = 1.0 + rand::rng().random_range(0.0..PAUSE_SPREAD);
+    let pause_ms = delay.mul_f64(spread).as_millis() as u64;
+    let now_ms = gateway.now_ms();
+    let mut roster = gateway.roster.lock();
+    let was_paused = query::is_paused(&roster, key, now_ms);
+    command::note_pause(&mut roster, key, pause_ms, now_ms);
+    let target_id = query::target(&roster, key).map(|target| target.id.clone());
+    drop(roster);
+    gateway.metrics.pauses.inc();
+    if !was_paused {
+        let target_id = target_id.unwrap_or_default();
+        log::info!(target_id:% = target_id, pause_ms = pause_ms; "target wants no request for a time");
+    }
+}
+
 /// Records that targets leave, as they stated to another gateway.
 pub fn receive_leaving(gateway: &Gateway, notices: &[leaving::Notice]) {
     let now_ms = gateway.now_ms();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -72,6 +72,8 @@
     pub suspected_crashes: IntCounter,
     /// Targets that stated that they leave, by source: an `answer`, or another `gateway`.
     pub leaving_targets: IntCounterVec,
+    /// Rejections with which targets stated for how long they want no requests.
+    pub pauses: IntCounter,
     /// The version of the catalogue in force.
     pub catalog_version: IntGauge,
     /// The latest era of the store that is known; zero if the store states none.
@@ -150,6 +152,10 @@
                     "Targets that stated in answers that they leave",
                     &["source"],
                 )?,
+                pauses: IntCounter::new(
+                    "gateway_target_pauses_total",
+                    "Rejections of targets with Retry-After",
+                )?,
                 catalog_version: IntGauge::new(
                     "gateway_catalog_version",
                     "The version of the catalogue in force",
@@ -171,7 +177,7 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
@@ -183,6 +189,7 @@
             Box::new(metrics.held_parts.clone()),
             Box::new(metrics.suspected_crashes.clone()),
             Box::new(metrics.leaving_targets.clone()),
+            Box::new(metrics.pauses.clone()),
             Box::new(metrics.catalog_version.clone()),
             Box::new(metrics.store_era.clone()),
             Box::new(metrics.restored_entries.clone()),
--- /dev/null
+++ b/crates/gateway/tests/pauses.rs
@@ -0,0 +1,96 @@
+//! Tests of targets that turn requests away and state for how long they want none.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+#[path = "support/harness.rs"]
+mod harness;
+
+use harness::header;
+use harness::mock::{Behaviour, MockTarget};
+use harness::TestGateway;
+use rstest::rstest;
+
+/// The number of requests that are sent in a row.
+const REQUESTS: usize = 10;
+
+const PAUSED: &str =
+    "HTTP/1.1 503 P\r\nx-not-run: 1\r\nretry-after: 20\r\ncontent-length: 0\r\n\r\n";
+
+const RAN: &str = "HTTP/1.1 503 P\r\nx-id: {id}\r\nx-signature: s\r\nretry-after: 20.5\r\ncontent-length: 1\r\n\r\ne";
+
+const DATE: &str = "HTTP/1.1 503 P\r\nx-not-run: 1\r\nretry-after: Fri, 31 Dec 2100 23:59:59 GMT\r\ncontent-length: 0\r\n\r\n";
+
+const NEGATIVE: &str =
+    "HTTP/1.1 503 P\r\nx-not-run: 1\r\nretry-after: -5\r\ncontent-length: 0\r\n\r\n";
+
+const OTHER_STATUS: &str =
+    "HTTP/1.1 429 P\r\nx-not-run: 1\r\nretry-after: 20\r\ncontent-length: 0\r\n\r\n";
+
+/// A target that states a pause must get no further request of this gateway, of whatever kind; a value that is no delay
+/// changes nothing.
+#[rstest]
+#[case::rejected("/safe/", PAUSED, 1)]
+#[case::rejected_unsafe("/unsafe/", PAUSED, 1)]
+#[case::rejected_stream("/resumable/", PAUSED, 1)]
+#[case::ran("/unsafe/", RAN, 1)]
+#[case::date("/unsafe/", DATE, REQUESTS)]
+#[case::negative("/unsafe/", NEGATIVE, REQUESTS)]
+#[case::other_status("/unsafe/", OTHER_STATUS, REQUESTS)]
+#[tokio::test]
+async fn verify_stated_pause_is_kept(
+    #[case] path: &str,
+    #[case] answer: &'static str,
+    #[case] expected: usize,
+) {
+    let target = MockTarget::start(Behaviour::Raw(answer)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    for _ in 0..REQUESTS {
+        let answer = gateway.call("GET", path, "", "").await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    }
+    assert_eq!(target.request_count(), expected);
+}
+
+/// A caller that no target may serve now is refused at once, with the time after which one may.
+#[tokio::test]
+async fn verify_caller_is_told_when_a_target_takes_requests_again() {
+    let target = MockTarget::start(Behaviour::Raw(PAUSED)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    gateway.call("GET", "/unsafe/", "", "").await;
+    let answer = gateway.call("GET", "/unsafe/", "", "").await;
+    let delay: f64 = header(&answer, "retry-after").unwrap().parse().unwrap();
+    assert!((15.0..=30.0).contains(&delay), "{delay}");
+}
+
+/// Requests go on at other targets, also the one that was turned away.
+#[tokio::test]
+async fn verify_requests_go_on_at_other_targets() {
+    let paused = MockTarget::start(Behaviour::Raw(PAUSED)).await;
+    let other = MockTarget::start(Behaviour::Answer).await;
+    let gateway = TestGateway::start(&[&paused, &other], true).await;
+    for _ in 0..REQUESTS {
+        let answer = gateway.call("GET", "/unsafe/", "", "").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert!(paused.request_count() <= 1);
+}
+
+/// Requests return one by one after a pause, until the target has accepted one.
+#[test]
+fn verify_requests_return_gradually_after_a_pause() {
+    use sardinemux_core::roster::{command, query, Roster, Shares};
+    let mut roster = Roster::default();
+    let target = harness::announcement("t0", "127.0.0.1:1");
+    let key = command::apply_announcement(&mut roster, target, 0);
+    command::note_pause(&mut roster, key, 1_000, 0);
+    let shares = Shares::default();
+    assert!(!command::start_request(&mut roster, key, shares, 999));
+    assert_eq!(query::shortest_pause_ms(&roster, "p", 400), Some(600));
+    let mut started = 0;
+    for now_ms in (1_000..2_000).step_by(10) {
+        started += usize::from(command::start_request(&mut roster, key, shares, now_ms));
+    }
+    assert_eq!(started, 5);
+    command::note_accepted(&mut roster, key, 2_000);
+    assert!((0..5).all(|_| command::start_request(&mut roster, key, shares, 2_000)));
+}
