Bound the numbers of odd entries and answers before they are added to the clock

Reported by other operators as processes that end by themselves or stop following a list, after another writer's odd entry. Whether it can happen here: Cause: an entry with a cold time, or an answer with a cold time or Keep-Alive, beyond what can be added to the clock ended the task that added it where sums are checked, and in the case of Keep-Alive and of a desired state's times everywhere.

--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -11,6 +11,9 @@
 use crate::target::Key;
 use crate::token_bucket::TokenBucket;
 
+/// The longest time for which a target counts as cold without a further statement, in milliseconds.
+const COLD_MS_MAX: u64 = 3_600_000;
+
 /// Adds or updates a target from its announcement, and returns its key. A new lifetime discards all earlier state.
 ///
 /// # Examples
@@ -56,7 +59,9 @@
     condition.missing_since_ms = None;
     condition.restored_until_ms = 0;
     if cold_ms > 0 {
-        condition.cold_until_ms = condition.cold_until_ms.max(now_ms + cold_ms);
+        condition.cold_until_ms = condition
+            .cold_until_ms
+            .max(now_ms + cold_ms.min(COLD_MS_MAX));
     }
     key
 }
@@ -189,7 +194,7 @@
         if let Some(condition) = roster.conditions.get_mut(&key) {
             condition.cold_until_ms = condition
                 .cold_until_ms
-                .max(now_ms + cold_ms(target.pool.as_str()));
+                .max(now_ms + cold_ms(target.pool.as_str()).min(COLD_MS_MAX));
         }
     }
     roster.evacuated = evacuated;
@@ -198,7 +203,9 @@
 /// Records that a target stated that it is cold for `cold_ms`.
 pub fn note_cold(roster: &mut Roster, key: Key, cold_ms: u64, now_ms: u64) {
     if let Some(condition) = roster.conditions.get_mut(&key) {
-        condition.cold_until_ms = condition.cold_until_ms.max(now_ms + cold_ms);
+        condition.cold_until_ms = condition
+            .cold_until_ms
+            .max(now_ms + cold_ms.min(COLD_MS_MAX));
     }
 }
 
--- a/crates/gateway/src/attempt/answer.rs
+++ b/crates/gateway/src/attempt/answer.rs
@@ -164,11 +164,15 @@
     }
 }
 
+/// The longest time for which an idle connection is kept, whatever its target states.
+const KEEP_ALIVE_MAX: Duration = Duration::from_secs(3_600);
+
 /// Returns the timeout of a `Keep-Alive: timeout=N` header, which is in whole seconds.
 fn parse_keep_alive(head: &Parts) -> Option<Duration> {
     let value = head.headers.get("keep-alive")?.to_str().ok()?;
     let seconds = value
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    let seconds: u64 = seconds.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds).min(KEEP_ALIVE_MAX))
 }
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -298,3 +298,36 @@
     };
     time::timeout(Duration::from_secs(5), closed).await.unwrap();
 }
+
+/// A target that writes an earlier refusal once more has other requests said not to have run, or sent to a second target.
+#[rstest]
+#[case::of_a_request("HTTP/1.1 503 F\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\nHTTP/1.1 503 F\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")]
+#[case::of_a_status_check("HTTP/1.1 503 F\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\nHTTP/1.1 503 F\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")]
+#[case::after_an_answer("HTTP/1.1 200 O\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 6\r\n\r\nanswerHTTP/1.1 503 F\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")]
+#[tokio::test]
+async fn verify_refusal_that_is_written_again_refuses_no_other_request(
+    #[case] answer: &'static str,
+) {
+    let faulty = MockTarget::start(Behaviour::Raw(answer)).await;
+    let gateway = TestGateway::start(&[&faulty], true).await;
+    let has_run = answer.starts_with("HTTP/1.1 200");
+    for number in 0..8 {
+        let sent = faulty.request_count();
+        let (method, path) = [("GET", "/safe/"), ("POST", "/unsafe/")][number % 2];
+        let told = gateway.call(method, path, "", "").await;
+        let arrived = faulty.request_count() - sent;
+        let expected = if has_run { "200" } else { "503" };
+        assert!(told.starts_with(&format!("HTTP/1.1 {expected}")), "{told}");
+        assert_eq!(arrived, 1, "{told}");
+    }
+}
+
+/// A stated time that cannot be added to the clock would end the task that does so, and the answer with it.
+#[tokio::test]
+async fn verify_odd_keep_alive_ends_no_answer() {
+    let answer = "HTTP/1.1 200 O\r\nx-id: {id}\r\nx-signature: s\r\nx-cold: 18446744073709551615\r\nkeep-alive: timeout=18446744073709551615\r\ncontent-length: 6\r\n\r\nanswer";
+    let target = MockTarget::start(Behaviour::Raw(answer)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", "/unsafe/", "", "").await;
+    assert!(answer.ends_with("answer"), "{answer}");
+}
