Accept only an answer of the same status in place of one that has begun

Reported by other operators: an error of the next replica in the middle of a stream. By reading, the own interface: a chat whose head had arrived and whose stream then broke off before its first part was sent to another engine, whose head was dropped whatever its status, so that the text of a rejection counted as content. Change: the head of a further dispatch must have the status of the first one, else the dispatch has broken off.

--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -376,3 +376,39 @@
     assert!(answer.contains("id: 1\n"), "{answer:?}");
     assert!(!looks_complete(&answer), "{answer:?}");
 }
+
+/// The text of another target's error, or its head, is no part of a stream that has begun.
+#[rstest]
+#[case::server_error(
+    "HTTP/1.1 500 E\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 5\r\n\r\nOUCH!"
+)]
+#[case::unavailable(
+    "HTTP/1.1 503 E\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 5\r\n\r\nOUCH!"
+)]
+#[case::not_found(
+    "HTTP/1.1 404 E\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 5\r\n\r\nOUCH!"
+)]
+#[case::too_many(
+    "HTTP/1.1 429 E\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 5\r\n\r\nOUCH!"
+)]
+#[case::until_close(
+    "HTTP/1.0 500 E\r\nx-id: {id}\r\nx-signature: s\r\nconnection: close\r\n\r\nOUCH!"
+)]
+#[case::page("HTTP/1.1 200 O\r\nx-id: {id}\r\nx-signature: s\r\ncontent-type: text/html\r\ncontent-length: 12\r\n\r\n<p>OUCH!</p>")]
+#[case::json("HTTP/1.1 200 O\r\nx-id: {id}\r\nx-signature: s\r\ncontent-type: application/json\r\ncontent-length: 12\r\n\r\n{\"e\":\"OUCH\"}")]
+#[case::error_as_event("HTTP/1.1 200 O\r\nx-id: {id}\r\nx-signature: s\r\ncontent-type: text/event-stream\r\ncontent-length: 13\r\n\r\ndata: OUCH!\n\n")]
+#[case::head_in_the_body("HTTP/1.1 200 O\r\nx-id: {id}\r\nx-signature: s\r\ncontent-type: text/event-stream\r\ncontent-length: 54\r\n\r\nid: 3\ndata: x\n\nHTTP/1.1 500 E\r\ncontent-length: 5\r\n\r\nOUCH")]
+#[case::wrong_event("HTTP/1.1 200 O\r\nx-id: {id}\r\nx-signature: s\r\ncontent-type: text/event-stream\r\ncontent-length: 19\r\n\r\nid: 7\ndata: OUCH!\n\n")]
+#[tokio::test]
+async fn verify_error_of_the_next_target_is_no_part_of_a_stream(#[case] error: &'static str) {
+    let first = MockTarget::start(Behaviour::BreakStream).await;
+    let next = MockTarget::start(Behaviour::Raw(error)).await;
+    let gateway = TestGateway::start(&[&first, &next], true).await;
+    for _ in 0..4 {
+        let answer = gateway.call("POST", "/resumable/", "", "p").await;
+        let has_begun = answer.contains("data: a");
+        assert!(!has_begun || !answer.contains("OUCH"), "{answer}");
+        assert!(!has_begun || !answer.contains("HTTP/1.1 500"), "{answer}");
+        assert!(!has_begun || !looks_complete(&answer), "{answer}");
+    }
+}
--- a/crates/proof/tests/path.rs
+++ b/crates/proof/tests/path.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use sardinemux_proof::fleet::{Fleet, Settings};
 use sardinemux_proof::matrix::{self, Told};
-use sardinemux_standin::engine::routes::{ENDLESS_FIELD, FATAL_FIELD};
+use sardinemux_standin::engine::routes::{ENDLESS_FIELD, FATAL_FIELD, REJECTING_FIELD, REJECTION};
 use sardinemux_standin::service::BROKEN_EVENTS;
 use sardinemux_wire::caller::{ErrorBody, ErrorKind};
 use sardinemux_wire::header;
@@ -207,6 +207,42 @@
     assert_eq!(accepted, 2);
 }
 
+/// The chats of which some must begin at an engine that crashes, before another one rejects them.
+const REJECTED_CHATS: usize = 10;
+
+/// How long an engine that crashed is away.
+const RESTART: Duration = Duration::from_secs(1);
+
+/// The text of another engine's rejection is no part of an answer that has begun.
+#[tokio::test]
+async fn verify_rejection_of_another_engine_is_no_part_of_an_answer() {
+    let settings = Settings {
+        engines: 2,
+        ..small()
+    };
+    let fleet = Fleet::start(settings).await.unwrap();
+    let chats = format!("http://{}/v1/chat/completions", fleet.routers[0].entry);
+    let mut begun = 0;
+    for number in 0..REJECTED_CHATS {
+        let message = json!([{"role": "user", "content": format!("hello {number}")}]);
+        let rejecting = format!("engine{}", number % 2);
+        let body = json!({
+            "model": "sardine-7b", "messages": message, "stream": true, REJECTING_FIELD: rejecting,
+        });
+        let request = fleet.client.post(&chats).bearer_auth(fleet.key(0));
+        let response = request.json(&body).send().await.unwrap();
+        if response.status() != StatusCode::OK {
+            continue;
+        }
+        begun += 1;
+        let text = response.text().await.unwrap();
+        assert!(!text.contains(REJECTION), "{text}");
+        assert!(!text.contains("[DONE]"), "{text}");
+        tokio::time::sleep(RESTART).await;
+    }
+    assert!(begun > 0);
+}
+
 /// The engine that streams a chat is killed. The chat goes on at the other engine of its build, if there is one.
 #[rstest]
 #[case::none(2)]
--- a/crates/router/src/entry/forwarding.rs
+++ b/crates/router/src/entry/forwarding.rs
@@ -114,8 +114,8 @@
     retry_after_ms: Option<u64>,
     /// The target of a failed dispatch, which comes last in the next passes.
     avoided: Option<Key>,
-    /// Whether the head was already returned; the heads of further dispatches are dropped.
-    has_head: bool,
+    /// The status of the answer, once its head has been returned.
+    status: Option<u16>,
     last_target: Option<SmolStr>,
     /// Whether the current dispatch has delivered a part.
     has_part: bool,
@@ -143,7 +143,7 @@
             last_reason: Reason::NoTarget,
             retry_after_ms: None,
             avoided: None,
-            has_head: false,
+            status: None,
             last_target: None,
             has_part: false,
             build: None,
@@ -253,7 +253,7 @@
                 self.handle_refusal(refusal);
                 Ok(None)
             }
-            Ok(Body::Head(head)) => Ok(self.handle_head(head)),
+            Ok(Body::Head(head)) => self.handle_head(head).await,
             Ok(Body::Part(part)) => self.handle_part(part).await,
             Ok(Body::End(end)) => self.handle_end(end).await,
             Ok(Body::Failed { outcome, reason }) => {
@@ -274,13 +274,18 @@
         }
     }
 
-    fn handle_head(&mut self, head: Head) -> Option<Event> {
-        if self.has_head {
-            return None;
+    /// Handles the head of an answer. The answer of a further target goes on with the one that has begun only if it has the same
+    /// status: the body of an error is no part of an answer.
+    async fn handle_head(&mut self, head: Head) -> std::result::Result<Option<Event>, Failure> {
+        match self.status {
+            None => {
+                self.status = Some(head.status);
+                self.silent = None;
+                Ok(Some(Event::Head(head)))
+            }
+            Some(status) if status == head.status => Ok(None),
+            Some(_) => self.recover_broken_stream(Reason::Crossed).await,
         }
-        self.has_head = true;
-        self.silent = None;
-        Some(Event::Head(head))
     }
 
     async fn handle_part(&mut self, part: Part) -> std::result::Result<Option<Event>, Failure> {
--- a/crates/router/src/entry/forwarding/resolution.rs
+++ b/crates/router/src/entry/forwarding/resolution.rs
@@ -59,8 +59,8 @@
     pub(super) fn queue_kept_answer(&mut self, kept: ServiceAnswer) {
         let total = kept.body.len() as u64;
         let offset = self.cursor.offset() as usize;
-        if !self.has_head {
-            self.has_head = true;
+        if self.status.is_none() {
+            self.status = Some(kept.status);
             self.pending.push_back(Event::Head(Head {
                 status: kept.status,
                 content_type: kept.content_type,
--- a/crates/standin/src/engine/routes.rs
+++ b/crates/standin/src/engine/routes.rs
@@ -25,6 +25,15 @@
 /// A field of a chat under which the engine restarts as soon as the chat holds a slot.
 pub const FATAL_FIELD: &str = "crash_engine";
 
+/// A field of a chat with the id of an engine, which rejects the chat. All other engines restart after the head of their answer.
+pub const REJECTING_FIELD: &str = "rejecting_engine";
+
+/// The time in which the head of an answer arrives.
+const HEAD_TIME: Duration = Duration::from_millis(50);
+
+/// What a rejecting engine answers.
+pub const REJECTION: &str = "rejected by the engine";
+
 /// A field of a chat under which the engine sends one event that never ends.
 pub const ENDLESS_FIELD: &str = "endless_event";
 
@@ -104,6 +113,10 @@
     let Ok(chat) = ChatRequest::parse(&body) else {
         return Reply::buffered(400, "text/plain", b"the body is not a chat".to_vec());
     };
+    let rejecting = chat.rest.get(REJECTING_FIELD);
+    if rejecting.is_some_and(|id| *id == *engine.settings.id) {
+        return Reply::buffered(400, "text/plain", REJECTION.into());
+    }
     let progress = begin_request(&engine);
     let incarnation = engine.stats.lock().incarnation;
     let generation = *engine.generation.borrow();
@@ -153,6 +166,13 @@
             slot = engine.slots.acquire(priority) => progress.assign_slot(slot),
             _ = restarts.wait_for(|current| *current != generation) => return,
         }
+        if chat.rest.contains_key(REJECTING_FIELD) {
+            // The comment lets the head of the answer arrive before the connection ends.
+            yield b": begun\n\n".to_vec();
+            time::sleep(HEAD_TIME).await;
+            engine.restart();
+            return;
+        }
         if chat.rest.contains_key(FATAL_FIELD) {
             engine.restart();
             return;
