--- a/crates/proof/src/ports.rs
+++ b/crates/proof/src/ports.rs
@@ -1,8 +1,8 @@
 //! Free ports on the loopback interface.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU16, Ordering};
 
+use parking_lot::Mutex;
 use snafu::ResultExt;
 
 use crate::errors::{IoSnafu, Result};
@@ -13,24 +13,64 @@
 /// The ports that are tried.
 const COUNT: u16 = 18_000;
 
-/// The ports between where one process and the next one begin to search: more than a fleet takes, as a port that was
-/// found free is taken only when its process has started.
-const STRIDE: u16 = 977;
+/// The ports of a block. One process at a time takes ports of a block: more than a fleet needs.
+const BLOCK: u16 = 900;
 
-/// Where the search goes on; processes of the same machine begin at different places.
-static NEXT: AtomicU16 = AtomicU16::new(0);
+/// The block of this process. It is held by a listener on its first port, so that no other process takes a port that was found free
+/// and whose process has not started yet.
+struct Block {
+    first: u16,
+    next: u16,
+    _lock: TcpListener,
+}
 
-/// Returns where a process begins to search, counted from the first port.
-///
-/// # Examples
-///
-/// ```
-/// use sardinemux_proof::ports;
-///
-/// assert!(ports::begin(4_001).abs_diff(ports::begin(4_000)) >= 500);
-/// ```
-pub fn begin(process: u32) -> u16 {
-    (process as u16).wrapping_mul(STRIDE) % COUNT
+static HELD: Mutex<Option<Block>> = Mutex::new(None);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Takes a block that no other process holds. The search begins at one that depends on the process.
+fn take_block() -> std::io::Result<Block> {
+    let blocks = COUNT / BLOCK;
+    let begin = std::process::id() as u16 % blocks;
+    let mut last = None;
+    for index in 0..blocks {
+        let first = FIRST + (begin + index) % blocks * BLOCK;
+        match TcpListener::bind(address(first)) {
+            Ok(lock) => {
+                return Ok(Block {
+                    first,
+                    next: 1,
+                    _lock: lock,
+                })
+            }
+            Err(error) => last = Some(error),
+        }
+    }
+    Err(last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
+}
+
+impl Block {
+    /// Returns the next ports that are free, from the beginning of the block again after its end.
+    fn find(&mut self, count: u16) -> std::io::Result<Vec<SocketAddr>> {
+        let mut last = Ok(());
+        for _ in 0..BLOCK {
+            if self.next + count > BLOCK {
+                self.next = 1;
+            }
+            let first = self.first + self.next;
+            self.next += count;
+            let addresses: Vec<SocketAddr> = (first..first + count).map(address).collect();
+            last = addresses
+                .iter()
+                .try_for_each(|address| TcpListener::bind(address).map(drop));
+            if last.is_ok() {
+                return Ok(addresses);
+            }
+        }
+        last.map(|()| Vec::new())
+    }
 }
 
 /// Returns free addresses with consecutive ports.
@@ -47,23 +87,13 @@
 /// # Ok::<(), sardinemux_proof::errors::Error>(())
 /// ```
 pub fn free(count: u16) -> Result<Vec<SocketAddr>> {
-    let own = begin(std::process::id());
-    let mut last = Ok(());
-    for _ in 0..COUNT {
-        let next = NEXT.fetch_add(count, Ordering::SeqCst);
-        let first = FIRST + (own.wrapping_add(next)) % (COUNT - count);
-        let addresses: Vec<SocketAddr> = (first..first + count)
-            .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
-            .collect();
-        last = addresses
-            .iter()
-            .try_for_each(|address| TcpListener::bind(address).map(|_| ()));
-        if last.is_ok() {
-            return Ok(addresses);
-        }
-    }
-    last.context(IoSnafu {
-        what: "looking for free ports",
-    })?;
-    Ok(Vec::new())
+    let what = "looking for free ports";
+    let mut held = HELD.lock();
+    let mut block = match held.take() {
+        Some(block) => block,
+        None => take_block().context(IoSnafu { what })?,
+    };
+    let found = block.find(count);
+    *held = Some(block);
+    found.context(IoSnafu { what })
 }
