--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -60,7 +60,7 @@
                 }
             }
             for (gateway, roster) in rosters.iter_mut().enumerate() {
-                if now_ms % 500 == 0 {
+                if now_ms.is_multiple_of(500) {
                     for (index, lifetime) in lifetimes.iter().enumerate() {
                         command::apply_announcement(roster, announce(index, *lifetime), now_ms);
                     }
@@ -91,7 +91,7 @@
                     command::note_leaving(roster, key, now_ms);
                 }
             }
-            if now_ms % ROUND_MS == 0 {
+            if now_ms.is_multiple_of(ROUND_MS) {
                 exchange(&mut rosters, &mut random, now_ms);
             }
             if now_ms == 1_000 + DRAIN_MS {
--- a/crates/core/tests/origin.rs
+++ b/crates/core/tests/origin.rs
@@ -349,7 +349,10 @@
         build: "v2".into(),
     };
     command::begin(&mut register, origin.clone(), 0);
-    assert_eq!(command::take_records(&mut register, 10), [origin.clone()]);
+    assert_eq!(
+        command::take_records(&mut register, 10),
+        std::slice::from_ref(&origin)
+    );
     let version = restored
         .as_ref()
         .map_or(0, |stored| stored.position.version);
--- a/crates/gateway/tests/restore.rs
+++ b/crates/gateway/tests/restore.rs
@@ -183,7 +183,7 @@
                     "a catalogue went back"
                 );
             }
-            if self.now_ms % reports::PERIOD_MS == 0 {
+            if self.now_ms.is_multiple_of(reports::PERIOD_MS) {
                 self.report();
             }
         }
--- a/crates/proof/src/bin/sardinemux-soak.rs
+++ b/crates/proof/src/bin/sardinemux-soak.rs
@@ -60,6 +60,19 @@
                 .conflicts_with("fatal-requests")
                 .help("Let gateways lose their paths to all replicas at times"),
         )
+        .arg(
+            Arg::new("restores")
+                .long("restores")
+                .num_args(0)
+                .conflicts_with("fatal-requests")
+                .help("Let the store come back from older copies, and replicas state that they leave or want no requests"),
+        )
+        .arg(
+            Arg::new("former")
+                .long("former")
+                .value_name("PROGRAM")
+                .help("The gateway's program of an earlier build; gateways change between it and the present one"),
+        )
         .arg(
             Arg::new("fatal-requests")
                 .long("fatal-requests")
@@ -122,8 +135,10 @@
             callers: count("callers"),
             has_sound_targets: matches.get_flag("sound-targets"),
             has_isolations: matches.get_flag("isolations"),
+            has_restores: matches.get_flag("restores"),
             ..Settings::default()
         };
+        settings.fleet.former_program = matches.get_one::<String>("former").cloned();
         settings.fleet.gateways = count("gateways");
         settings.fleet.engines = count("engines");
         settings.fleet.services = count("services");
--- a/crates/proof/src/gateways.rs
+++ b/crates/proof/src/gateways.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 use reqwest::Client;
 use sardinemux_platform::store::Store;
@@ -56,6 +56,12 @@
     client: Client,
     processes: Mutex<IndexMap<String, Process>>,
     version: AtomicU64,
+    /// What operators and replicas last wrote, by table and key.
+    written: Mutex<IndexMap<(String, String), Option<String>>>,
+    /// The start of each replica's present process, as its entry states it.
+    births: Mutex<IndexMap<usize, u64>>,
+    /// The gateways that run the earlier build.
+    former: Mutex<IndexSet<usize>>,
     folder: PathBuf,
     keeps_logs: AtomicBool,
 }
@@ -200,7 +206,18 @@
     pub fn start_gateway(&self, index: usize) -> Result<()> {
         let file = self.write_settings(index, 8_000)?;
         let arguments = vec!["--settings".to_owned(), file];
-        self.start_process(&self.gateways[index].name, "sardinemux-front", arguments)
+        let former = self.settings.former_program.as_deref();
+        let former = former.filter(|_| self.former.lock().contains(&index));
+        let program = former.unwrap_or("sardinemux-front");
+        self.start_process(&self.gateways[index].name, program, arguments)
+    }
+
+    /// Changes the build that a gateway runs from its next start on, where there is an earlier one.
+    pub fn change_build(&self, index: usize) {
+        let mut former = self.former.lock();
+        if !former.shift_remove(&index) && self.settings.former_program.is_some() {
+            former.insert(index);
+        }
     }
 
     /// Returns whether a gateway says that it is ready.
--- a/crates/proof/src/gateways/caller.rs
+++ b/crates/proof/src/gateways/caller.rs
@@ -114,6 +114,8 @@
     pub took_ms: u64,
     /// What the caller was told.
     pub told: Told,
+    /// The id of the replica that answered, from its stamp; empty if there was no answer of one.
+    pub replica: String,
     /// Whether the caller took up a stream.
     pub is_resumption: bool,
 }
@@ -169,7 +171,9 @@
         let id = format!("{:08x}{number:08x}", std::process::id());
         let sent_ms = unix_ms();
         let limit = Duration::from_millis(DEADLINE_MS) + MARGIN;
-        let told = time::timeout(limit, self.exchange(kind, subject, &id, broken)).await;
+        let mut replica = String::new();
+        let exchange = self.exchange(kind, subject, &id, broken, &mut replica);
+        let told = time::timeout(limit, exchange).await;
         let told = told.unwrap_or(Told::Silence);
         if told != Told::Whole && !matches!(told, Told::Failed { .. }) {
             self.sender = None;
@@ -181,6 +185,7 @@
             sent_ms,
             took_ms: unix_ms().saturating_sub(sent_ms),
             told,
+            replica,
             is_resumption: broken.is_some(),
         }
     }
@@ -230,6 +235,7 @@
         subject: u64,
         id: &str,
         broken: Option<&Broken>,
+        replica: &mut String,
     ) -> Told {
         let Some(request) = self.request(kind, subject, id, broken) else {
             return Told::Unreached;
@@ -246,6 +252,9 @@
                 }
             }
         };
+        if let Some(stamp) = response.headers().get(header::RESPONSE_STAMP) {
+            *replica = String::from_utf8_lossy(stamp.as_bytes()).into_owned();
+        }
         let expected = match kind.is_stream() {
             true => self.expected_streams(broken),
             false => vec![Expected {
--- a/crates/proof/src/gateways/check.rs
+++ b/crates/proof/src/gateways/check.rs
@@ -62,6 +62,22 @@
         /// How long after the users' bound, in milliseconds.
         late_ms: u64,
     },
+    /// A gateway sent a request to a replica that had stated in an answer which that gateway passed on that it leaves.
+    Stated {
+        /// The request.
+        id: String,
+        /// The replica.
+        replica: String,
+    },
+    /// A replica that had stated for how long it wants no requests got too many.
+    Paused {
+        /// The replica.
+        replica: String,
+        /// The requests that came.
+        arrivals: usize,
+        /// The users' bound.
+        bound: usize,
+    },
     /// A revoked key was still in use after the users' bound.
     Revoked {
         /// The request.
@@ -115,6 +131,22 @@
             Self::Left { replica, late_ms } => {
                 write!(formatter, "{replica} got work {late_ms} ms too late")
             }
+            Self::Stated { id, replica } => {
+                write!(
+                    formatter,
+                    "{id} reached {replica}, which had stated that it leaves"
+                )
+            }
+            Self::Paused {
+                replica,
+                arrivals,
+                bound,
+            } => {
+                write!(
+                    formatter,
+                    "{replica} got {arrivals} requests in a pause that it had stated, {bound} are allowed"
+                )
+            }
             Self::Revoked { id } => write!(formatter, "{id} was served with a revoked key"),
             Self::Repeated { late } => {
                 write!(
@@ -284,3 +316,71 @@
     })
     .collect()
 }
+
+/// A replica that states in its answers that it leaves, from a time on until it starts anew, in Unix milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stating {
+    /// The replica.
+    pub replica: String,
+    /// From when its answers state that.
+    pub from_ms: u64,
+    /// Until when.
+    pub until_ms: u64,
+}
+
+/// Returns the requests that a gateway sent to a replica although it had passed on an answer in which that replica stated that it
+/// leaves, longer than `bound_ms` before. `is_excused` states whether a gateway was started or stood still between two times.
+pub fn stated(
+    outcomes: &[Outcome],
+    stating: &[Stating],
+    bound_ms: u64,
+    is_excused: impl Fn(usize, u64, u64) -> bool,
+) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    for Stating {
+        replica,
+        from_ms,
+        until_ms,
+    } in stating
+    {
+        let from_it = outcomes.iter().filter(|it| it.replica == *replica);
+        for outcome in from_it.clone() {
+            let told = from_it.clone().filter(|it| {
+                it.gateway == outcome.gateway && it.sent_ms >= *from_ms && it.told == Told::Whole
+            });
+            let told_ms = told.map(|it| it.sent_ms + it.took_ms).min();
+            let is_late = told_ms.is_some_and(|told_ms| {
+                (told_ms + bound_ms..*until_ms).contains(&outcome.sent_ms)
+                    && !is_excused(outcome.gateway, told_ms, outcome.sent_ms)
+            });
+            if is_late {
+                breaches.push(Breach::Stated {
+                    id: outcome.id.clone(),
+                    replica: replica.clone(),
+                });
+            }
+        }
+    }
+    breaches
+}
+
+/// The time after a rejection with Retry-After in which requests may still arrive, in milliseconds.
+const PAUSE_KNOWN_MS: u64 = 500;
+
+/// The users' number of requests of one gateway that may arrive after that.
+const SLIPS_MAX: usize = 2;
+
+/// Returns whether a replica got too many requests in a pause that it had stated. Each of the gateways, and each that started or stood
+/// still meanwhile (`restarts`), learns of the pause by a rejection of its own, and a few may be under way then.
+pub fn paused(replica: &str, stats: &Stats, gateways: usize, restarts: usize) -> Option<Breach> {
+    let first_ms = stats.refusals_ms.first()?.0;
+    let late = stats.refusals_ms.iter();
+    let arrivals = late.filter(|(at_ms, _)| *at_ms > first_ms + PAUSE_KNOWN_MS);
+    let arrivals = arrivals.count();
+    let bound = (SLIPS_MAX + 1) * (gateways + restarts);
+    (arrivals > bound).then(|| Breach::Paused {
+        replica: replica.to_owned(),
+        arrivals,
+        bound,
+    })
+}
--- a/crates/proof/src/gateways/layout.rs
+++ b/crates/proof/src/gateways/layout.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use parking_lot::Mutex;
 use sardinemux_platform::store::Store;
 use snafu::ResultExt;
@@ -47,6 +48,9 @@
     /// Whether the replicas of the plain service crash under requests with [`FATAL_BODY`](super::FATAL_BODY). They are
     /// listed with their own addresses then, as the proxy would accept connections for one that has crashed.
     pub has_fatal_requests: bool,
+    /// The gateway's program of an earlier build, which all gateways run at first. Each start after a graceful stop or a kill changes
+    /// the build.
+    pub former_program: Option<String>,
 }
 
 impl Default for Settings {
@@ -63,6 +67,7 @@
             pause_percent: 0,
             brittle: 0,
             has_fatal_requests: false,
+            former_program: None,
         }
     }
 }
@@ -167,6 +172,13 @@
             client: client::build()?,
             processes: Mutex::default(),
             version: AtomicU64::new(0),
+            written: Mutex::default(),
+            births: Mutex::default(),
+            former: Mutex::new(match settings.former_program {
+                // The gateways of an earlier build are replaced one after the other.
+                Some(_) => (0..settings.gateways).collect(),
+                None => IndexSet::new(),
+            }),
             settings,
             gateways,
             replicas,
--- a/crates/proof/src/gateways/operator.rs
+++ b/crates/proof/src/gateways/operator.rs
@@ -66,6 +66,31 @@
     /// Writes a row, again until the store takes it; returns when it did, in Unix milliseconds.
     async fn write(&self, table: &str, key: &str, value: Option<Value>) -> Result<u64> {
         let value = value.map(|value| value.to_string());
+        let id = (table.to_owned(), key.to_owned());
+        self.written.lock().insert(id, value.clone());
+        self.write_value(table, key, value).await
+    }
+
+    /// Writes again what operators and replicas have written, after the store came back from an older copy.
+    ///
+    /// # Errors
+    ///
+    /// Never; the writes are repeated until they are taken.
+    pub async fn write_again(&self) -> Result<()> {
+        let written = self.written.lock().clone();
+        for (table, key) in written.into_keys() {
+            // A later write may have come in the meantime.
+            let latest = self
+                .written
+                .lock()
+                .get(&(table.clone(), key.clone()))
+                .cloned();
+            self.write_value(&table, &key, latest.flatten()).await?;
+        }
+        Ok(())
+    }
+
+    async fn write_value(&self, table: &str, key: &str, value: Option<String>) -> Result<u64> {
         loop {
             let change = Change {
                 table,
@@ -146,12 +171,23 @@
 
     fn row(&self, index: usize, state: &str, crashes: usize) -> Value {
         let place = &self.replicas[index];
+        let birth = self.births.lock().get(&index).copied().unwrap_or_default();
         json!({
             "Service": place.pool, "Address": place.listed.to_string(), "Zone": place.zone, "Version": place.build, "Slots": 8,
-            "State": state, "ColdLeftMs": 0, "CallSeq": 0, "born": crashes + 1,
+            "State": state, "ColdLeftMs": 0, "CallSeq": 0, "born": crashes as u64 + 1 + birth,
         })
     }
 
+    /// Lists a replica as a later process with the same id; returns when the store took it, in Unix milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Never; the write is repeated until it is taken.
+    pub async fn list_reborn(&self, index: usize) -> Result<u64> {
+        *self.births.lock().entry(index).or_default() += 1;
+        self.list(index, false).await
+    }
+
     /// Takes a replica off the list; returns when the store took it, in Unix milliseconds.
     ///
     /// # Errors
--- a/crates/proof/src/soak.rs
+++ b/crates/proof/src/soak.rs
@@ -42,6 +42,9 @@
 /// How long a replica that left stays away.
 const AWAY: Duration = Duration::from_millis(KNOWN_MS + STRETCH_MS + 1_000);
 
+/// The time after a restore until operators and replicas write again.
+const WRITE_AGAIN: Duration = Duration::from_millis(300);
+
 /// The pause between a process's end and its start.
 const RESTART: Duration = Duration::from_millis(300);
 
@@ -64,6 +67,8 @@
     pub has_sound_targets: bool,
     /// Whether gateways lose their paths to all replicas at times.
     pub has_isolations: bool,
+    /// Whether the store comes back from older copies, and replicas state that they leave or want no requests, at times.
+    pub has_restores: bool,
     /// The fleet.
     pub fleet: Parts,
 }
@@ -77,6 +82,7 @@
             callers: 3,
             has_sound_targets: false,
             has_isolations: false,
+            has_restores: false,
             fleet: Parts {
                 gateways: 5,
                 services: 3,
@@ -109,6 +115,13 @@
     pub breaches: Vec<Breach>,
 }
 
+/// What a step leaves to be checked.
+#[derive(Clone, Debug)]
+enum Trace {
+    Left(Leaving),
+    Stated(check::Stating),
+}
+
 /// A replica that left, and from when it must get nothing, in Unix milliseconds.
 #[derive(Clone, Copy, Debug)]
 struct Leaving {
@@ -146,7 +159,14 @@
         time::sleep_until(begun + step.at).await;
         act(fleet, step).await
     });
-    let leaving: Vec<Leaving> = try_join_all(steps).await?.into_iter().flatten().collect();
+    let traces = try_join_all(steps).await?.into_iter().flatten();
+    let (mut leaving, mut stating) = (Vec::new(), Vec::new());
+    for trace in traces {
+        match trace {
+            Trace::Left(left) => leaving.push(left),
+            Trace::Stated(stated) => stating.push(stated),
+        }
+    }
     fleet.wait_ready().await?;
     time::sleep(RECOVER).await;
     let back_ms = unix_ms();
@@ -161,7 +181,16 @@
     let stats: Vec<Stats> = join_all(stats).await.into_iter().collect::<Result<_>>()?;
     let all: Vec<Outcome> = outcomes.iter().chain(&fatal_outcomes).cloned().collect();
     let mut breaches = check::always(&all, &stats);
-    breaches.extend(late_work(fleet, &stats, &leaving));
+    // Gateways of the earlier build know neither eras nor what replicas state in their answers.
+    let has_former = settings.has_restores && settings.fleet.former_program.is_some();
+    if !has_former {
+        breaches.extend(late_work(fleet, &stats, &leaving));
+        let is_excused = |gateway, from_ms, until_ms| {
+            is_interrupted(&plan, begun_ms, gateway, from_ms, until_ms)
+        };
+        breaches.extend(check::stated(&outcomes, &stating, KNOWN_MS, is_excused));
+        breaches.extend(paused(fleet, &plan, &stats));
+    }
     breaches.extend(unrecovered(&outcomes, back_ms));
     breaches.extend(check::isolated(&outcomes, &isolated(&plan, begun_ms)));
     breaches.extend(check::fallen(&stats[settings.fleet.engines..]));
@@ -202,6 +231,38 @@
     times.collect()
 }
 
+/// Returns whether a step of the plan ends or suspends a gateway between two times, in Unix milliseconds.
+fn is_interrupted(plan: &Plan, begun_ms: u64, gateway: usize, from_ms: u64, until_ms: u64) -> bool {
+    plan.steps.iter().any(|step| {
+        let span = step.span();
+        let begin_ms = begun_ms + span.start.as_millis() as u64;
+        let end_ms = begun_ms + span.end.as_millis() as u64;
+        let is_own = match step.action {
+            Action::Kill(index) | Action::Terminate(index) | Action::Freeze(index) => {
+                index == gateway
+            }
+            Action::KillAll => true,
+            _ => false,
+        };
+        is_own && begin_ms <= until_ms && end_ms + RESTART.as_millis() as u64 >= from_ms
+    })
+}
+
+/// Returns the replicas that got too many requests in a pause that they had stated.
+fn paused(fleet: &Fleet, plan: &Plan, stats: &[Stats]) -> Vec<Breach> {
+    let gateways = fleet.gateways.len();
+    let restarts = plan.steps.iter().map(|step| match step.action {
+        Action::Kill(_) | Action::Terminate(_) | Action::Freeze(_) => 1,
+        Action::KillAll => gateways,
+        _ => 0,
+    });
+    let restarts: usize = restarts.sum();
+    let replicas = fleet.replicas.iter().zip(stats);
+    let breaches =
+        replicas.filter_map(|(place, stats)| check::paused(&place.id, stats, gateways, restarts));
+    breaches.collect()
+}
+
 /// Returns the number of requests that take up a stream, and of those that were served.
 fn resumptions(outcomes: &[Outcome]) -> (usize, usize) {
     let taken_up = outcomes.iter().filter(|outcome| outcome.is_resumption);
@@ -252,11 +313,12 @@
 }
 
 /// Carries a step out and takes it back when its time is over.
-async fn act(fleet: &Fleet, step: &Step) -> Result<Option<Leaving>> {
+async fn act(fleet: &Fleet, step: &Step) -> Result<Option<Trace>> {
     match step.action {
         Action::Kill(index) => {
             fleet.kill(&fleet.gateways[index].name);
             time::sleep(RESTART).await;
+            fleet.change_build(index);
             fleet.start_gateway(index)?;
         }
         Action::KillAll => {
@@ -271,6 +333,7 @@
         Action::Terminate(index) => {
             fleet.terminate(&fleet.gateways[index].name).await?;
             time::sleep(RESTART).await;
+            fleet.change_build(index);
             fleet.start_gateway(index)?;
         }
         Action::Freeze(index) => {
@@ -302,7 +365,21 @@
             time::sleep(step.lasts).await;
             fleet.set_replica_faults(index, Faults::default()).await?;
         }
-        Action::Leave(index) => return leave(fleet, index).await.map(Some),
+        Action::Leave(index) => return leave(fleet, index).await.map(Trace::Left).map(Some),
+        Action::Restore(age_ms) => restore(fleet, age_ms, step.lasts).await?,
+        Action::State(index) => {
+            let stated = state(fleet, index, step.span().end - step.at).await?;
+            return Ok(Some(Trace::Stated(stated)));
+        }
+        Action::Pause(index) => {
+            let faults = Faults {
+                pause_until_ms: unix_ms() + step.lasts.as_millis() as u64,
+                ..Faults::default()
+            };
+            fleet.set_replica_faults(index, faults).await?;
+            time::sleep(step.lasts).await;
+            fleet.set_replica_faults(index, Faults::default()).await?;
+        }
         Action::Configure(timeout_ms) => {
             let desired = Desired {
                 timeout_ms,
@@ -325,6 +402,39 @@
     fleet.set_fault(address, Fault::None).await
 }
 
+/// Takes the store away and lets it come back from a copy, without what was written since. Operators and replicas write that again.
+async fn restore(fleet: &Fleet, age_ms: u64, away: Duration) -> Result<()> {
+    let faults = platform::Faults {
+        is_down: true,
+        ..platform::Faults::default()
+    };
+    fleet.set_store_faults(faults).await?;
+    time::sleep(away / 4).await;
+    fleet.restore_store(Duration::from_millis(age_ms)).await?;
+    fleet.set_store_faults(platform::Faults::default()).await?;
+    time::sleep(WRITE_AGAIN).await;
+    fleet.write_again().await
+}
+
+/// Lets a replica state in its answers that it leaves, and then start anew with the same id.
+async fn state(fleet: &Fleet, replica: usize, lasts: Duration) -> Result<check::Stating> {
+    let faults = Faults {
+        is_leaving: true,
+        ..Faults::default()
+    };
+    fleet.set_replica_faults(replica, faults).await?;
+    let from_ms = unix_ms();
+    time::sleep(lasts).await;
+    fleet.set_replica_faults(replica, Faults::default()).await?;
+    let until_ms = unix_ms();
+    fleet.list_reborn(replica).await?;
+    Ok(check::Stating {
+        replica: fleet.replicas[replica].id.clone(),
+        from_ms,
+        until_ms,
+    })
+}
+
 async fn leave(fleet: &Fleet, replica: usize) -> Result<Leaving> {
     let confirmed_ms = fleet.list(replica, true).await?;
     time::sleep(AWAY).await;
--- a/crates/proof/src/soak/plan.rs
+++ b/crates/proof/src/soak/plan.rs
@@ -20,6 +20,12 @@
 /// The share of the faults that take a gateway its paths to all replicas, where there are such.
 const ISOLATIONS: f64 = 0.3;
 
+/// The share of the faults that are restores of the store, or statements of replicas, where there are such.
+const RESTORES: f64 = 0.4;
+
+/// The age of a copy from which the store comes back, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 300..4_000;
+
 /// One fault or planned change.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
@@ -49,6 +55,12 @@
     Leave(usize),
     /// A new version of the desired state, with another time-out in milliseconds.
     Configure(u64),
+    /// The store is away, and comes back from a copy of this age in milliseconds.
+    Restore(u64),
+    /// A replica states in its answers that it leaves, and starts anew.
+    State(usize),
+    /// A replica turns requests away for a time that it states.
+    Pause(usize),
 }
 
 /// An action and when it begins.
@@ -115,7 +127,8 @@
             Some(("process", index))
         }
         Action::HangUp(index) | Action::Isolate(index, _) => Some(("process", index)),
-        Action::HarmStore(_) => Some(("store", 0)),
+        Action::HarmStore(_) | Action::Restore(_) => Some(("store", 0)),
+        Action::State(_) | Action::Pause(_) => None,
         Action::HarmStorePath(index, _) => Some(("store path", index)),
         Action::HarmReplicaPath(index, _) => Some(("replica path", index)),
         Action::HarmReplica(index, _) => Some(("replica", index)),
@@ -137,6 +150,7 @@
         Action::HarmReplicaPath(..) | Action::HarmReplica(..) => false,
         Action::Terminate(_) | Action::HangUp(_) | Action::Leave(_) | Action::Configure(_) => true,
         Action::HarmStore(_) | Action::ForgetHistory | Action::HarmStorePath(..) => true,
+        Action::Restore(_) | Action::State(_) | Action::Pause(_) => true,
     }
 }
 
@@ -149,13 +163,23 @@
 fn harms_replicas(action: Action) -> bool {
     matches!(
         action,
-        Action::HarmReplicaPath(..) | Action::HarmReplica(..) | Action::Leave(_)
+        Action::HarmReplicaPath(..)
+            | Action::HarmReplica(..)
+            | Action::Leave(_)
+            | Action::State(_)
+            | Action::Pause(_)
     )
 }
 
 /// The shortest time for which a gateway has no paths: more than the time in which it may find out.
 pub const ISOLATED_MIN: Duration = Duration::from_secs(8);
 
+/// The shortest time for which a replica states that it leaves: more than the users' bound on that.
+pub const STATED_MIN: Duration = Duration::from_secs(4);
+
+/// The time after a restore in which operators and replicas write again.
+const WRITTEN_AGAIN: Duration = Duration::from_secs(2);
+
 /// The longest time that a graceful stop takes.
 const STOP: Duration = Duration::from_secs(10);
 
@@ -166,17 +190,38 @@
             Action::Terminate(_) | Action::Leave(_) => STOP,
             Action::Kill(_) | Action::KillAll => Duration::from_secs(1),
             Action::Isolate(..) => self.lasts + ISOLATED_MIN,
+            Action::State(_) => self.lasts + STATED_MIN,
+            Action::Restore(_) => self.lasts + WRITTEN_AGAIN,
             _ => self.lasts,
         };
         self.at..self.at + lasts
     }
 }
 
+/// Returns the replica that an action concerns itself, rather than the path to it.
+fn replica_of(action: Action) -> Option<usize> {
+    match action {
+        Action::HarmReplica(index, _) | Action::Leave(index) => Some(index),
+        Action::State(index) | Action::Pause(index) => Some(index),
+        _ => None,
+    }
+}
+
+/// Returns whether a replica states something in its answers by an action, which no other action on it may end.
+fn states_something(action: Action) -> bool {
+    matches!(action, Action::State(_) | Action::Pause(_))
+}
+
 fn conflicts(earlier: &Step, later: &Step) -> bool {
     let kills_all = [earlier.action, later.action].contains(&Action::KillAll);
     if kills_all && is_on_process(earlier.action) && is_on_process(later.action) {
         return later.at <= earlier.span().end;
     }
+    let (states, acts) = (replica_of(earlier.action), replica_of(later.action));
+    let is_statement = states_something(earlier.action) || states_something(later.action);
+    if is_statement && states.is_some() && states == acts {
+        return later.at <= earlier.span().end;
+    }
     let subject_of = subject(earlier.action);
     subject_of.is_some() && subject_of == subject(later.action) && later.at <= earlier.span().end
 }
@@ -199,6 +244,13 @@
         let ways = [Isolation::Silent, Isolation::Reset, Isolation::New];
         return Action::Isolate(gateway, ways[random.random_range(0..ways.len())]);
     }
+    if settings.has_restores && random.random_bool(RESTORES) {
+        return match random.random_range(0..4) {
+            0 | 1 => Action::Restore(random.random_range(COPY_AGE_MS)),
+            2 => Action::State(replica),
+            _ => Action::Pause(replica),
+        };
+    }
     match random.random_range(0..kinds) {
         0 => Action::Kill(gateway),
         1 => Action::Terminate(gateway),
--- a/crates/proof/tests/soak.rs
+++ b/crates/proof/tests/soak.rs
@@ -119,3 +119,24 @@
     );
     report
 }
+
+/// Gateways that compare versions of two lives of the store, or do not read what replicas state in their answers, send requests to
+/// replicas that leave or want none.
+#[rstest]
+#[case::one_build(8_100, 1)]
+#[case::two_builds(8_101, 2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_restores_and_statements_of_replicas_break_no_promise(
+    #[case] seed: u64,
+    #[case] builds: usize,
+) {
+    let mut settings = Settings {
+        seed,
+        faults: 14,
+        has_restores: true,
+        ..Settings::default()
+    };
+    settings.fleet.builds = builds;
+    let report = run(&settings).await;
+    assert!(report.served > report.sent / 4);
+}
