--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -5,7 +5,7 @@
 #[path = "support/harness.rs"]
 mod harness;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use harness::mock::{Behaviour, MockTarget};
 use harness::{announcement, entry, exchange, request, settings, source_of, spawn, TestGateway};
@@ -17,6 +17,8 @@
 use sardinemux_gateway::replication;
 use sardinemux_gateway::source::{Batch, Topic};
 use sardinemux_gateway::supplement::Supplement;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 #[path = "support/peer.rs"]
 mod peer;
@@ -182,3 +184,38 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// Accepts connections, resets those with requests, and rejects status checks as a target that leaves.
+async fn serve_status_only(listener: TcpListener) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = [0; 4_096];
+        let count = stream.read(&mut bytes).await.unwrap_or_default();
+        if bytes[..count].starts_with(b"GET /status ") {
+            let answer = OWN_REJECTION.replace("{own}", "t0");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        } else {
+            stream.set_zero_linger().unwrap();
+        }
+    }
+}
+
+/// A gateway that checks whether its paths are lost reads the statement in the answer to the check.
+#[tokio::test]
+async fn verify_statement_in_a_status_check_ends_requests() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve_status_only(listener));
+    let settings = settings();
+    let (caller, ready) = (settings.caller_address, settings.ready_address);
+    let target = announcement("t0", &address.to_string());
+    let source = source_of(vec![target], Some(harness::definition()));
+    let gateway = spawn(settings, source);
+    harness::wait_until_serving(caller, ready).await;
+    let request = request("POST", "/unsafe/", "", "");
+    let until = Instant::now() + Duration::from_secs(10);
+    while is_eligible(&gateway) {
+        assert!(Instant::now() < until, "the statement was not read");
+        exchange(caller, &request).await;
+    }
+}
--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -209,3 +209,35 @@
         assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     }
 }
+
+const LEAVING: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\nx-leaving: 1\r\ncontent-length: 6\r\n\r\nanswer";
+
+/// A target that states in an answer to another gateway that it leaves gets no request of the gateway that has lost its paths.
+#[tokio::test]
+async fn verify_statement_in_an_answer_through_another_gateway_ends_requests() {
+    let leaving = MockTarget::start(Behaviour::Raw(LEAVING)).await;
+    let mut reached = vec![leaving.address];
+    let mut unreached = Vec::new();
+    let (mut targets, mut dead_ends) = (Vec::new(), Vec::new());
+    for _ in 1..TARGETS {
+        let target = MockTarget::start(Behaviour::Answer).await;
+        reached.push(target.address);
+        targets.push(target);
+    }
+    for _ in 0..TARGETS {
+        let dead_end = DeadEnd::new(Cut::Refused).await;
+        unreached.push(dead_end.address);
+        dead_ends.push(dead_end);
+    }
+    let (cut_off, other) = (named("g0"), named("g1"));
+    start_gateway(&other, &reached, &[&cut_off]).await;
+    start_gateway(&cut_off, &unreached, &[&other]).await;
+    let mut served = 0;
+    for number in 0..60 {
+        let answer = call(cut_off.caller_address, "/unsafe/", number).await;
+        assert!(!answer.contains("x-leaving"), "{answer}");
+        served += usize::from(looks_complete(&answer));
+    }
+    assert!(served >= 40, "{served}");
+    assert_eq!(leaving.request_count(), 1);
+}
--- a/crates/proof/tests/restore.rs
+++ b/crates/proof/tests/restore.rs
@@ -92,6 +92,13 @@
     }
 }
 
+async fn assert_no_late_work(fleet: &Fleet, leaving: usize, confirmed_ms: u64) {
+    let stats = fleet.stats(leaving).await.unwrap();
+    let id = &fleet.replicas[leaving].id;
+    let late = check::left(id, &stats, confirmed_ms, KNOWN_MS, unix_ms());
+    assert_eq!(late, []);
+}
+
 async fn assert_revoked(fleet: &Fleet) {
     for (index, gateway) in fleet.gateways.iter().enumerate() {
         let mut caller = Caller::new(index, gateway.callers, REVOKED_KEY, EVENTS);
@@ -141,12 +148,7 @@
     assert_revoked(&fleet).await;
     time::sleep(Duration::from_millis(KNOWN_MS)).await;
     let outcomes = load.end().await;
-    let stats = fleet.stats(leaving).await.unwrap();
-    let id = &fleet.replicas[leaving].id;
-    assert_eq!(
-        check::left(id, &stats, confirmed_ms, KNOWN_MS, unix_ms()),
-        []
-    );
+    assert_no_late_work(&fleet, leaving, confirmed_ms).await;
     assert!(outcomes.iter().any(|outcome| outcome.told == Told::Whole));
 }
 
@@ -205,3 +207,49 @@
     fleet.wait_ready().await.unwrap();
     assert_revoked(&fleet).await;
 }
+
+/// Gateways that are all killed after a restore know nothing of the time before: what operators write then must be in force in time.
+#[tokio::test]
+async fn verify_change_after_a_restore_and_the_end_of_all_gateways_is_in_force_in_time() {
+    let fleet = start().await;
+    let leaving = fleet.settings.engines;
+    write_much(&fleet, leaving).await;
+    fleet.restore_store(AGE).await.unwrap();
+    for gateway in &fleet.gateways {
+        fleet.kill(&gateway.name);
+    }
+    for index in 0..fleet.gateways.len() {
+        fleet.start_gateway(index).unwrap();
+    }
+    fleet.wait_ready().await.unwrap();
+    let load = Load::start(&fleet, 2, 9);
+    fleet.configure(&WITHOUT_SECOND_KEY).await.unwrap();
+    let confirmed_ms = fleet.list(leaving, true).await.unwrap();
+    time::sleep(Duration::from_millis(KNOWN_MS)).await;
+    assert_revoked(&fleet).await;
+    time::sleep(Duration::from_millis(KNOWN_MS)).await;
+    let outcomes = load.end().await;
+    assert_no_late_work(&fleet, leaving, confirmed_ms).await;
+    assert!(outcomes.iter().any(|outcome| outcome.told == Told::Whole));
+}
+
+/// Gateways that are cut off from the store get what is written after a restore from the others, and hold back none of them.
+#[tokio::test]
+async fn verify_change_after_a_restore_reaches_gateways_that_are_cut_off() {
+    let fleet = start().await;
+    let leaving = fleet.settings.engines;
+    write_much(&fleet, leaving).await;
+    let load = Load::start(&fleet, 2, 10);
+    for gateway in fleet.gateways.iter().step_by(2) {
+        fleet.set_fault(gateway.store, Fault::Cut).await.unwrap();
+    }
+    restore(&fleet).await;
+    fleet.configure(&WITHOUT_SECOND_KEY).await.unwrap();
+    let confirmed_ms = fleet.list(leaving, true).await.unwrap();
+    time::sleep(Duration::from_millis(KNOWN_MS)).await;
+    assert_revoked(&fleet).await;
+    time::sleep(Duration::from_millis(KNOWN_MS)).await;
+    let outcomes = load.end().await;
+    assert_no_late_work(&fleet, leaving, confirmed_ms).await;
+    assert!(outcomes.iter().any(|outcome| outcome.told == Told::Whole));
+}
