Keep what a target stated while its entry is away from the list

Cause: the pause, and with it limits, cold time, backoff and the requests in flight, was kept in a condition that was dropped with the target's entry. When the entry lapsed (the store is away, comes back older, or the target is cut off from it) and returned with the same id and lifetime, the condition began empty. A statement that arrived while the entry was away was dropped as well.

Change: a removed target keeps its key and condition for 60 s, or as long as its pause lasts, and takes them up if the same process is listed again; at most 4,096 are kept. A later process begins anew, and a target at whose address another process answered is tried again, as before.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -120,6 +120,16 @@
     pub(crate) backoff_until_ms: u64,
 }
 
+/// A target that is no longer listed. Its process may still run, as entries expire while the list cannot be written, so that its
+/// condition is kept for a time, under its key.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Removed {
+    pub(crate) key: Key,
+    pub(crate) lifetime: u64,
+    /// When it was removed, in milliseconds.
+    pub(crate) at_ms: u64,
+}
+
 /// A time in which a target wants no requests of this router, and the return of requests after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Pause {
@@ -216,8 +226,8 @@
     pub(crate) reports: IndexMap<SmolStr, Report>,
     pub(crate) brittle: IndexMap<SmolStr, Brittleness>,
     pub(crate) leaving: leaving::Register,
-    /// The lifetimes of the targets that were removed last, oldest first.
-    pub(crate) removed: IndexMap<SmolStr, u64>,
+    /// The targets that were removed last, by id, oldest first.
+    pub(crate) removed: IndexMap<SmolStr, Removed>,
 }
 
 impl Roster {
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -5,16 +5,17 @@
 
 use super::{
     query, Announcement, BrittleNotice, Brittleness, Condition, Evidence, LimitNotice, Pause,
-    RemoteLoad, Report, Roster, Shares, Statement,
+    RemoteLoad, Removed, Report, Roster, Shares, Statement,
 };
 use crate::leaving;
-use crate::target::Key;
+use crate::target::{Key, Target};
 use crate::token_bucket::TokenBucket;
 
 /// The longest time for which a target counts as cold without a further statement, in milliseconds.
 const COLD_MS_MAX: u64 = 3_600_000;
 
-/// Adds or updates a target from its announcement, and returns its key. A new lifetime discards all earlier state.
+/// Adds or updates a target from its announcement, and returns its key. A new lifetime discards all earlier state; a target that
+/// was removed and returns with the same lifetime has the same key and condition as before.
 ///
 /// # Examples
 ///
@@ -50,10 +51,10 @@
             .get(&known_key)
             .map(|known| known.lifetime);
         if known_lifetime != Some(lifetime) {
-            drop_target(roster, &target.id);
+            drop_target(roster, &target.id, now_ms);
         }
     }
-    let key = roster.table.put(target);
+    let key = put_target(roster, target, lifetime);
     let condition = roster.conditions.entry(key).or_default();
     condition.lifetime = lifetime;
     condition.missing_since_ms = None;
@@ -66,8 +67,26 @@
     key
 }
 
-/// The largest number of removed targets whose lifetimes are kept.
-const REMOVED_MAX: usize = 512;
+/// Adds a target to the table, under its former key if the same process was removed before.
+fn put_target(roster: &mut Roster, target: Target, lifetime: u64) -> Key {
+    let removed = roster.removed.get(&target.id).copied();
+    let returning = removed.filter(|removed| removed.lifetime == lifetime);
+    let key = returning.map(|removed| removed.key);
+    let condition = key.and_then(|key| roster.conditions.get_mut(&key));
+    let Some((key, condition)) = key.zip(condition) else {
+        return roster.table.put(target);
+    };
+    condition.is_address_taken = false;
+    roster.removed.shift_remove(&target.id);
+    roster.table.restore(key, target);
+    key
+}
+
+/// The largest number of removed targets that are kept.
+const REMOVED_MAX: usize = 4_096;
+
+/// How long the condition of a removed target is kept at least, in milliseconds. A pause keeps it until the pause is over.
+const REMOVED_TTL_MS: u64 = 60_000;
 
 /// Applies the announcement of a target from the first list of an older copy of the platform's store, which may lack what the
 /// target has written since. Nothing that was known before is taken back:
@@ -107,7 +126,7 @@
     let id = announcement.target.id.clone();
     let Some(key) = query::key(roster, &id) else {
         let removed = roster.removed.get(&id).copied();
-        let was_removed = removed.is_some_and(|lifetime| announcement.lifetime <= lifetime);
+        let was_removed = removed.is_some_and(|it| announcement.lifetime <= it.lifetime);
         let key = apply_announcement(roster, announcement, now_ms);
         let restored_ms = roster.settings.restored_ms;
         if let Some(condition) = roster.conditions.get_mut(&key).filter(|_| was_removed) {
@@ -131,7 +150,7 @@
 /// [`Settings::relist_ms`](super::Settings::relist_ms) states.
 pub fn remove_target(roster: &mut Roster, id: &str, is_relisting: bool, now_ms: u64) {
     if !is_relisting {
-        drop_target(roster, id);
+        drop_target(roster, id, now_ms);
         return;
     }
     let key = roster.table.key(id);
@@ -140,18 +159,33 @@
     }
 }
 
-fn drop_target(roster: &mut Roster, id: &str) {
+fn drop_target(roster: &mut Roster, id: &str, now_ms: u64) {
     let Some(key) = roster.table.key(id) else {
         return;
     };
     roster.table.remove(id);
-    let Some(condition) = roster.conditions.swap_remove(&key) else {
+    let Some(lifetime) = query::lifetime(roster, key) else {
         return;
     };
     if roster.removed.len() >= REMOVED_MAX {
-        roster.removed.shift_remove_index(0);
+        forget_removed(roster, 0);
+    }
+    if let Some(index) = roster.removed.get_index_of(id) {
+        forget_removed(roster, index);
+    }
+    let removed = Removed {
+        key,
+        lifetime,
+        at_ms: now_ms,
+    };
+    roster.removed.insert(id.into(), removed);
+}
+
+/// Discards a removed target and its condition.
+fn forget_removed(roster: &mut Roster, index: usize) {
+    if let Some((_, removed)) = roster.removed.shift_remove_index(index) {
+        roster.conditions.swap_remove(&removed.key);
     }
-    roster.removed.insert(id.into(), condition.lifetime);
 }
 
 /// Removes every target that a complete list does not contain, as [`remove_target`] does.
@@ -334,12 +368,11 @@
 /// assert!(!command::note_leaving(&mut roster, Key(7), 0));
 /// ```
 pub fn note_leaving(roster: &mut Roster, key: Key, now_ms: u64) -> bool {
-    let lifetime = query::lifetime(roster, key);
-    let target = roster.table.get(key);
-    let Some((target, lifetime)) = target.zip(lifetime) else {
+    let id = query::id(roster, key).cloned();
+    let Some((id, lifetime)) = id.zip(query::lifetime(roster, key)) else {
         return false;
     };
-    roster.leaving.note(&target.id, lifetime, now_ms)
+    roster.leaving.note(&id, lifetime, now_ms)
 }
 
 /// Takes over the statements of targets that they leave, which another router knows. Returns the ids of the targets of which
@@ -522,8 +555,9 @@
         .map(|(_, target)| target.id.clone())
         .collect();
     for id in &expired {
-        drop_target(roster, id);
+        drop_target(roster, id, now_ms);
     }
+    remove_expired_conditions(roster, now_ms);
     let Roster {
         table,
         conditions,
@@ -537,3 +571,19 @@
     leaving.remove_expired(is_listed, now_ms);
     expired
 }
+
+/// Removes the conditions of targets that were removed long ago. Their lifetimes are kept.
+fn remove_expired_conditions(roster: &mut Roster, now_ms: u64) {
+    let Roster {
+        removed,
+        conditions,
+        ..
+    } = roster;
+    for target in removed.values() {
+        let pause = conditions.get(&target.key).and_then(|known| known.pause);
+        let pause_end_ms = pause.map_or(0, |pause| pause.until_ms);
+        if now_ms >= pause_end_ms.max(target.at_ms + REMOVED_TTL_MS) {
+            conditions.swap_remove(&target.key);
+        }
+    }
+}
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -44,6 +44,13 @@
     roster.table.key(id)
 }
 
+/// Returns the id of the target with this key, which may have been removed.
+pub fn id(roster: &Roster, key: Key) -> Option<&SmolStr> {
+    let listed = roster.table.get(key).map(|target| &target.id);
+    let mut removed = roster.removed.iter();
+    listed.or_else(|| removed.find(|(_, it)| it.key == key).map(|(id, _)| id))
+}
+
 /// Returns the lifetime of a target's process.
 pub fn lifetime(roster: &Roster, key: Key) -> Option<u64> {
     roster
@@ -92,7 +99,7 @@
 }
 
 /// Returns the rest of the time in which a target wants no requests of this router, in milliseconds.
-fn pause_ms(roster: &Roster, key: Key, now_ms: u64) -> Option<u64> {
+pub fn pause_ms(roster: &Roster, key: Key, now_ms: u64) -> Option<u64> {
     let pause = roster.conditions.get(&key)?.pause?;
     let left_ms = pause.until_ms.saturating_sub(now_ms);
     (left_ms > 0).then_some(left_ms)
--- a/crates/core/src/target.rs
+++ b/crates/core/src/target.rs
@@ -84,7 +84,36 @@
         key
     }
 
-    /// Removes and returns a target. If its id is added again, it gets a new key.
+    /// Adds a target that was removed before under the key that it had then.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::target::{Kind, Table, Target};
+    ///
+    /// let mut table = Table::default();
+    /// let engine = Target {
+    ///     id: "e1".into(),
+    ///     kind: Kind::Engine,
+    ///     pool: "model".into(),
+    ///     address: "127.0.0.1:1".into(),
+    ///     zone: "z1".into(),
+    ///     region: "r1".into(),
+    ///     slots: 8,
+    ///     leaving: false,
+    ///     build: "v1".into(),
+    /// };
+    /// let key = table.put(engine.clone());
+    /// table.remove("e1");
+    /// table.restore(key, engine);
+    /// assert_eq!(table.key("e1"), Some(key));
+    /// ```
+    pub fn restore(&mut self, key: Key, target: Target) {
+        self.keys.insert(target.id.clone(), key);
+        self.targets.insert(key, target);
+    }
+
+    /// Removes and returns a target. If its id is put again, it gets a new key.
     pub fn remove(&mut self, id: &str) -> Option<Target> {
         let key = self.keys.swap_remove(id)?;
         self.targets.swap_remove(&key)
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -424,22 +424,27 @@
     is_restored: bool,
     now_ms: u64,
 ) {
-    let target = &announcement.target;
-    let known = query::key(roster, &target.id).and_then(|key| query::target(roster, key));
-    if known != Some(target) {
-        log::info!(
-            target_id:% = target.id, pool:% = target.pool, zone:% = target.zone,
-            address:% = target.address, build:% = target.build, lifetime = announcement.lifetime,
-            cold_ms = announcement.cold_ms, is_leaving = target.leaving, is_restored = is_restored;
-            "target announced"
-        );
-    }
+    let target = announcement.target.clone();
+    let is_known =
+        query::key(roster, &target.id).and_then(|key| query::target(roster, key)) == Some(&target);
+    let (lifetime, cold_ms) = (announcement.lifetime, announcement.cold_ms);
     match is_restored {
         true => command::apply_restored(roster, announcement, now_ms),
         false => {
             command::apply_announcement(roster, announcement, now_ms);
         }
     }
+    if is_known {
+        return;
+    }
+    let key = query::key(roster, &target.id);
+    let pause_ms = key.and_then(|key| query::pause_ms(roster, key, now_ms));
+    log::info!(
+        target_id:% = target.id, pool:% = target.pool, zone:% = target.zone,
+        address:% = target.address, build:% = target.build, lifetime = lifetime,
+        cold_ms = cold_ms, pause_ms = pause_ms.unwrap_or_default(), is_leaving = target.leaving, is_restored = is_restored;
+        "target announced"
+    );
 }
 
 pub(crate) fn apply_members(gateway: &Gateway, entries: Vec<Entry>) {
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -2,13 +2,20 @@
 
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+#[path = "support/fleet.rs"]
+mod fleet;
 #[path = "support/harness.rs"]
 mod harness;
 
-use harness::header;
+use std::time::Duration;
+
+use fleet::{catalog_of, Store};
 use harness::mock::{Behaviour, MockTarget};
-use harness::TestGateway;
+use harness::{exchange, header, request, settings, spawn, TestGateway};
 use rstest::rstest;
+use sardinemux_core::roster::query;
+use sardinemux_gateway::source::{Fact, Topic};
+use tokio::time;
 
 /// The number of requests that are sent in a row.
 const REQUESTS: usize = 10;
@@ -94,3 +101,50 @@
     command::note_accepted(&mut roster, key, 2_000);
     assert!((0..5).all(|_| command::start_request(&mut roster, key, shares, 2_000)));
 }
+
+/// A gateway that drops a pause with the target's entry sends requests again once the entry is back; a later process is free.
+#[rstest]
+#[case::same_process(1, 1)]
+#[case::later_process(2, 2)]
+#[tokio::test]
+async fn verify_pause_outlives_a_lapse_of_the_entry(
+    #[case] lifetime: u64,
+    #[case] expected: usize,
+) {
+    let target = MockTarget::start(Behaviour::Raw(PAUSED)).await;
+    let mut announcement = harness::announcement("t0", &target.address.to_string());
+    let store = Store::default();
+    let catalog = catalog_of(harness::definition());
+    store.put(Topic::Operators, "config", Some(catalog));
+    store.put(
+        Topic::Targets,
+        "t0",
+        Some(Fact::Target(announcement.clone())),
+    );
+    let other = harness::announcement("t1", "127.0.0.1:1");
+    store.put(Topic::Targets, "t1", Some(Fact::Target(other)));
+    let settings = settings();
+    let gateway = spawn(settings.clone(), store.source(&settings.name));
+    let is_listed = || query::key(&gateway.roster.lock(), "t0").is_some();
+    harness::wait_until_serving(settings.caller_address, settings.ready_address).await;
+    let call = || async {
+        let text = request("GET", "/unsafe/", "", "");
+        exchange(settings.caller_address, &text).await
+    };
+    while target.request_count() == 0 {
+        call().await;
+    }
+    store.put(Topic::Targets, "t0", None);
+    while is_listed() {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    announcement.lifetime = lifetime;
+    store.put(Topic::Targets, "t0", Some(Fact::Target(announcement)));
+    while !is_listed() {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    for _ in 0..REQUESTS {
+        call().await;
+    }
+    assert_eq!(target.request_count(), expected);
+}
