Let no shorter pause of a target replace a longer one

Callers saw: requests to a replica in a pause that it had stated (BUDGET).

Cause: each 503 with Retry-After replaced the known pause. Two requests in flight together may be told 8 s and then 1 s, after which requests returned after 1 s. The rule counts the time of every answer.

Change: a pause ends at the latest of the ends that were stated.

--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -298,7 +298,8 @@
     }
 }
 
-/// Records that a target wants no requests of this router for a time, which replaces what it stated before.
+/// Records that a target wants no requests of this router for a time. It lasts at least as long as what the target stated before,
+/// as answers to requests that were in flight together come in any order.
 ///
 /// # Examples
 ///
@@ -312,8 +313,9 @@
 /// ```
 pub fn note_pause(roster: &mut Roster, key: Key, pause_ms: u64, now_ms: u64) {
     if let Some(condition) = roster.conditions.get_mut(&key) {
+        let known_ms = condition.pause.map_or(0, |pause| pause.until_ms);
         condition.pause = Some(Pause {
-            until_ms: now_ms + pause_ms,
+            until_ms: known_ms.max(now_ms + pause_ms),
             next_ms: 0,
         });
     }
--- a/crates/core/tests/pauses.rs
+++ b/crates/core/tests/pauses.rs
@@ -159,6 +159,17 @@
     }
 }
 
+/// Requests that are in flight together are turned away for different times, of which a shorter one may come last.
+#[rstest]
+#[case::small(9, 4)]
+#[case::large(100, 1)]
+fn verify_pauses_are_kept_where_a_shorter_one_follows(#[case] gateways: usize, #[case] seeds: u64) {
+    for seed in 0..seeds {
+        let most = run(gateways, &[700, 3_000, 8_000], false, seed);
+        assert!(most <= SLIPS_MAX, "seed {seed}: {most} requests");
+    }
+}
+
 /// What a target states while its entry is away counts once the entry is back.
 #[test]
 fn verify_statements_of_unlisted_targets_are_kept() {
