Heed the pause that a target states up to an hour

Callers saw: requests to a replica in a pause that it had stated (BUDGET).

Cause: a Retry-After of more than 30 s was cut to 30 s, and requests returned at 30 to 36 s, one in 200 ms from each gateway.

Change: the bound is an hour. It guards against a target that states an absurd time by mistake; a later process of the target is free at once, as before.

--- a/crates/gateway/src/attempt/statement.rs
+++ b/crates/gateway/src/attempt/statement.rs
@@ -36,8 +36,8 @@
     count_leaving(gateway, "answer", 1);
 }
 
-/// The longest pause that is heeded. A target that wants none for longer states that again.
-const PAUSE_MAX: Duration = Duration::from_secs(30);
+/// The longest pause that is heeded, so that a target which states an absurd one by mistake is asked again.
+const PAUSE_MAX: Duration = Duration::from_secs(3_600);
 
 /// The share of a pause by which requests may return later than it ends, so that gateways do not return at once.
 const PAUSE_SPREAD: f64 = 0.2;
@@ -53,7 +53,7 @@
 /// use sardinemux_gateway::attempt::statement;
 ///
 /// assert_eq!(statement::parse_retry_after("1.5"), Some(Duration::from_millis(1_500)));
-/// assert_eq!(statement::parse_retry_after("86400"), Some(Duration::from_secs(30)));
+/// assert_eq!(statement::parse_retry_after("86400"), Some(Duration::from_secs(3_600)));
 /// assert_eq!(statement::parse_retry_after("-1"), None);
 /// assert_eq!(statement::parse_retry_after("Fri, 31 Dec 1999 23:59:59 GMT"), None);
 /// ```
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -69,6 +69,22 @@
     assert!((15.0..=30.0).contains(&delay), "{delay}");
 }
 
+/// A pause that is cut to less than the target states has requests return before its end.
+#[rstest]
+#[case::minutes("90", 90.0)]
+#[case::an_hour("3600", 3_600.0)]
+#[tokio::test]
+async fn verify_long_pause_is_not_cut_short(#[case] stated: &str, #[case] least: f64) {
+    let answer = PAUSED.replace("retry-after: 20", &format!("retry-after: {stated}"));
+    let target = MockTarget::start(Behaviour::Raw(answer.leak())).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    gateway.call("GET", "/unsafe/", "", "").await;
+    let answer = gateway.call("GET", "/unsafe/", "", "").await;
+    let delay: f64 = header(&answer, "retry-after").unwrap().parse().unwrap();
+    // Some time has passed since the target stated it.
+    assert!(delay >= least * 0.9, "{delay}");
+}
+
 /// Requests go on at other targets, also the one that was turned away.
 #[tokio::test]
 async fn verify_requests_go_on_at_other_targets() {
