Notice that a caller leaves behind bytes that have not been read

Cause: the HTTP library reads no further while its buffer holds bytes behind the current request, be it the next request or an empty line, so that the end of the connection was seen only when the answer was written. Until then the request was queued, repeated, passed to other gateways and worked on.

Change: while a request is served, the task of its connection reads on into a buffer of at most 64 KiB, from which the library is served later, and drops the request once the caller has closed its side. With a full buffer it looks for the close each 100 ms. Each send to a target or another gateway first looks for the close, so that a gateway that stood still sends nothing for a caller that has left meanwhile.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -234,13 +234,14 @@
 }
 
 /// Sends a request to a connected target, waits for the head of the answer until `first_byte_deadline`, and counts and
-/// logs the outcome.
+/// logs the outcome. Sends nothing, and never ends, if the caller is gone.
 pub async fn send(
     inbound: &Inbound,
     ready: Ready,
     terms: &Terms,
     first_byte_deadline: Instant,
 ) -> AttemptOutcome {
+    inbound.presence.confirm().await;
     let gateway = ready.in_flight.gateway.clone();
     let target_id = ready.target.id.clone();
     let outcome = exchange(&gateway, inbound, ready, terms, first_byte_deadline).await;
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,6 +1,7 @@
 //! The HTTP/1.1 server for callers: accepts connections and responds to requests.
 
 mod idle;
+pub mod presence;
 mod traffic;
 
 use std::convert::Infallible;
@@ -19,6 +20,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{self, Instant};
 
+use self::presence::Watcher;
 use self::traffic::Traffic;
 use crate::answer;
 use crate::connections;
@@ -74,11 +76,18 @@
     let inspector = Inspector::default();
     let unsent = Unsent::default();
     let traffic = Traffic::new();
+    let (stream, watcher) = presence::watch(stream);
     let stream = framing::Stream::new(stream, inspector.clone(), unsent.clone());
     let stream = traffic::Stream::new(stream, traffic.clone());
     let service = service_fn(|request| {
-        let (gateway, inspector) = (gateway.clone(), inspector.clone());
-        handle_request(gateway, inspector, unsent.clone(), idle_limit, request)
+        let exchange = Exchange {
+            gateway: gateway.clone(),
+            inspector: inspector.clone(),
+            unsent: unsent.clone(),
+            watcher: watcher.clone(),
+            idle_limit,
+        };
+        handle_request(exchange, request)
     });
     let connection = http1::Builder::new()
         .timer(idle::Timer::new(gateway.clone(), idle_limit))
@@ -91,11 +100,21 @@
         // The sender exists as long as the gateway; an error would mean that the gateway is gone.
         drop(phases.wait_for(|phase| *phase == Phase::Closing).await);
     };
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    tokio::pin!(closing);
+    let mut is_closing = false;
+    // The library reads first, so that the watcher gets only what the library leaves unread.
+    let ended = loop {
+        tokio::select! {
+            biased;
+            ended = connection.as_mut() => break ended,
+            () = watcher.wait_for_end() => {
+                traffic.record_departure();
+                return;
+            }
+            () = closing.as_mut(), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
         }
     };
     traffic.record_end(&ended);
@@ -140,15 +159,30 @@
     }
 }
 
-/// Responds to one request, and counts it as running until its response has been sent.
-async fn handle_request(
+/// What the handler of a request shares with the connection that the request came over.
+struct Exchange {
     gateway: Arc<Gateway>,
     inspector: Inspector,
     unsent: Unsent,
+    watcher: Watcher,
+    /// The idle limit at the begin of the connection.
     idle_limit: Duration,
+}
+
+/// Responds to one request, and counts it as running until its response has been sent.
+async fn handle_request(
+    exchange: Exchange,
     request: Request<Incoming>,
 ) -> std::result::Result<Response<Body>, Infallible> {
+    let Exchange {
+        gateway,
+        inspector,
+        unsent,
+        watcher,
+        idle_limit,
+    } = exchange;
     let running = gateway.drain.guard();
+    let served = watcher.begin();
     let id = request.headers().get(&gateway.dialect.request_id).cloned();
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let wants_close = wants_close(request.headers());
@@ -167,8 +201,14 @@
     };
     inspector.reset();
     let mut response = match read {
-        Ok(job) => answer::serve(gateway.clone(), job).await,
+        Ok(mut inbound) => {
+            inbound.presence = watcher.presence();
+            let response = answer::serve(gateway.clone(), inbound).await;
+            response.map(|body| reply::keep_until_sent(body, served))
+        }
         Err(rejection) => {
+            // The rest of the request is discarded, whether or not its caller reads the response.
+            drop(served);
             log::info!(
                 request_id:% = request::header_text(id.as_ref()), reason:% = rejection, has_body = has_body,
                 version = gateway.catalog.read().version();
--- a/crates/gateway/src/caller/traffic.rs
+++ b/crates/gateway/src/caller/traffic.rs
@@ -51,6 +51,16 @@
         state.written_at = Instant::now();
     }
 
+    /// Logs that the caller closed the connection while its request was served, behind bytes that the library had not read.
+    pub fn record_departure(&self) {
+        let state = self.0.lock();
+        log::info!(
+            cause = "closed behind unread bytes", by_caller = true, unanswered_bytes = state.unanswered_bytes,
+            since_answer_ms = state.written_at.elapsed().as_millis() as u64;
+            "caller's connection ended"
+        );
+    }
+
     /// Logs the end of the connection, unless it was closed after an answer without an error.
     pub fn record_end(&self, ended: &hyper::Result<()>) {
         let state = self.0.lock();
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -12,8 +12,8 @@
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
+use crate::caller::presence;
 use crate::drain::Guard;
 
 /// The largest head that is inspected, in bytes. The head of a larger one is not checked here.
@@ -129,14 +129,14 @@
 /// A caller's connection whose request heads are inspected as they are read.
 #[derive(Debug)]
 pub struct Stream {
-    inner: TcpStream,
+    inner: presence::Stream,
     inspector: Inspector,
     unsent: Unsent,
 }
 
 impl Stream {
     /// Wraps a connection; its heads are reported to `inspector`, and `unsent` is told when all answers have been sent.
-    pub fn new(inner: TcpStream, inspector: Inspector, unsent: Unsent) -> Self {
+    pub fn new(inner: presence::Stream, inspector: Inspector, unsent: Unsent) -> Self {
         Self {
             inner,
             inspector,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,6 +16,7 @@
 use sardinemux_core::quarantine;
 use tokio::time::{self, Instant};
 
+use crate::caller::presence::Presence;
 use crate::prelude::*;
 use crate::suspension;
 
@@ -59,6 +60,8 @@
     pub organisation: Option<SmolStr>,
     /// The caller's key, for another gateway that sends the request to a target.
     pub key: Option<HeaderValue>,
+    /// Whether the caller is still there.
+    pub presence: Presence,
     /// How another gateway has passed the request on, if a caller has not sent it here.
     pub hop: Option<Hop>,
     /// The priority; 0 is the most urgent.
@@ -204,6 +207,7 @@
         pool,
         organisation,
         key,
+        presence: Presence::default(),
         hop: None,
         priority,
         prompt,
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -1,6 +1,10 @@
 //! Tests of targets that turn requests away and state for how long they want none.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+#![expect(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a test fails by panicking"
+)]
 
 #[path = "support/fleet.rs"]
 mod fleet;
--- a/crates/gateway/tests/support/mock.rs
+++ b/crates/gateway/tests/support/mock.rs
@@ -46,6 +46,8 @@
     PauseStream(u64),
     /// Sends nothing for this time in milliseconds, and then a complete answer.
     PauseAnswer(u64),
+    /// Sends nothing for this time in milliseconds, and then states that it did not run the request.
+    LateReject(u64),
     /// Sends a body with a given framing, which may break off.
     Send(Script),
     /// Sends this text, in which `{id}` stands for the request id and `{own}` for the id of the target that is meant, and
@@ -202,7 +204,7 @@
             observed.arrivals.push(Instant::now());
         }
         let id = header(&request, "x-id").unwrap_or_default();
-        if let Behaviour::PauseAnswer(pause_ms) = behaviour {
+        if let Behaviour::PauseAnswer(pause_ms) | Behaviour::LateReject(pause_ms) = behaviour {
             time::sleep(Duration::from_millis(pause_ms)).await;
         }
         if let Behaviour::PauseStream(pause_ms) = behaviour {
@@ -218,7 +220,7 @@
             Behaviour::Limit(limit) => complete_response(200, &id, "answer")
                 .replace("x-signature", &format!("x-limit: {limit}\r\nx-signature")),
             Behaviour::Fail => complete_response(500, &id, "failed"),
-            Behaviour::Reject => {
+            Behaviour::Reject | Behaviour::LateReject(_) => {
                 "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".into()
             }
             Behaviour::CrossRejection => {
