Pay for repeats over several other gateways from the retry budget

Cause: a gateway without paths sends a request through up to three others. Each of them makes its first attempt without paying, and its answer that the request has not run did not say whether a target had received and rejected it, so that the gateway of the caller did not pay for going on at the next one either.

Change: the answer states by x-hop-arrived: 0 that no target received the request. Without it, going on draws on the budget, also behind gateways of earlier builds, which do not send it; these ignore it.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -77,6 +77,20 @@
         route.kind.is_repeatable() && self.possible_runs < route.attempts_max
     }
 
+    /// Returns whether any target may have received the request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::attempts::Attempts;
+    ///
+    /// assert!(!Attempts { send_failures: 1, ..Attempts::default() }.has_arrived());
+    /// assert!(Attempts { rejections: 1, ..Attempts::default() }.has_arrived());
+    /// ```
+    pub fn has_arrived(&self) -> bool {
+        self.possible_runs > 0 || self.rejections > 0
+    }
+
     /// Returns the outcome to report if no further target is tried.
     pub fn outcome(&self) -> Outcome {
         match self.possible_runs {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -120,6 +120,10 @@
     pub reason: Reason,
 }
 
+/// Marks the response to a failed request that a target has received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrived;
+
 /// Serves a request and returns its final answer. A successful answer of a streaming route is returned as soon as its
 /// head has arrived.
 pub async fn serve(gateway: Arc<Gateway>, inbound: Inbound) -> Response<Body> {
--- a/crates/gateway/src/answer/response.rs
+++ b/crates/gateway/src/answer/response.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, Response, StatusCode};
 use sardinemux_core::catalog::Kind;
 
-use super::{Failure, Selection, Serving};
+use super::{Arrived, Failure, Selection, Serving};
 use crate::prelude::*;
 use crate::reply::{self, Body};
 use crate::request::{self, Inbound};
@@ -99,6 +99,9 @@
         };
         self.record_answer(status);
         let mut response = reply::text_response(status, failure.reason.name());
+        if self.attempts.has_arrived() {
+            response.extensions_mut().insert(Arrived);
+        }
         if failure.outcome == Outcome::NotRun {
             match self.retry_after {
                 Some(delay) => reply::state_retry_after(&mut response, delay),
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -19,7 +19,7 @@
 use sardinemux_core::{roster, slot_share};
 use tokio::time::{self, Instant};
 
-use crate::answer;
+use crate::answer::{self, Arrived};
 use crate::attempt::answer::{is_encoded, Answer};
 use crate::attempt::{self, statement, AttemptOutcome, InFlight, Peer, Ready, Terms};
 use crate::connections::{self, Connection, IDLE_CONNECTIONS_MAX};
@@ -42,6 +42,12 @@
 /// The header with the build at which a stream must go on, or which sends one.
 const BUILD: HeaderName = HeaderName::from_static("x-hop-build");
 
+/// The header of a failure that states whether a target has received the request. Gateways of earlier builds do not set it.
+const ARRIVED: HeaderName = HeaderName::from_static("x-hop-arrived");
+
+/// The value of [`ARRIVED`] with which a gateway states that no target has received the request.
+const NOT_ARRIVED: HeaderValue = HeaderValue::from_static("0");
+
 /// The interval at which a gateway tries whether lost paths are back.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -339,8 +345,12 @@
     let dialect = &gateway.dialect;
     if !head.headers.contains_key(&dialect.signature) {
         return match head.status {
-            // The request has not run: the other gateway has refused it, or knows another catalogue.
-            status if states_not_run(status) => attempt::not_run(Reason::Refused, false),
+            // The request has not run: the other gateway has refused it, or knows another catalogue. Unless that gateway states that
+            // no target has received it, the next attempt may be a repeat.
+            status if states_not_run(status) => {
+                let has_arrived = head.headers.get(&ARRIVED) != Some(&NOT_ARRIVED);
+                attempt::not_run(Reason::Refused, has_arrived)
+            }
             StatusCode::GATEWAY_TIMEOUT => attempt::unknown(Reason::Silence),
             _ => attempt::unknown(Reason::Cut),
         };
@@ -397,8 +407,12 @@
     let outcome = if is_answer { "answered" } else { "failed" };
     gateway.metrics.hops.with_label_values(&[outcome]).inc();
     let sender = response.extensions().get::<Build>().cloned();
+    let has_arrived = response.extensions().get::<Arrived>().is_some();
     let headers = response.headers_mut();
     headers.remove(RETRY_AFTER);
+    if !is_answer && !has_arrived {
+        headers.insert(ARRIVED, NOT_ARRIVED);
+    }
     if let Some(exchange) = exchange {
         headers.insert(EXCHANGE, exchange);
     }
--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -241,3 +241,41 @@
     assert!(served >= 40, "{served}");
     assert_eq!(leaving.request_count(), 1);
 }
+
+/// A request that targets behind several other gateways reject draws on the budget of its own gateway for each of these gateways.
+#[rstest]
+#[case::plain("/safe/")]
+#[case::unsafe_requests("/unsafe/")]
+#[tokio::test]
+async fn verify_rejections_over_other_gateways_draw_on_the_budget(#[case] path: &str) {
+    const REQUESTS: usize = 20;
+    let target = MockTarget::start(Behaviour::Reject).await;
+    let dead_end = DeadEnd::new(Cut::Refused).await;
+    let without_budget = |name: &str| {
+        let mut settings = named(name);
+        settings.bounds.retry_ratio = 0.0;
+        settings.bounds.retry_extra = 0.0;
+        settings
+    };
+    let others: Vec<Settings> = ["g1", "g2", "g3"].map(without_budget).into();
+    let cut_off = without_budget("g0");
+    for other in &others {
+        start_gateway(other, &[target.address; TARGETS], &[&cut_off]).await;
+    }
+    let others: Vec<&Settings> = others.iter().collect();
+    start_gateway(&cut_off, &[dead_end.address; TARGETS], &others).await;
+    let mut number = 0;
+    while target.request_count() < TARGETS {
+        number += 1;
+        call(cut_off.caller_address, path, number).await;
+    }
+    let before = target.request_count();
+    for _ in 0..REQUESTS {
+        number += 1;
+        let answer = call(cut_off.caller_address, path, number).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    }
+    // Each gateway has one repeat that it need not earn.
+    let arrived = target.request_count() - before;
+    assert!(arrived <= REQUESTS + others.len() + 1, "{arrived}");
+}
