Refuse requests that arrive late in a planned stop, and answer the last ones

Reported by another operator: requests that came late in the grace period of a gateway that stops were passed on and cut at its end without an answer, also ones that must not repeat (LOST).

Cause: a gateway that closes its connections (2.6 s after SIGTERM) still served a request whose head or body was completed later on an open connection, and sent requests to targets up to the last moment. What was running at the end of the grace period ended with a closed connection.

Change: a request that is complete only once connections are closed is refused as not run, on the caller's connection and over a hop; nothing is sent to a target in the last sixth of the grace period; what is running 200 ms before the end is answered, with 503 if it was never sent and with 504 otherwise.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -5,12 +5,13 @@
 mod selection;
 mod takeover;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
 use http_body_util::{BodyExt, Limited};
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use sardinemux_core::attempts::Attempts;
 use sardinemux_core::catalog::{Kind, Share};
 use sardinemux_core::event;
@@ -25,8 +26,8 @@
 use crate::origins::{self, Continuation};
 use crate::prelude::*;
 use crate::quarantine;
-use crate::reply::{Body, BUFFERED_MAX_BYTES};
-use crate::request::Inbound;
+use crate::reply::{self, Body, BUFFERED_MAX_BYTES};
+use crate::request::{self, Inbound, Rejection};
 use crate::stream;
 
 /// How long a silent target is kept as a fallback once another one has got the request, in milliseconds. The other one
@@ -125,8 +126,26 @@
 pub struct Arrived;
 
 /// Serves a request and returns its final answer. A successful answer of a streaming route is returned as soon as its
-/// head has arrived.
+/// head has arrived. If the process ends before, the answer states whether the request may have run.
 pub async fn serve(gateway: Arc<Gateway>, inbound: Inbound) -> Response<Body> {
+    let drain = gateway.drain.clone();
+    let is_sent = inbound.is_sent.clone();
+    let id = inbound.id.clone();
+    tokio::select! {
+        biased;
+        response = serve_to_end(gateway, inbound) => response,
+        () = drain.wait_for_answer_limit() => {
+            let is_sent = is_sent.load(Ordering::Relaxed);
+            log::warn!(request_id:% = request::header_text(Some(&id)), is_sent = is_sent; "not answered before the end of the grace period");
+            match is_sent {
+                true => reply::text_response(StatusCode::GATEWAY_TIMEOUT, Reason::NotReady.name()),
+                false => reply::reject(Rejection::Stopping),
+            }
+        }
+    }
+}
+
+async fn serve_to_end(gateway: Arc<Gateway>, inbound: Inbound) -> Response<Body> {
     // The gateway that the caller is connected to has counted a request that comes through it.
     if inbound.hop.is_none() {
         gateway.deposit_retry(&inbound.pool);
--- a/crates/gateway/src/answer/selection.rs
+++ b/crates/gateway/src/answer/selection.rs
@@ -35,6 +35,9 @@
             if self.inbound.remaining().is_zero() {
                 return Err(self.failure(Reason::Waited));
             }
+            if !self.gateway.drain.may_send() {
+                return Err(self.failure(Reason::NotReady));
+            }
             // Other requests may have shown meanwhile that targets crash under this one.
             if !self.is_trial && quarantine::is_held(&self.gateway, &self.inbound) {
                 return Err(self.failure(Reason::Quarantined));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -242,6 +243,7 @@
     first_byte_deadline: Instant,
 ) -> AttemptOutcome {
     inbound.presence.confirm().await;
+    inbound.is_sent.store(true, Ordering::Relaxed);
     let gateway = ready.in_flight.gateway.clone();
     let target_id = ready.target.id.clone();
     let outcome = exchange(&gateway, inbound, ready, terms, first_byte_deadline).await;
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -53,11 +53,14 @@
 pub fn reject(rejection: Rejection) -> Response<Body> {
     let status = rejection.status();
     let mut response = text_response(status, &rejection.to_string());
-    if rejection == Rejection::NotReady {
-        set_retry_after(
+    match rejection {
+        Rejection::NotReady => set_retry_after(
             &mut response,
             Duration::from_millis(attempts::RETRY_AFTER_MAX_MS),
-        );
+        ),
+        // Other gateways serve the caller at once.
+        Rejection::Stopping => set_retry_after(&mut response, Duration::ZERO),
+        _ => {}
     }
     // The rest of the request is not read, so the connection cannot be reused.
     let close = HeaderValue::from_static("close");
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,7 @@
 //! Reads a caller's request: checks it, looks up its route and organisation, and collects what is forwarded.
 
 use std::borrow::Cow;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use tokio::time::{self, Instant};
 
 use crate::caller::presence::Presence;
+use crate::drain::Phase;
 use crate::prelude::*;
 use crate::suspension;
 
@@ -62,6 +64,8 @@
     pub key: Option<HeaderValue>,
     /// Whether the caller is still there.
     pub presence: Presence,
+    /// Whether the request has been sent to a target or another gateway.
+    pub is_sent: Arc<AtomicBool>,
     /// How another gateway has passed the request on, if a caller has not sent it here.
     pub hop: Option<Hop>,
     /// The priority; 0 is the most urgent.
@@ -114,6 +118,9 @@
     /// The gateway has no catalogue or no targets yet, or no pool of the route has a positive weight.
     #[snafu(display("not ready"))]
     NotReady,
+    /// The gateway is about to end.
+    #[snafu(display("stopping"))]
+    Stopping,
     /// The head cannot be forwarded safely, or the body could not be read.
     #[snafu(display("malformed head"))]
     Malformed,
@@ -138,7 +145,7 @@
     /// Returns the status of the answer. A rejected request has not run, whatever its status.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -161,6 +168,7 @@
     body: &mut Incoming,
 ) -> std::result::Result<Inbound, Rejection> {
     let received_at = Instant::now();
+    check_phase(gateway)?;
     suspension::wait_for_refresh(gateway).await;
     if !gateway.can_serve() {
         return Err(Rejection::NotReady);
@@ -193,6 +201,7 @@
     let limits = catalog.limits();
     let body_deadline = deadline.min(received_at + Duration::from_millis(limits.read_ms));
     let body = read_body(body, limits.body_bytes, body_deadline).await?;
+    check_phase(gateway)?;
     let caller = organisation.as_deref().unwrap_or_default();
     let part_ids: Vec<u64> = prompt.parts.iter().map(|part| part.id).collect();
     let method = parts.method.as_str();
@@ -208,6 +217,7 @@
         organisation,
         key,
         presence: Presence::default(),
+        is_sent: Arc::default(),
         hop: None,
         priority,
         prompt,
@@ -219,6 +229,14 @@
     })
 }
 
+/// Rejects a request that arrives while the gateway closes its connections.
+fn check_phase(gateway: &Gateway) -> std::result::Result<(), Rejection> {
+    match gateway.drain.phase() {
+        Phase::Closing => Err(Rejection::Stopping),
+        Phase::Serving | Phase::Leaving => Ok(()),
+    }
+}
+
 /// Rejects a head that does not have exactly one `Host` header.
 fn check_host(headers: &HeaderMap) -> std::result::Result<(), Rejection> {
     match headers.get_all(header::HOST).iter().count() {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::{self, Instant};
 
-use crate::drain::Phase;
+use crate::drain::{Limits, Phase};
 use crate::errors::SignalSnafu;
 use crate::prelude::*;
 use crate::settings::Settings;
@@ -21,6 +21,12 @@
 /// The interval at which a stopping gateway checks whether requests are still running.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The last part of the grace period, as a share of it, in which no request is sent to a target.
+const LAST_SEND_SHARE: u32 = 6;
+
+/// The time before the end of the process at which running requests are answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// The part of the grace period that is reserved for the exit itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
@@ -124,6 +130,10 @@
     let stop_begin = Instant::now();
     let grace = Duration::from_millis(gateway.bounds.read().grace_ms);
     let deadline = stop_begin + grace.saturating_sub(EXIT_MARGIN);
+    gateway.drain.set_limits(Limits {
+        send: stop_begin + (grace - grace / LAST_SEND_SHARE),
+        answer: deadline - ANSWER_MARGIN.min(deadline - stop_begin),
+    });
     gateway.drain.set_phase(Phase::Leaving);
     log::info!(running = gateway.drain.running(); "gateway stops");
     tokio::spawn(async move {
