Answer the callers whose connections wait to be accepted when a gateway closes

Callers saw: in a planned stop, requests sent just before a gateway closes its connections ended with a reset and no answer (LOST).

Cause: the listener was closed with connections that had been made and not accepted, whose requests had arrived, and the process could end before requests on connections that were accepted last had been read.

Change: connections are accepted for 25 ms more, their requests are refused as not run, and the process looks for running requests 50 ms later first.

Evidence: verify_connections_that_wait_to_be_accepted_by_a_closing_gateway_are_answered (gateway, stops) ended with "Connection reset by peer" before.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -34,9 +34,12 @@
 /// The delay before the next attempt to accept a connection after one failed, as when no file descriptors are left.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// How long a gateway that closes its connections accepts those that are waiting, which it may not have noticed yet.
+const LAST_ACCEPT_DURATION: Duration = Duration::from_millis(25);
+
 /// Accepts connections of callers until the gateway begins to close its connections. A request on a later connection
 /// might be cut off at the end of the grace period; a caller whose connection is not accepted has sent nothing and can
-/// connect to another gateway.
+/// connect to another gateway. Connections that have been waiting to be accepted by then are served, as they may hold requests.
 ///
 /// # Errors
 ///
@@ -50,7 +53,7 @@
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             // The sender exists as long as the gateway, so that this cannot fail.
-            _ = phases.wait_for(|phase| *phase == Phase::Closing) => return Ok(()),
+            _ = phases.wait_for(|phase| *phase == Phase::Closing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -62,6 +65,11 @@
             }
         }
     }
+    let until = Instant::now() + LAST_ACCEPT_DURATION;
+    while let Ok(Ok((stream, _))) = time::timeout_at(until, listener.accept()).await {
+        tokio::spawn(serve_connection(gateway.clone(), stream));
+    }
+    Ok(())
 }
 
 /// Serves the requests on one connection, until either side closes it.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,7 +18,8 @@
 /// sending requests to it after two failed probes.
 const LEAVING_DURATION: Duration = Duration::from_millis(2_600);
 
-/// The interval at which a stopping gateway checks whether requests are still running.
+/// The interval at which a stopping gateway checks whether requests are still running. Connections that were accepted last have this
+/// time to be read.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The last part of the grace period, as a share of it, in which no request is sent to a target.
@@ -142,8 +143,11 @@
         }
         time::sleep_until(stop_begin + LEAVING_DURATION).await;
         gateway.drain.set_phase(Phase::Closing);
-        while gateway.drain.running() > 0 && Instant::now() < deadline {
+        loop {
             time::sleep(DRAIN_POLL_INTERVAL).await;
+            if gateway.drain.running() == 0 || Instant::now() >= deadline {
+                break;
+            }
         }
         log::info!(running = gateway.drain.running(); "gateway ends");
         logs::flush();
--- a/crates/gateway/tests/stops.rs
+++ b/crates/gateway/tests/stops.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
 
 use harness::mock::{Behaviour, MockTarget};
@@ -21,6 +21,7 @@
 use sardinemux_gateway::settings::Settings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::runtime;
 use tokio::time;
 
 /// The time limit for the start of a process. It ends a hanging test; no result depends on it.
@@ -81,6 +82,51 @@
     assert_eq!(target.request_count(), 0);
 }
 
+/// A request on a connection that waits to be accepted when a gateway closes its own ones gets no answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_connections_that_wait_to_be_accepted_by_a_closing_gateway_are_answered() {
+    const CALLERS: usize = 16;
+    let target = MockTarget::start(Behaviour::Answer).await;
+    let settings = settings();
+    let targets = vec![announcement("t0", &target.address.to_string())];
+    let source = source_of(targets, Some(definition()));
+    let (freeze, frozen) = mpsc::channel::<mpsc::Receiver<()>>();
+    let copy = settings.clone();
+    std::thread::spawn(move || {
+        let runtime = runtime::Builder::new_current_thread().enable_all().build();
+        runtime.unwrap().block_on(async move {
+            let gateway = spawn(copy, source);
+            loop {
+                time::sleep(Duration::from_millis(5)).await;
+                // The whole gateway stands still until the sender is dropped.
+                if let Ok(until) = frozen.try_recv() {
+                    let _ = until.recv();
+                    gateway.drain.set_phase(Phase::Closing);
+                }
+            }
+        });
+    });
+    wait_until_serving(settings.caller_address, settings.ready_address).await;
+    let (thaw, until) = mpsc::channel();
+    freeze.send(until).unwrap();
+    time::sleep(Duration::from_millis(50)).await;
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        let mut caller = TcpStream::connect(settings.caller_address).await.unwrap();
+        let text = request("POST", "/unsafe/", "", "p");
+        caller.write_all(text.as_bytes()).await.unwrap();
+        callers.push(caller);
+    }
+    drop(thaw);
+    for mut caller in callers {
+        let mut answer = String::new();
+        let reading = caller.read_to_string(&mut answer);
+        time::timeout(PATIENCE, reading).await.unwrap().unwrap();
+        verify_refused(&answer);
+    }
+    assert_eq!(target.request_count(), 0);
+}
+
 /// A process that is killed when the test ends.
 struct Process(Child);
 
