Take a base for certain without the store only where no build can have joined

Reported by another operator: a front machine was out of step for some seconds while replicas of a new version joined; streams that had begun there through other machines were taken up at that machine and went on at the former version (ORDER).

Cause: a gateway that cannot read the epochs of builds relied on the age of its list of targets, which does not grow while its machine stands still, and took the store for unreachable to all once all gateways that it heard said so, also where it was cut off together with them from others that reach the store.

Change: the decision is now in core (origin::query::certain_base). The list must have been read since the process last stood still; an outage of the store takes a report of each other gateway from after the last standstill, most of them from the last 700 ms. Otherwise the stream is refused, as not run.

Evidence: verify_gateway_out_of_step_does_not_resume_at_the_former_build (gateway, builds) failed before, after a standstill and in a partition.

--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -31,8 +31,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
     /// How long a new build has been listed before it joins the epoch, in milliseconds: the time in which the streams that
-    /// are running elsewhere get their records.
+    /// are running elsewhere get their records, and in which all gateways that hear of the list learn of the build.
     pub join_ms: u64,
+    /// How recent the last contact with the store, or the reports of others that they do not reach it, must be for a base to be
+    /// certain although the epoch cannot be read, in milliseconds: less than `join_ms`.
+    pub contact_ms: u64,
     /// The time after the start of a gateway in which no build joins, in milliseconds. Streams that began before without a
     /// record are taken up in this time.
     pub restart_ms: u64,
@@ -57,6 +60,7 @@
     fn default() -> Self {
         Self {
             join_ms: 1_000,
+            contact_ms: 700,
             restart_ms: 6_000,
             slots_min: 0.2,
             absent_ms: 10_000,
@@ -133,6 +137,26 @@
     pub slots: u32,
 }
 
+/// What a gateway that cannot read the store knows of how current its list of targets is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Contact {
+    /// Whether the list has been read since the process last stood still.
+    pub is_refreshed: bool,
+    /// The time since the store, or a gateway that follows it, last answered, in milliseconds.
+    pub age_ms: u64,
+    /// All other gateways.
+    pub witnesses: Vec<Witness>,
+}
+
+/// What another gateway has reported of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Witness {
+    /// The time since its last report, in milliseconds; `None` if it is silent.
+    pub report_age_ms: Option<u64>,
+    /// Whether its calls to the store succeed.
+    pub is_following: bool,
+}
+
 /// What is known of the epoch of a pool.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 enum Knowledge {
--- a/crates/core/src/origin/query.rs
+++ b/crates/core/src/origin/query.rs
@@ -4,7 +4,10 @@
 
 use crate::position::Position;
 
-use super::{command, Epoch, Knowledge, Origin, Pool, Proposal, Register, Sighting, Stored};
+use super::{
+    command, Contact, Epoch, Knowledge, Origin, Pool, Presence, Proposal, Register, Sighting,
+    Stored,
+};
 
 /// What a gateway that is to take up a stream has to find out about its build.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -69,6 +72,54 @@
     }
 }
 
+/// Returns the base of a pool if it is certain although the epoch cannot be read, which takes that only targets of the base are in the
+/// list, that the list has been read since the process last stood still, and one of:
+///
+/// - the list is recent, so that no other build has been listed for long enough to join,
+/// - no gateway reaches the store, so that none can write a join. Each of them must have reported that, and most recently: one that is
+///   silent may reach the store from the other side of a partition.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::origin::{command, query, Contact, Epoch, Presence, Register, Settings, Stored};
+///
+/// let mut register = Register::new(Settings::default(), 0);
+/// let epoch = Epoch { base: Some("v1".into()), builds: vec!["v1".into()] };
+/// let stored = Stored { epoch, position: 1.into(), written: None };
+/// command::note_epoch(&mut register, &"p".into(), Some(stored), None, 0);
+/// let present = [Presence { build: "v1".into(), slots: 4 }];
+/// let recent = Contact { is_refreshed: true, age_ms: 300, ..Contact::default() };
+/// assert!(query::certain_base(&register, "p", &present, &recent).is_some());
+/// let old = Contact { age_ms: 3_000, ..recent };
+/// assert!(query::certain_base(&register, "p", &present, &old).is_none());
+/// ```
+pub fn certain_base(
+    register: &Register,
+    pool: &str,
+    present: &[Presence],
+    contact: &Contact,
+) -> Option<SmolStr> {
+    let base = epoch(register, pool)?.epoch.base.clone()?;
+    let is_alone = present.iter().all(|presence| presence.build == base);
+    let is_recent = contact.age_ms <= register.settings.contact_ms;
+    let is_certain = is_recent || is_outage(contact, register.settings.contact_ms);
+    (contact.is_refreshed && is_alone && is_certain).then_some(base)
+}
+
+/// Returns whether the other gateways show that none reaches the store.
+fn is_outage(contact: &Contact, recent_ms: u64) -> bool {
+    let witnesses = &contact.witnesses;
+    let ages = witnesses.iter().filter_map(|witness| witness.report_age_ms);
+    let (mut heard, mut recent) = (0, 0);
+    for age_ms in ages {
+        heard += 1;
+        recent += usize::from(age_ms <= recent_ms);
+    }
+    let is_followed = witnesses.iter().any(|witness| witness.is_following);
+    !is_followed && heard == witnesses.len() && recent * 2 >= heard
+}
+
 /// Returns whether streams of a pool need records: its epoch has no base, or several builds are listed.
 pub fn is_mixed(register: &Register, pool: &str, now_ms: u64) -> bool {
     let Some(state) = register.pools.get(pool) else {
--- a/crates/core/tests/origin.rs
+++ b/crates/core/tests/origin.rs
@@ -7,11 +7,11 @@
 
 use rstest::rstest;
 use sardinemux_core::origin::{
-    command, query, Epoch, Origin, Presence, Register, Settings, Stored,
+    command, query, Contact, Epoch, Origin, Presence, Register, Settings, Stored, Witness,
 };
 use sardinemux_core::position::Position;
 use smol_str::SmolStr;
-use streams::{run, Outcome, Policy, Scenario};
+use streams::{run, Lapse, Outcome, Policy, Scenario};
 
 /// The users' bound on the streams that go on at another build.
 const JOINED_MAX: u32 = 2;
@@ -34,6 +34,7 @@
         (26_000, 0.4, 1_500),
     ],
     outage: (0, 0),
+    lapse: None,
 };
 
 /// A third build while two others serve; the first one leaves.
@@ -74,6 +75,24 @@
     ..RELEASE
 };
 
+/// A new build joins while some gateways are out of step, and others are killed, so that callers take up their streams anywhere.
+const fn joining(lapse: Lapse, share: f64) -> Scenario {
+    Scenario {
+        builds: &[(0, 30_000, 4), (8_000, END, 5)],
+        kills: &[(9_700, 0.5, 500), (10_300, 0.5, 500)],
+        lapse: Some((7_700, 11_000, share, lapse)),
+        ..RELEASE
+    }
+}
+
+/// The targets of the former build leave as those of the next one are listed.
+const fn replacing(lapse: Lapse, share: f64) -> Scenario {
+    Scenario {
+        builds: &[(0, 8_050, 4), (8_000, END, 5)],
+        ..joining(lapse, share)
+    }
+}
+
 const fn large(scenario: Scenario) -> Scenario {
     Scenario {
         gateways: 100,
@@ -126,6 +145,15 @@
 #[case::leaving("leaving", LEAVING)]
 #[case::returning("returning", RETURNING)]
 #[case::outage("outage", OUTAGE)]
+#[case::frozen("joining, one stands still", joining(Lapse::Freeze, 0.1))]
+#[case::cut("joining, one is cut off", joining(Lapse::Cut, 0.1))]
+#[case::apart("joining, a third is cut off", joining(Lapse::Cut, 0.33))]
+#[case::replaced("replaced, a third is cut off", replacing(Lapse::Cut, 0.33))]
+#[case::large_frozen(
+    "joining, a third of 100 stands still",
+    large(joining(Lapse::Freeze, 0.33))
+)]
+#[case::large_apart("joining, a third of 100 is cut off", large(joining(Lapse::Cut, 0.33)))]
 #[case::large_release("release, 100 gateways", large(RELEASE))]
 #[case::large_overlapping("overlapping, 100 gateways", large(OVERLAPPING))]
 #[case::large_outage("outage, 100 gateways", large(OUTAGE))]
@@ -409,3 +437,60 @@
     let proposals = query::proposals(&register, due_ms);
     assert_eq!(proposals[0].epoch.base.as_deref(), Some("v1"));
 }
+
+/// The simulation must show the fault in gateways that take an old list, or an outage that only some of them see, for certain.
+#[rstest]
+#[case::frozen("frozen", joining(Lapse::Freeze, 0.1))]
+#[case::apart("apart", joining(Lapse::Cut, 0.33))]
+#[case::large_frozen("frozen, 100 gateways", large(joining(Lapse::Freeze, 0.33)))]
+#[case::large_apart("apart, 100 gateways", large(joining(Lapse::Cut, 0.33)))]
+fn verify_simulation_joins_builds_where_gateways_are_credulous(
+    #[case] name: &str,
+    #[case] scenario: Scenario,
+) {
+    let outcomes = run_all(scenario, Policy::Credulous);
+    print_row(name, Policy::Credulous, &outcomes);
+    let joined: u32 = outcomes.iter().map(|outcome| outcome.joined).sum();
+    assert!(joined > 0);
+}
+
+/// A base is certain without the store only where no other build can have joined unnoticed.
+#[rstest]
+#[case::recent(true, 600, &[(Some(100), true)], true)]
+#[case::stood_still(false, 600, &[(Some(100), false)], false)]
+#[case::followed(true, 2_000, &[(Some(100), false), (Some(100), true)], false)]
+#[case::outage(true, 2_000, &[(Some(100), false), (Some(100), false)], true)]
+#[case::silent(true, 2_000, &[(Some(100), false), (None, false)], false)]
+#[case::old_reports(true, 2_000, &[(Some(900), false), (Some(900), false)], false)]
+fn verify_base_is_certain_only_where_no_build_can_have_joined(
+    #[case] is_refreshed: bool,
+    #[case] age_ms: u64,
+    #[case] reports: &[(Option<u64>, bool)],
+    #[case] expected: bool,
+) {
+    let mut register = Register::new(Settings::default(), 0);
+    let stored = Stored {
+        epoch: Epoch {
+            base: Some("v1".into()),
+            builds: vec!["v1".into()],
+        },
+        position: 1.into(),
+        written: None,
+    };
+    command::note_epoch(&mut register, &"p".into(), Some(stored), None, 0);
+    let present = [Presence {
+        build: "v1".into(),
+        slots: 4,
+    }];
+    let witness = |(report_age_ms, is_following): &(Option<u64>, bool)| Witness {
+        report_age_ms: *report_age_ms,
+        is_following: *is_following,
+    };
+    let contact = Contact {
+        is_refreshed,
+        age_ms,
+        witnesses: reports.iter().map(witness).collect(),
+    };
+    let found = query::certain_base(&register, "p", &present, &contact);
+    assert_eq!(found.is_some(), expected);
+}
--- a/crates/core/tests/support/streams.rs
+++ b/crates/core/tests/support/streams.rs
@@ -6,8 +6,9 @@
 use rand::{Rng, SeedableRng};
 use sardinemux_core::origin::query::Search;
 use sardinemux_core::origin::{
-    command, query, Epoch, Origin, Presence, Register, Settings, Stored,
+    command, query, Contact, Epoch, Origin, Presence, Register, Settings, Stored, Witness,
 };
+use sardinemux_core::reports;
 use smol_str::SmolStr;
 
 /// How the build of a stream that is taken up is found.
@@ -21,6 +22,18 @@
     Records(u64),
     /// Epochs of builds, and records while there are several.
     Epochs,
+    /// The same, where gateways that cannot read the epoch take each list that seems recent, and each outage of those that they
+    /// hear, for certain.
+    Credulous,
+}
+
+/// How gateways are out of step, all of them together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lapse {
+    /// They stand still, and do not reach the store for a moment afterwards.
+    Freeze,
+    /// They are cut off from the store and from the other gateways.
+    Cut,
 }
 
 /// What happens in a run.
@@ -34,6 +47,8 @@
     pub kills: &'static [(u64, f64, u64)],
     /// When the store does not answer, in milliseconds.
     pub outage: (u64, u64),
+    /// When a share of the gateways is out of step, in milliseconds, and how.
+    pub lapse: Option<(u64, u64, f64, Lapse)>,
 }
 
 /// What callers saw.
@@ -57,12 +72,16 @@
 const OBSERVE_MS: u64 = 100;
 const WRITE_MS: u64 = 80;
 const GOSSIP_MS: u64 = 250;
+/// How long gateways that stood still do not reach the store afterwards, in milliseconds.
+const THAW_MS: u64 = 1_000;
 
 struct Gateway {
     register: Register,
     back_ms: u64,
     is_read: bool,
     written_ms: u64,
+    /// Whether the lapse of the scenario concerns it.
+    lapses: bool,
 }
 
 #[derive(Clone)]
@@ -96,6 +115,69 @@
         !(self.scenario.outage.0..self.scenario.outage.1).contains(&now_ms)
     }
 
+    /// Returns the lapse of a gateway, and since when it lasts.
+    fn lapse(&self, index: usize, now_ms: u64) -> Option<(Lapse, u64)> {
+        let (from_ms, to_ms, _, lapse) = self.scenario.lapse?;
+        let to_ms = to_ms + if lapse == Lapse::Freeze { THAW_MS } else { 0 };
+        let is_lapsed = self.gateways[index].lapses && (from_ms..to_ms).contains(&now_ms);
+        is_lapsed.then_some((lapse, from_ms))
+    }
+
+    fn is_frozen(&self, index: usize, now_ms: u64) -> bool {
+        let to_ms = self.scenario.lapse.map_or(0, |lapse| lapse.1);
+        let lapse = self.lapse(index, now_ms);
+        lapse.is_some_and(|(lapse, _)| lapse == Lapse::Freeze) && now_ms < to_ms
+    }
+
+    fn reaches_store(&self, index: usize, now_ms: u64) -> bool {
+        self.is_up(now_ms) && self.lapse(index, now_ms).is_none()
+    }
+
+    /// Returns what the list of a gateway shows, which is as old as its lapse.
+    fn listed(&self, index: usize, now_ms: u64) -> Vec<Presence> {
+        let since_ms = self.lapse(index, now_ms).map(|(_, since_ms)| since_ms);
+        let since_ms = since_ms.unwrap_or(now_ms);
+        self.present(match self.is_up(since_ms) {
+            true => since_ms,
+            false => self.scenario.outage.0,
+        })
+    }
+
+    /// Returns what a gateway knows of how current its list is.
+    fn contact(&mut self, index: usize, now_ms: u64) -> Contact {
+        let lapse = self.lapse(index, now_ms);
+        let peers = (0..self.gateways.len()).filter(|peer| *peer != index);
+        let mut witnesses = Vec::new();
+        for peer in peers.collect::<Vec<_>>() {
+            let is_heard = self.gateways[peer].back_ms <= now_ms
+                && self.lapse(peer, now_ms).is_some() == lapse.is_some();
+            let age_ms = self.random.random_range(0..=self.turn_ms());
+            let witness = Witness {
+                report_age_ms: is_heard.then_some(age_ms),
+                is_following: is_heard && self.reaches_store(peer, now_ms),
+            };
+            if is_heard || self.policy != Policy::Credulous {
+                witnesses.push(witness);
+            }
+        }
+        let since_ms = match lapse {
+            Some((_, since_ms)) => since_ms,
+            None if self.is_up(now_ms) => now_ms,
+            None => self.scenario.outage.0,
+        };
+        let is_frozen = lapse.is_some_and(|(lapse, _)| lapse == Lapse::Freeze);
+        Contact {
+            is_refreshed: !is_frozen || self.policy == Policy::Credulous,
+            // The clock of a process that stands still may stand as well.
+            age_ms: if is_frozen { 0 } else { now_ms - since_ms },
+            witnesses,
+        }
+    }
+
+    fn turn_ms(&self) -> u64 {
+        reports::PERIOD_MS * reports::rounds_per_turn(self.gateways.len() - 1)
+    }
+
     fn targets(&self, build: usize, now_ms: u64) -> u32 {
         let (from_ms, to_ms, count) = self.scenario.builds[build];
         if (from_ms..to_ms).contains(&now_ms) {
@@ -118,12 +200,13 @@
     fn live(&self, now_ms: u64) -> Vec<usize> {
         let all = 0..self.gateways.len();
         all.filter(|index| self.gateways[*index].back_ms <= now_ms)
+            .filter(|index| !self.is_frozen(*index, now_ms))
             .collect()
     }
 
     fn read_epoch(&mut self, index: usize, now_ms: u64) -> bool {
         self.outcome.calls += 1;
-        if !self.is_up(now_ms) {
+        if !self.reaches_store(index, now_ms) {
             return false;
         }
         let stored = self.epoch.clone();
@@ -134,7 +217,7 @@
 
     /// Observes, proposes and writes as the task of a gateway does.
     fn follow(&mut self, index: usize, now_ms: u64, is_writer: bool) {
-        let present = self.present(now_ms);
+        let present = self.listed(index, now_ms);
         command::observe(
             &mut self.gateways[index].register,
             &POOL.into(),
@@ -152,7 +235,7 @@
                 .epoch
                 .as_ref()
                 .map_or(0, |stored| stored.position.version);
-            if self.is_up(now_ms) && version == proposal.expected.version {
+            if self.reaches_store(index, now_ms) && version == proposal.expected.version {
                 let epoch: Epoch = proposal.epoch;
                 let position = (version + 1).into();
                 self.epoch = Some(Stored {
@@ -176,7 +259,7 @@
         }
         let gateway = &mut self.gateways[index];
         let is_due = now_ms >= gateway.written_ms + WRITE_MS;
-        if records.is_empty() || !is_due || !self.is_up(now_ms) {
+        if records.is_empty() || !is_due || !self.reaches_store(index, now_ms) {
             command::queue_records(&mut self.gateways[index].register, records);
             return;
         }
@@ -214,7 +297,8 @@
         let open = query::open_builds(&self.gateways[index].register, POOL, now_ms);
         let mut choices = Vec::new();
         for build in 0..self.scenario.builds.len() {
-            let is_open = self.policy != Policy::Epochs || open.contains(&name(build));
+            let has_epochs = matches!(self.policy, Policy::Epochs | Policy::Credulous);
+            let is_open = !has_epochs || open.contains(&name(build));
             let targets = if is_open {
                 self.targets(build, now_ms)
             } else {
@@ -257,9 +341,13 @@
             return None;
         }
         let plan = query::search(&self.gateways[index].register, POOL);
-        if self.policy == Policy::Epochs && plan == Search::Epoch {
+        let has_epochs = matches!(self.policy, Policy::Epochs | Policy::Credulous);
+        if has_epochs && plan == Search::Epoch {
             if !self.read_epoch(index, now_ms) {
-                return None;
+                let present = self.listed(index, now_ms);
+                let contact = self.contact(index, now_ms);
+                let register = &self.gateways[index].register;
+                return query::certain_base(register, POOL, &present, &contact);
             }
             let epoch = query::epoch(&self.gateways[index].register, POOL)?;
             if let Some(base) = &epoch.epoch.base {
@@ -267,7 +355,8 @@
             }
         }
         self.outcome.calls += 1;
-        let record = self.records.get(&stream.id).filter(|_| self.is_up(now_ms));
+        let is_reached = self.reaches_store(index, now_ms);
+        let record = self.records.get(&stream.id).filter(|_| is_reached);
         record.map(|origin| origin.build.clone())
     }
 
@@ -307,7 +396,7 @@
 
     fn kill(&mut self, share: f64, for_ms: u64, now_ms: u64) {
         for index in 0..self.gateways.len() {
-            if !self.random.random_bool(share) {
+            if !self.random.random_bool(share) || self.lapse(index, now_ms).is_some() {
                 continue;
             }
             let back_ms = now_ms + for_ms + self.random.random_range(0..300);
@@ -316,6 +405,7 @@
                 back_ms,
                 is_read: false,
                 written_ms: 0,
+                lapses: self.gateways[index].lapses,
             };
             let (broken, rest) = self
                 .running
@@ -337,14 +427,19 @@
             }
         }
         let live = self.live(now_ms);
-        let recorder = live.first().copied();
-        for (rank, index) in live.iter().enumerate() {
+        let in_step = |index: &&usize| self.lapse(**index, now_ms).is_none();
+        let recorder = live.iter().find(in_step).copied();
+        let writers: Vec<usize> = live.iter().filter(in_step).take(2).copied().collect();
+        let has_epochs = matches!(self.policy, Policy::Epochs | Policy::Credulous);
+        for index in &live {
             let turn_ms = *index as u64 * STEP_MS % OBSERVE_MS;
-            if self.policy == Policy::Epochs && now_ms % OBSERVE_MS == turn_ms {
-                self.follow(*index, now_ms, rank < 2);
+            if has_epochs && now_ms % OBSERVE_MS == turn_ms {
+                self.follow(*index, now_ms, writers.contains(index));
             }
             match (self.policy, recorder) {
-                (Policy::Epochs, Some(recorder)) => self.flush(*index, recorder, now_ms),
+                (Policy::Epochs | Policy::Credulous, Some(recorder)) => {
+                    self.flush(*index, recorder, now_ms)
+                }
                 (Policy::Records(interval_ms), _) => {
                     self.record_directly(*index, interval_ms, now_ms)
                 }
@@ -360,7 +455,7 @@
             let records = arrived.into_iter().map(|(_, record)| record);
             command::queue_records(&mut self.gateways[recorder].register, records);
         }
-        if self.policy == Policy::Epochs && now_ms.is_multiple_of(GOSSIP_MS) {
+        if has_epochs && now_ms.is_multiple_of(GOSSIP_MS) {
             self.gossip(&live, now_ms);
         }
         self.running.retain(|stream| stream.end_ms > now_ms);
@@ -380,8 +475,10 @@
             let Some(sender) = pick(&mut self.random, live) else {
                 return;
             };
+            let is_apart =
+                self.lapse(sender, now_ms).is_some() || self.lapse(*index, now_ms).is_some();
             let stored = query::epoch(&self.gateways[sender].register, POOL).cloned();
-            if stored.is_some() && self.random.random_bool(0.9) {
+            if stored.is_some() && !is_apart && self.random.random_bool(0.9) {
                 let register = &mut self.gateways[*index].register;
                 command::note_epoch(register, &POOL.into(), stored, None, now_ms);
             }
@@ -403,6 +500,7 @@
         back_ms: 0,
         is_read: false,
         written_ms: 0,
+        lapses: false,
     });
     let mut world = World {
         scenario,
@@ -417,6 +515,11 @@
         outcome: Outcome::default(),
         next_id: 0,
     };
+    let share = scenario.lapse.map_or(0.0, |lapse| lapse.2);
+    let lapsing = (scenario.gateways as f64 * share).ceil() as usize;
+    for gateway in world.gateways.iter_mut().rev().take(lapsing) {
+        gateway.lapses = true;
+    }
     let mut owed = 0.0;
     for now_ms in (0..END_MS).step_by(STEP_MS as usize) {
         world.step(now_ms);
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
+use sardinemux_core::origin::Witness;
 use sardinemux_core::position::{Era, Position};
 use sardinemux_core::readers::{KnownEra, Peer, ReaderState};
 use sardinemux_core::reports;
@@ -72,6 +73,8 @@
     /// The availability zone of this gateway.
     zone: SmolStr,
     contacts: IndexMap<SmolStr, Contact>,
+    /// When the process last stood still, in milliseconds. Reports from before may be older than they seem.
+    suspended_ms: Option<u64>,
     clients: IndexMap<(SocketAddr, Topic), Arc<Client>>,
 }
 
@@ -199,6 +202,25 @@
         })
     }
 
+    /// Records that the process stood still until now.
+    pub fn note_suspension(&mut self, now_ms: u64) {
+        self.suspended_ms = Some(now_ms);
+    }
+
+    /// Returns what each of the other gateways has last reported of the store.
+    pub fn witnesses(&self, topic: Topic, now_ms: u64) -> Vec<Witness> {
+        let witness = |contact: &Contact| {
+            let heard_ms = contact.last_report_ms;
+            let heard_ms = heard_ms.filter(|at_ms| self.suspended_ms.is_none_or(|it| *at_ms > it));
+            let heard_ms = heard_ms.filter(|_| self.has_recent_report(contact, now_ms));
+            Witness {
+                report_age_ms: heard_ms.map(|at_ms| now_ms.saturating_sub(at_ms)),
+                is_following: contact.standing(topic).state == ReaderState::Following,
+            }
+        };
+        self.contacts.values().map(witness).collect()
+    }
+
     /// Returns the addresses of the gateways that have sent a report within the silence timeout.
     pub fn recent_addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
         let contacts = self.contacts.values();
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -12,15 +12,16 @@
 use sardinemux_core::catalog::{Catalog, Kind};
 use sardinemux_core::hash;
 use sardinemux_core::origin::query::Search;
-use sardinemux_core::origin::{self, command, query, Epoch, Origin, Register, Settings, Stored};
+use sardinemux_core::origin::{
+    self, command, query, Contact, Epoch, Origin, Register, Settings, Stored,
+};
 use sardinemux_core::position::Era;
-use sardinemux_core::readers::ReaderState;
 use sardinemux_core::roster;
 use tokio::sync::{watch, Mutex as AsyncMutex, Notify};
 use tokio::time::{self, Instant};
 
 use crate::prelude::*;
-use crate::replication::with_view;
+use crate::replication::{self, with_view};
 use crate::request::Inbound;
 use crate::source::{Fact, Source, Topic};
 use crate::store_writes;
@@ -52,10 +53,6 @@
 /// How long a gateway tells the others of a new epoch, in milliseconds.
 const NEWS_MS: u64 = 5_000;
 
-/// How recent the last contact with the store, or with a gateway that follows it, must be for an epoch to be the one in
-/// force although it cannot be read, in milliseconds: less than the time in which a new build is listed before it joins.
-const CONTACT_MS: u64 = 700;
-
 /// What a gateway knows of epochs and streams, and how it reads and writes them.
 #[derive(Debug)]
 pub struct Origins {
@@ -266,21 +263,19 @@
     query::epoch(&register, pool)?.epoch.base.clone()
 }
 
-/// Returns the base of a pool if it is certain although the store cannot be read: only targets of the base are listed, and
-/// either the list is recent, so that no other build has been listed for long enough to join, or no gateway reaches the
-/// store, so that none can write a join.
+/// Returns the base of a pool if it is certain although the store cannot be read.
 fn base_without_store(gateway: &Gateway, pool: &SmolStr) -> Option<SmolStr> {
-    let base = base(gateway, pool)?;
     let now_ms = gateway.now_ms();
     let present = roster::query::builds(&gateway.roster.lock(), pool, now_ms);
+    let witnesses = gateway.members.lock().witnesses(Topic::Targets, now_ms);
     let contact_ms = with_view(gateway, Topic::Targets, |view| view.last_contact_ms);
-    let is_recent = now_ms.saturating_sub(contact_ms) <= CONTACT_MS;
-    let members = gateway.members.lock();
-    let mut recent = members.iter_recent(Topic::Targets, now_ms).peekable();
-    let is_isolated = recent.peek().is_none() && !members.is_empty();
-    let is_outage = !is_isolated && recent.all(|peer| peer.state != ReaderState::Following);
-    let is_alone = present.iter().all(|presence| presence.build == base);
-    (is_alone && (is_recent || is_outage)).then_some(base)
+    let contact = Contact {
+        is_refreshed: replication::is_refreshed(gateway, *gateway.suspensions.borrow()),
+        age_ms: now_ms.saturating_sub(contact_ms),
+        witnesses,
+    };
+    let register = gateway.origins.register.lock();
+    query::certain_base(&register, pool, &present, &contact)
 }
 
 /// Reads the record of a stream. A failed call is logged and leaves the stream unknown.
--- a/crates/gateway/src/suspension.rs
+++ b/crates/gateway/src/suspension.rs
@@ -34,6 +34,8 @@
 pub fn invalidate_state(gateway: &Gateway) {
     gateway.idle_connections.lock().clear();
     command::clear_reports(&mut gateway.roster.lock());
+    let now_ms = gateway.now_ms();
+    gateway.members.lock().note_suspension(now_ms);
     replication::invalidate_versions(gateway);
     gateway.suspensions.send_modify(|count| *count += 1);
 }
--- a/crates/gateway/tests/builds.rs
+++ b/crates/gateway/tests/builds.rs
@@ -19,9 +19,11 @@
 use harness::{announcement, exchange, header, looks_complete, wait_until_serving};
 use rstest::rstest;
 use sardinemux_core::catalog::Definition;
+use sardinemux_core::origin::Epoch;
 use sardinemux_core::roster::Announcement;
 use sardinemux_gateway::settings::Settings;
-use sardinemux_gateway::source::{Fact, Topic};
+use sardinemux_gateway::source::{Fact, Member, Topic};
+use sardinemux_gateway::suspension;
 use tokio::runtime::Runtime;
 use tokio::time;
 
@@ -277,3 +279,85 @@
     }
     gateway.kill();
 }
+
+/// How a gateway is out of step while a target of another build joins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OutOfStep {
+    /// It has stood still.
+    StoodStill,
+    /// It is cut off from the store and from most gateways, of which it hears one that is cut off as well.
+    CutOff,
+}
+
+/// A gateway that takes its list of targets for current goes on with a stream of a build that has joined meanwhile at the former one.
+#[rstest]
+#[case::stood_still(OutOfStep::StoodStill)]
+#[case::cut_off(OutOfStep::CutOff)]
+#[tokio::test]
+async fn verify_gateway_out_of_step_does_not_resume_at_the_former_build(
+    #[case] out_of_step: OutOfStep,
+) {
+    let former = MockTarget::start(Behaviour::Stream).await;
+    let store = Store::default();
+    store.put(Topic::Operators, "config", Some(catalog_of(definition())));
+    put(&store, listed("t0", &former, "v1", true));
+    if out_of_step == OutOfStep::CutOff {
+        let other = Member {
+            name: "g2".into(),
+            address: harness::find_free_addresses(1)[0],
+        };
+        store.put(Topic::Members, "g2", Some(Fact::Member(other)));
+    }
+    let names: &[&str] = match out_of_step {
+        OutOfStep::StoodStill => &["g0"],
+        OutOfStep::CutOff => &["g0", "g1"],
+    };
+    let settings = names.iter().map(|name| Settings {
+        name: (*name).into(),
+        ..harness::settings()
+    });
+    let settings: Vec<Settings> = settings.collect();
+    let mut gateways = Vec::new();
+    for settings in &settings {
+        gateways.push(harness::spawn(
+            settings.clone(),
+            store.source(&settings.name),
+        ));
+        wait_until_serving(settings.caller_address, settings.ready_address).await;
+    }
+    let call = |headers: &str| {
+        let request = harness::request("POST", "/resumable/", headers, "p");
+        let address = settings[0].caller_address;
+        async move { exchange(address, &request).await }
+    };
+    // The first stream begins once the epoch has a base, and it is read again for the second one.
+    for headers in ["", "last-event-id: 2\r\nx-resumes: s0\r\n"] {
+        let answer = call(headers).await;
+        assert!(looks_complete(&answer), "{answer}");
+    }
+    let begun = former.request_count();
+    store.reject_all();
+    // What the gateways have read stays recent.
+    time::sleep(Duration::from_millis(50)).await;
+    let other = MockTarget::start(Behaviour::Stream).await;
+    put(&store, listed("t1", &other, "v2", true));
+    let epoch = Epoch {
+        base: None,
+        builds: vec!["v1".into(), "v2".into()],
+    };
+    let joined = Fact::Builds {
+        epoch,
+        written: None,
+    };
+    store.put(Topic::Builds, "p", Some(joined));
+    match out_of_step {
+        OutOfStep::StoodStill => suspension::invalidate_state(&gateways[0]),
+        OutOfStep::CutOff => time::sleep(Duration::from_secs(2)).await,
+    }
+    for number in 1..5 {
+        let headers = format!("last-event-id: 2\r\nx-resumes: s{number}\r\n");
+        let answer = call(&headers).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    }
+    assert_eq!(former.request_count(), begun);
+}
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -36,6 +36,8 @@
     version: u64,
     topics: IndexMap<Topic, IndexMap<SmolStr, Entry>>,
     rejected: IndexSet<(SmolStr, Topic)>,
+    /// Whether every list and watch is rejected.
+    rejects_all: bool,
     /// The gateways whose calls, pending ones included, are never answered.
     silenced: IndexSet<SmolStr>,
     /// The number of successful calls of each gateway for each topic.
@@ -96,6 +98,11 @@
         self.0.lock().loses_answer = true;
     }
 
+    /// Rejects every list and watch from now on.
+    pub fn reject_all(&self) {
+        self.0.lock().rejects_all = true;
+    }
+
     /// Rejects from now on every gateway that was served a topic so far. Returns their number.
     pub fn reject_readers(&self, topic: Topic) -> usize {
         let mut state = self.0.lock();
@@ -140,7 +147,7 @@
     fn read(&self, name: &SmolStr, topic: Topic, since: Option<Position>) -> source::Result<Batch> {
         let mut state = self.0.lock();
         let reader = (name.clone(), topic);
-        if state.rejected.contains(&reader) {
+        if state.rejects_all || state.rejected.contains(&reader) {
             return Err(source::Error::Refused { status: 429 });
         }
         *state.served.entry(reader).or_default() += 1;
