Let a build join only after it has been listed for a second

Callers could see a stream go on at another build than it began (ORDER).

Cause: where the builds of the epoch had few slots left, a newly listed build joined at once, while gateways that have just lost the store rely on it that a build is listed for longer than their last contact is old (700 ms).

Change: few slots only cut the wait after a restart of a gateway from 6 s to one; new streams wait up to 1.3 s for the join instead of 0.5 s, which matters only if all targets of the former builds leave within the second in which the first one of another build is listed. Gateways of earlier builds join as before.

--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -39,7 +39,7 @@
     /// The time after the start of a gateway in which no build joins, in milliseconds. Streams that began before without a
     /// record are taken up in this time.
     pub restart_ms: u64,
-    /// The share of a pool's slots below which those of the epoch's builds are too few to wait for a join.
+    /// The share of a pool's slots below which those of the epoch's builds are too few to wait for `restart_ms`.
     pub slots_min: f64,
     /// How long a build has been absent before this gateway begins no stream there without a new write of the epoch, in
     /// milliseconds.
--- a/crates/core/src/origin/query.rs
+++ b/crates/core/src/origin/query.rs
@@ -240,9 +240,15 @@
         Some(_) if since_restart_ms < settings.restart_ms => settings.restart_ms,
         Some(_) => settings.join_ms,
     };
+    // A gateway that cannot read the epoch relies on it that no build joins sooner.
+    let delay_ms = if is_short {
+        delay_ms.min(settings.join_ms)
+    } else {
+        delay_ms
+    };
     let is_due = waiting
         .iter()
-        .any(|(_, sighting)| is_short || now_ms.saturating_sub(sighting.since_ms) >= delay_ms);
+        .any(|(_, sighting)| now_ms.saturating_sub(sighting.since_ms) >= delay_ms);
     let builds = waiting.iter().map(|(build, _)| (*build).clone());
     builds.filter(|_| is_due).collect()
 }
--- a/crates/core/tests/origin.rs
+++ b/crates/core/tests/origin.rs
@@ -494,3 +494,30 @@
     let found = query::certain_base(&register, "p", &present, &contact);
     assert_eq!(found.is_some(), expected);
 }
+
+/// A build that joins as soon as it is listed joins before gateways that are just out of step have had to notice.
+#[test]
+fn verify_no_build_joins_sooner_where_the_others_have_few_slots() {
+    let mut register = Register::new(Settings::default(), 0);
+    let pool = SmolStr::from("p");
+    let stored = Stored {
+        epoch: Epoch {
+            base: Some("v1".into()),
+            builds: vec!["v1".into()],
+        },
+        position: 1.into(),
+        written: None,
+    };
+    command::note_epoch(&mut register, &pool, Some(stored), None, 0);
+    let presence = |build: &str, slots| Presence {
+        build: build.into(),
+        slots,
+    };
+    let present = [presence("v1", 0), presence("v2", 8)];
+    let settings = Settings::default();
+    for now_ms in (0..=settings.join_ms).step_by(100) {
+        command::observe(&mut register, &pool, &present, now_ms);
+        let is_due = !query::proposals(&register, now_ms).is_empty();
+        assert_eq!(is_due, now_ms >= settings.join_ms, "{now_ms}");
+    }
+}
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -44,8 +44,8 @@
 /// The longest time for which a request waits for the store before it is refused.
 const SEARCH_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// The longest time for which a new stream waits for a build to join the epoch.
-const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// The longest time for which a new stream waits for a build to join the epoch: longer than the build must have been listed.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(1_300);
 
 /// The range over which gateways read the epochs after the store has stated a new era.
 const REFRESH_SPREAD: Duration = Duration::from_millis(400);
