--- a/crates/gateway/tests/support/mock.rs
+++ b/crates/gateway/tests/support/mock.rs
@@ -333,7 +333,7 @@
 }
 
 /// Reads one request with its body. Returns `None` once the connection has ended.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&bytes).into_owned();
