--- a/crates/proof/src/bin/sardinemux-soak.rs
+++ b/crates/proof/src/bin/sardinemux-soak.rs
@@ -67,6 +67,19 @@
                 .conflicts_with("fatal-requests")
                 .help("Let the store come back from older copies, and replicas state that they leave or want no requests"),
         )
+        .arg(
+            Arg::new("departures")
+                .long("departures")
+                .num_args(0)
+                .help("Let callers leave their requests, also with bytes behind these"),
+        )
+        .arg(
+            Arg::new("lapses")
+                .long("lapses")
+                .num_args(0)
+                .conflicts_with("fatal-requests")
+                .help("Let entries of replicas that turn requests away lapse at times"),
+        )
         .arg(
             Arg::new("former")
                 .long("former")
@@ -136,6 +149,8 @@
             has_sound_targets: matches.get_flag("sound-targets"),
             has_isolations: matches.get_flag("isolations"),
             has_restores: matches.get_flag("restores"),
+            has_departures: matches.get_flag("departures"),
+            has_lapses: matches.get_flag("lapses"),
             ..Settings::default()
         };
         settings.fleet.former_program = matches.get_one::<String>("former").cloned();
--- a/crates/proof/src/gateways.rs
+++ b/crates/proof/src/gateways.rs
@@ -4,6 +4,7 @@
 pub mod added;
 pub mod caller;
 pub mod check;
+pub mod departure;
 pub mod layout;
 pub mod load;
 pub mod operator;
--- a/crates/proof/src/gateways/caller.rs
+++ b/crates/proof/src/gateways/caller.rs
@@ -44,7 +44,8 @@
 pub const KINDS: [Kind; 4] = [Kind::Read, Kind::Write, Kind::StreamOnce, Kind::StreamAgain];
 
 impl Kind {
-    fn route(self) -> &'static str {
+    /// Returns the name of its route.
+    pub fn route(self) -> &'static str {
         match self {
             Self::Read => "read",
             Self::Write => "write",
--- a/crates/proof/src/gateways/check.rs
+++ b/crates/proof/src/gateways/check.rs
@@ -6,6 +6,7 @@
 use sardinemux_standin::replica::Stats;
 
 use super::caller::{Outcome, Told};
+use super::departure::Departure;
 
 /// The statuses that promise that nothing ran.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -78,6 +79,13 @@
         /// The users' bound.
         bound: usize,
     },
+    /// Requests were sent on after their callers had left.
+    SentOn {
+        /// The requests.
+        ids: Vec<String>,
+        /// The users' bound on their number.
+        bound: usize,
+    },
     /// A revoked key was still in use after the users' bound.
     Revoked {
         /// The request.
@@ -147,6 +155,14 @@
                     "{replica} got {arrivals} requests in a pause that it had stated, {bound} are allowed"
                 )
             }
+            Self::SentOn { ids, bound } => {
+                write!(
+                    formatter,
+                    "{} requests were sent on after their callers had left, {bound} are allowed: {}",
+                    ids.len(),
+                    ids.join(" ")
+                )
+            }
             Self::Revoked { id } => write!(formatter, "{id} was served with a revoked key"),
             Self::Repeated { late } => {
                 write!(
@@ -370,6 +386,33 @@
 /// The users' number of requests of one gateway that may arrive after that.
 const SLIPS_MAX: usize = 2;
 
+/// The time after a caller's close in which its request may still be sent on, in milliseconds.
+const GONE_MS: u64 = 500;
+
+/// The users' few requests that may be sent on later than that.
+const SENT_ON_MAX: usize = 3;
+
+/// Returns the requests that replicas began too long after their callers had left, if these are too many. `is_excused` states
+/// whether a gateway was started, stood still or lost its paths between two times.
+pub fn sent_on(
+    departures: &[Departure],
+    stats: &[Stats],
+    is_excused: impl Fn(usize, u64, u64) -> bool,
+) -> Option<Breach> {
+    let begun_ms = |id: &str| {
+        let begun = stats.iter().filter_map(|stats| stats.last_begun_ms.get(id));
+        begun.max().copied()
+    };
+    let late = departures.iter().filter(|it| {
+        begun_ms(&it.id).is_some_and(|begun_ms| {
+            begun_ms > it.left_ms + GONE_MS && !is_excused(it.gateway, it.left_ms, begun_ms)
+        })
+    });
+    let ids: Vec<String> = late.map(|it| it.id.clone()).collect();
+    let bound = SENT_ON_MAX;
+    (ids.len() > bound).then_some(Breach::SentOn { ids, bound })
+}
+
 /// Returns whether a replica got too many requests in a pause that it had stated. Each of the gateways, and each that started or stood
 /// still meanwhile (`restarts`), learns of the pause by a rejection of its own, and a few may be under way then.
 pub fn paused(replica: &str, stats: &Stats, gateways: usize, restarts: usize) -> Option<Breach> {
--- /dev/null
+++ b/crates/proof/src/gateways/departure.rs
@@ -0,0 +1,101 @@
+//! Callers that leave: each sends a request, often with further bytes behind it, and closes its connection a moment later.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use sardinemux_standin::replica::{header, unix_ms};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time;
+
+use super::caller::{Kind, DEADLINE_MS, KINDS};
+use super::operator::{HOST, KEY};
+use super::Fleet;
+
+/// How long a caller stays, in milliseconds.
+const STAY_MS: std::ops::Range<u64> = 5..1_200;
+
+/// The pause between two callers, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 5..100;
+
+/// What is behind a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Behind {
+    Nothing,
+    EmptyLine,
+    Request,
+}
+
+const BEHIND: [Behind; 3] = [Behind::Nothing, Behind::EmptyLine, Behind::Request];
+
+/// A request whose caller has left.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// Its id.
+    pub id: String,
+    /// Its kind.
+    pub kind: Kind,
+    /// The gateway's index.
+    pub gateway: usize,
+    /// When the caller closed its connection, in Unix milliseconds.
+    pub left_ms: u64,
+}
+
+fn text(kind: Kind, id: &str) -> String {
+    let path = kind.route();
+    let (request_id, deadline) = (header::REQUEST_ID, header::DEADLINE_MS);
+    format!(
+        "POST /{path}/ HTTP/1.1\r\nhost: {HOST}\r\napi-key: {KEY}\r\n{request_id}: {id}\r\n\
+         {deadline}: {DEADLINE_MS}\r\ncontent-length: 4\r\n\r\nbody"
+    )
+}
+
+/// Sends requests to one gateway and leaves each of them, until `ends` is set.
+pub async fn depart(
+    fleet: Arc<Fleet>,
+    gateway: usize,
+    seed: u64,
+    ends: watch::Receiver<bool>,
+) -> Vec<Departure> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut departures = Vec::new();
+    let mut number = 0_u64;
+    while !*ends.borrow() {
+        let pause_ms = random.random_range(PAUSE_MS);
+        time::sleep(Duration::from_millis(pause_ms)).await;
+        let kind = KINDS.choose(&mut random).copied().unwrap_or(Kind::Read);
+        let behind = BEHIND
+            .choose(&mut random)
+            .copied()
+            .unwrap_or(Behind::Nothing);
+        let stay = Duration::from_millis(random.random_range(STAY_MS));
+        number += 2;
+        let ids = [number, number + 1].map(|number| format!("left-{gateway}-{number}"));
+        let sent = match behind {
+            Behind::Nothing => text(kind, &ids[0]),
+            Behind::EmptyLine => text(kind, &ids[0]) + "\r\n",
+            Behind::Request => text(kind, &ids[0]) + &text(kind, &ids[1]),
+        };
+        let connecting = TcpStream::connect(fleet.gateways[gateway].callers);
+        let connected = time::timeout(stay, connecting).await;
+        let Ok(Ok(mut stream)) = connected else {
+            continue;
+        };
+        // What the gateway takes of it before the caller leaves does not matter.
+        let _ = stream.write_all(sent.as_bytes()).await;
+        time::sleep(stay).await;
+        drop(stream);
+        let left_ms = unix_ms();
+        departures.extend(ids.map(|id| Departure {
+            id,
+            kind,
+            gateway,
+            left_ms,
+        }));
+    }
+    departures
+}
--- a/crates/proof/src/soak.rs
+++ b/crates/proof/src/soak.rs
@@ -13,11 +13,14 @@
 use sardinemux_standin::platform;
 use sardinemux_standin::proxy::{Fault, Isolation};
 use sardinemux_standin::replica::{unix_ms, Faults, Stats};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{self, Instant};
 
 use crate::errors::Result;
 use crate::gateways::caller::{Outcome, Told, DEADLINE_MS};
 use crate::gateways::check::{self, Breach};
+use crate::gateways::departure::{self, Departure};
 use crate::gateways::load::Load;
 use crate::gateways::operator::Desired;
 use crate::gateways::{Fleet, Settings as Parts};
@@ -39,6 +42,12 @@
 /// The users' time in which a gateway may find out that it has no paths, in milliseconds.
 const FOUND_OUT_MS: u64 = 3_000;
 
+/// The users' time after a disturbance for which a gateway does not count, in milliseconds.
+const STABLE_MS: u64 = 3_000;
+
+/// How long an entry that lapses stays away.
+const LAPSE: Duration = Duration::from_millis(600);
+
 /// How long a replica that left stays away.
 const AWAY: Duration = Duration::from_millis(KNOWN_MS + STRETCH_MS + 1_000);
 
@@ -69,6 +78,10 @@
     pub has_isolations: bool,
     /// Whether the store comes back from older copies, and replicas state that they leave or want no requests, at times.
     pub has_restores: bool,
+    /// Whether callers leave their requests, also with bytes behind these.
+    pub has_departures: bool,
+    /// Whether entries of replicas that turn requests away lapse at times.
+    pub has_lapses: bool,
     /// The fleet.
     pub fleet: Parts,
 }
@@ -83,6 +96,8 @@
             has_sound_targets: false,
             has_isolations: false,
             has_restores: false,
+            has_departures: false,
+            has_lapses: false,
             fleet: Parts {
                 gateways: 5,
                 services: 3,
@@ -154,6 +169,9 @@
         let replacing = tokio::spawn(fatal::replace_crashed(fleet.clone()));
         (Load::start_fatal(fleet, settings.seed), replacing)
     });
+    let departures = settings
+        .has_departures
+        .then(|| Departing::start(fleet, settings.seed));
     let (begun, begun_ms) = (Instant::now(), unix_ms());
     let steps = plan.steps.iter().map(|step| async {
         time::sleep_until(begun + step.at).await;
@@ -177,9 +195,15 @@
         fatal_outcomes = load.end().await;
         replacing.abort();
     }
+    let departures = match departures {
+        Some(departing) => departing.end().await,
+        None => Vec::new(),
+    };
     let stats = (0..fleet.replicas.len()).map(|index| fleet.stats_once_back(index));
     let stats: Vec<Stats> = join_all(stats).await.into_iter().collect::<Result<_>>()?;
-    let all: Vec<Outcome> = outcomes.iter().chain(&fatal_outcomes).cloned().collect();
+    let left = departures.iter().map(unanswered);
+    let all = outcomes.iter().chain(&fatal_outcomes).cloned();
+    let all: Vec<Outcome> = all.chain(left).collect();
     let mut breaches = check::always(&all, &stats);
     // Gateways of the earlier build know neither eras nor what replicas state in their answers.
     let has_former = settings.has_restores && settings.fleet.former_program.is_some();
@@ -190,6 +214,10 @@
         };
         breaches.extend(check::stated(&outcomes, &stating, KNOWN_MS, is_excused));
         breaches.extend(paused(fleet, &plan, &stats));
+        let is_excused = |gateway, from_ms, until_ms| {
+            is_out_of_touch(&plan, begun_ms, gateway, from_ms, until_ms)
+        };
+        breaches.extend(check::sent_on(&departures, &stats, is_excused));
     }
     breaches.extend(unrecovered(&outcomes, back_ms));
     breaches.extend(check::isolated(&outcomes, &isolated(&plan, begun_ms)));
@@ -248,6 +276,79 @@
     })
 }
 
+/// Returns whether a gateway was ended or suspended between two times or shortly before, in Unix milliseconds. Any gateway counts
+/// where there are isolations, as a request may have been sent through it.
+fn is_out_of_touch(
+    plan: &Plan,
+    begun_ms: u64,
+    gateway: usize,
+    from_ms: u64,
+    until_ms: u64,
+) -> bool {
+    let steps = plan.steps.iter();
+    let isolates = steps.filter(|step| matches!(step.action, Action::Isolate(..)));
+    let gateways = plan.steps.iter().filter_map(|step| match step.action {
+        Action::Kill(index) | Action::Terminate(index) | Action::Freeze(index) => Some(index),
+        _ => None,
+    });
+    let from_ms = from_ms.saturating_sub(STABLE_MS);
+    let is_any = isolates.count() > 0;
+    let mut concerned = gateways.filter(|index| is_any || *index == gateway);
+    concerned.any(|index| is_interrupted(plan, begun_ms, index, from_ms, until_ms))
+        || is_interrupted(plan, begun_ms, gateway, from_ms, until_ms)
+}
+
+/// The callers that leave their requests, some at each gateway.
+struct Departing {
+    ends: watch::Sender<bool>,
+    callers: Vec<JoinHandle<Vec<Departure>>>,
+}
+
+impl Departing {
+    fn start(fleet: &Arc<Fleet>, seed: u64) -> Self {
+        let ends = watch::Sender::new(false);
+        let callers = (0..fleet.gateways.len()).map(|gateway| {
+            let seed = seed ^ (gateway as u64) << 40;
+            tokio::spawn(departure::depart(
+                fleet.clone(),
+                gateway,
+                seed,
+                ends.subscribe(),
+            ))
+        });
+        Self {
+            callers: callers.collect(),
+            ends,
+        }
+    }
+
+    /// Lets each caller leave its last request, and returns all requests, whose work has ended then.
+    async fn end(self) -> Vec<Departure> {
+        self.ends.send_replace(true);
+        let mut departures = Vec::new();
+        for caller in self.callers {
+            // A caller that panicked shows in the test's output.
+            departures.extend(caller.await.unwrap_or_default());
+        }
+        time::sleep(Duration::from_millis(STABLE_MS)).await;
+        departures
+    }
+}
+
+/// Returns what became of a request whose caller left without looking at its answer.
+fn unanswered(departure: &Departure) -> Outcome {
+    Outcome {
+        id: departure.id.clone(),
+        kind: departure.kind,
+        gateway: departure.gateway,
+        sent_ms: departure.left_ms,
+        took_ms: 0,
+        told: Told::Unreached,
+        replica: String::new(),
+        is_resumption: false,
+    }
+}
+
 /// Returns the replicas that got too many requests in a pause that they had stated.
 fn paused(fleet: &Fleet, plan: &Plan, stats: &[Stats]) -> Vec<Breach> {
     let gateways = fleet.gateways.len();
@@ -380,6 +481,7 @@
             time::sleep(step.lasts).await;
             fleet.set_replica_faults(index, Faults::default()).await?;
         }
+        Action::Lapse(index) => lapse(fleet, index, step.span().end - step.at).await?,
         Action::Configure(timeout_ms) => {
             let desired = Desired {
                 timeout_ms,
@@ -435,6 +537,22 @@
     })
 }
 
+/// Lets a replica turn requests away for a time, in the middle of which its entry is taken away and written again.
+async fn lapse(fleet: &Fleet, replica: usize, lasts: Duration) -> Result<()> {
+    let faults = Faults {
+        pause_until_ms: unix_ms() + lasts.as_millis() as u64,
+        ..Faults::default()
+    };
+    fleet.set_replica_faults(replica, faults).await?;
+    let before = lasts / 4;
+    time::sleep(before).await;
+    fleet.unlist(replica).await?;
+    time::sleep(LAPSE).await;
+    fleet.list(replica, false).await?;
+    time::sleep(lasts - before - LAPSE).await;
+    fleet.set_replica_faults(replica, Faults::default()).await
+}
+
 async fn leave(fleet: &Fleet, replica: usize) -> Result<Leaving> {
     let confirmed_ms = fleet.list(replica, true).await?;
     time::sleep(AWAY).await;
--- a/crates/proof/src/soak/plan.rs
+++ b/crates/proof/src/soak/plan.rs
@@ -23,6 +23,9 @@
 /// The share of the faults that are restores of the store, or statements of replicas, where there are such.
 const RESTORES: f64 = 0.4;
 
+/// The share of the faults that are lapses of entries, where there are such.
+const LAPSES: f64 = 0.3;
+
 /// The age of a copy from which the store comes back, in milliseconds.
 const COPY_AGE_MS: std::ops::Range<u64> = 300..4_000;
 
@@ -61,6 +64,8 @@
     State(usize),
     /// A replica turns requests away for a time that it states.
     Pause(usize),
+    /// A replica's entry is taken out of the store and written again, unchanged, while the replica turns requests away.
+    Lapse(usize),
 }
 
 /// An action and when it begins.
@@ -128,7 +133,7 @@
         }
         Action::HangUp(index) | Action::Isolate(index, _) => Some(("process", index)),
         Action::HarmStore(_) | Action::Restore(_) => Some(("store", 0)),
-        Action::State(_) | Action::Pause(_) => None,
+        Action::State(_) | Action::Pause(_) | Action::Lapse(_) => None,
         Action::HarmStorePath(index, _) => Some(("store path", index)),
         Action::HarmReplicaPath(index, _) => Some(("replica path", index)),
         Action::HarmReplica(index, _) => Some(("replica", index)),
@@ -150,7 +155,8 @@
         Action::HarmReplicaPath(..) | Action::HarmReplica(..) => false,
         Action::Terminate(_) | Action::HangUp(_) | Action::Leave(_) | Action::Configure(_) => true,
         Action::HarmStore(_) | Action::ForgetHistory | Action::HarmStorePath(..) => true,
-        Action::Restore(_) | Action::State(_) | Action::Pause(_) => true,
+        Action::Restore(_) | Action::State(_) => true,
+        Action::Pause(_) | Action::Lapse(_) => true,
     }
 }
 
@@ -168,6 +174,7 @@
             | Action::Leave(_)
             | Action::State(_)
             | Action::Pause(_)
+            | Action::Lapse(_)
     )
 }
 
@@ -190,7 +197,7 @@
             Action::Terminate(_) | Action::Leave(_) => STOP,
             Action::Kill(_) | Action::KillAll => Duration::from_secs(1),
             Action::Isolate(..) => self.lasts + ISOLATED_MIN,
-            Action::State(_) => self.lasts + STATED_MIN,
+            Action::State(_) | Action::Lapse(_) => self.lasts + STATED_MIN,
             Action::Restore(_) => self.lasts + WRITTEN_AGAIN,
             _ => self.lasts,
         };
@@ -202,14 +209,17 @@
 fn replica_of(action: Action) -> Option<usize> {
     match action {
         Action::HarmReplica(index, _) | Action::Leave(index) => Some(index),
-        Action::State(index) | Action::Pause(index) => Some(index),
+        Action::State(index) | Action::Pause(index) | Action::Lapse(index) => Some(index),
         _ => None,
     }
 }
 
 /// Returns whether a replica states something in its answers by an action, which no other action on it may end.
 fn states_something(action: Action) -> bool {
-    matches!(action, Action::State(_) | Action::Pause(_))
+    matches!(
+        action,
+        Action::State(_) | Action::Pause(_) | Action::Lapse(_)
+    )
 }
 
 fn conflicts(earlier: &Step, later: &Step) -> bool {
@@ -244,6 +254,9 @@
         let ways = [Isolation::Silent, Isolation::Reset, Isolation::New];
         return Action::Isolate(gateway, ways[random.random_range(0..ways.len())]);
     }
+    if settings.has_lapses && random.random_bool(LAPSES) {
+        return Action::Lapse(replica);
+    }
     if settings.has_restores && random.random_bool(RESTORES) {
         return match random.random_range(0..4) {
             0 | 1 => Action::Restore(random.random_range(COPY_AGE_MS)),
--- a/crates/proof/tests/soak.rs
+++ b/crates/proof/tests/soak.rs
@@ -140,3 +140,25 @@
     let report = run(&settings).await;
     assert!(report.served > report.sent / 4);
 }
+
+/// Gateways that read nothing behind a request work for callers that have left, and those that keep a pause with the entry of its
+/// target forget it when the entry lapses.
+#[rstest]
+#[case::paths_kept(9_300, false)]
+#[case::paths_lost(9_400, true)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_departures_and_lapses_of_entries_break_no_promise(
+    #[case] seed: u64,
+    #[case] has_isolations: bool,
+) {
+    let settings = Settings {
+        seed,
+        faults: 14,
+        has_departures: true,
+        has_lapses: true,
+        has_isolations,
+        ..Settings::default()
+    };
+    let report = run(&settings).await;
+    assert!(report.served > report.sent / 4);
+}
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -128,6 +128,9 @@
     pub runs: IndexMap<String, u32>,
     /// The start of each run, in Unix milliseconds.
     pub begun_ms: Vec<u64>,
+    /// The start of the last run of each request, in Unix milliseconds.
+    #[serde(default)]
+    pub last_begun_ms: IndexMap<String, u64>,
     /// When the replica crashed, in Unix milliseconds.
     pub crashes_ms: Vec<u64>,
     /// When the replica fell over as it had to reject too many requests, in Unix milliseconds.
@@ -372,7 +375,9 @@
         {
             let mut stats = self.stats.lock();
             *stats.runs.entry(id.to_owned()).or_default() += 1;
-            stats.begun_ms.push(unix_ms());
+            let begun_ms = unix_ms();
+            stats.begun_ms.push(begun_ms);
+            stats.last_begun_ms.insert(id.to_owned(), begun_ms);
         }
         let fatal_body = self.settings.fatal_body.as_deref();
         if fatal_body.is_some_and(|fatal| fatal.as_bytes() == body) {
