--- a/crates/proof/src/soak.rs
+++ b/crates/proof/src/soak.rs
@@ -45,8 +45,8 @@
 /// The users' time after a disturbance for which a gateway does not count, in milliseconds.
 const STABLE_MS: u64 = 3_000;
 
-/// How long an entry that lapses stays away.
-const LAPSE: Duration = Duration::from_millis(600);
+/// How long an entry that lapses stays away, and the time until it lapses again.
+const LAPSE: Duration = Duration::from_millis(250);
 
 /// How long a replica that left stays away.
 const AWAY: Duration = Duration::from_millis(KNOWN_MS + STRETCH_MS + 1_000);
@@ -537,19 +537,21 @@
     })
 }
 
-/// Lets a replica turn requests away for a time, in the middle of which its entry is taken away and written again.
+/// Lets a replica turn requests away for a time, in which its entry is taken away and written again several times.
 async fn lapse(fleet: &Fleet, replica: usize, lasts: Duration) -> Result<()> {
     let faults = Faults {
         pause_until_ms: unix_ms() + lasts.as_millis() as u64,
         ..Faults::default()
     };
     fleet.set_replica_faults(replica, faults).await?;
-    let before = lasts / 4;
-    time::sleep(before).await;
-    fleet.unlist(replica).await?;
-    time::sleep(LAPSE).await;
-    fleet.list(replica, false).await?;
-    time::sleep(lasts - before - LAPSE).await;
+    let ends = Instant::now() + lasts;
+    while Instant::now() + 2 * LAPSE < ends {
+        time::sleep(LAPSE).await;
+        fleet.unlist(replica).await?;
+        time::sleep(LAPSE).await;
+        fleet.list(replica, false).await?;
+    }
+    time::sleep_until(ends).await;
     fleet.set_replica_faults(replica, Faults::default()).await
 }
 
--- a/crates/proof/src/soak/plan.rs
+++ b/crates/proof/src/soak/plan.rs
@@ -64,7 +64,7 @@
     State(usize),
     /// A replica turns requests away for a time that it states.
     Pause(usize),
-    /// A replica's entry is taken out of the store and written again, unchanged, while the replica turns requests away.
+    /// A replica's entry is taken out of the store and written again, unchanged, several times while the replica turns requests away.
     Lapse(usize),
 }
 
