--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,8 +22,8 @@
 /// time to be read.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The last part of the grace period, as a share of it, in which no request is sent to a target.
-const LAST_SEND_SHARE: u32 = 6;
+/// The grace period divided by this is its last part, in which no request is sent to a target.
+const UNSENT_DIVISOR: u32 = 6;
 
 /// The time before the end of the process at which running requests are answered.
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
@@ -132,7 +132,7 @@
     let grace = Duration::from_millis(gateway.bounds.read().grace_ms);
     let deadline = stop_begin + grace.saturating_sub(EXIT_MARGIN);
     gateway.drain.set_limits(Limits {
-        send: stop_begin + (grace - grace / LAST_SEND_SHARE),
+        send: stop_begin + (grace - grace / UNSENT_DIVISOR),
         answer: deadline - ANSWER_MARGIN.min(deadline - stop_begin),
     });
     gateway.drain.set_phase(Phase::Leaving);
