--- a/crates/core/src/origin/query.rs
+++ b/crates/core/src/origin/query.rs
@@ -82,14 +82,17 @@
 /// # Examples
 ///
 /// ```
-/// use sardinemux_core::origin::{command, query, Contact, Epoch, Presence, Register, Settings, Stored};
+/// use sardinemux_core::origin::{
+///     command, query, Contact, Epoch, Presence, Register, Settings, Stored, Witness,
+/// };
 ///
 /// let mut register = Register::new(Settings::default(), 0);
 /// let epoch = Epoch { base: Some("v1".into()), builds: vec!["v1".into()] };
 /// let stored = Stored { epoch, position: 1.into(), written: None };
 /// command::note_epoch(&mut register, &"p".into(), Some(stored), None, 0);
 /// let present = [Presence { build: "v1".into(), slots: 4 }];
-/// let recent = Contact { is_refreshed: true, age_ms: 300, ..Contact::default() };
+/// let witnesses = vec![Witness::default()];
+/// let recent = Contact { is_refreshed: true, age_ms: 300, witnesses };
 /// assert!(query::certain_base(&register, "p", &present, &recent).is_some());
 /// let old = Contact { age_ms: 3_000, ..recent };
 /// assert!(query::certain_base(&register, "p", &present, &old).is_none());
