--- a/crates/proof/src/gateways/departure.rs
+++ b/crates/proof/src/gateways/departure.rs
@@ -10,9 +10,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time;
 
-use super::caller::{Kind, DEADLINE_MS, KINDS};
+use super::caller::{Kind, Outcome, Told, DEADLINE_MS, KINDS};
 use super::operator::{HOST, KEY};
 use super::Fleet;
 
@@ -45,6 +46,55 @@
     pub left_ms: u64,
 }
 
+impl Departure {
+    /// Returns what became of the request for a caller that did not look at its answer.
+    pub fn outcome(&self) -> Outcome {
+        Outcome {
+            id: self.id.clone(),
+            kind: self.kind,
+            gateway: self.gateway,
+            sent_ms: self.left_ms,
+            took_ms: 0,
+            told: Told::Unreached,
+            replica: String::new(),
+            is_resumption: false,
+        }
+    }
+}
+
+/// Such callers, one at each gateway.
+#[derive(Debug)]
+pub struct Load {
+    ends: watch::Sender<bool>,
+    callers: Vec<JoinHandle<Vec<Departure>>>,
+}
+
+impl Load {
+    /// Starts the callers.
+    pub fn start(fleet: &Arc<Fleet>, seed: u64) -> Self {
+        let ends = watch::Sender::new(false);
+        let callers = (0..fleet.gateways.len()).map(|gateway| {
+            let seed = seed ^ (gateway as u64) << 40;
+            tokio::spawn(depart(fleet.clone(), gateway, seed, ends.subscribe()))
+        });
+        Self {
+            callers: callers.collect(),
+            ends,
+        }
+    }
+
+    /// Lets each caller leave its last request, and returns all requests.
+    pub async fn end(self) -> Vec<Departure> {
+        self.ends.send_replace(true);
+        let mut departures = Vec::new();
+        for caller in self.callers {
+            // A caller that panicked shows in the test's output.
+            departures.extend(caller.await.unwrap_or_default());
+        }
+        departures
+    }
+}
+
 fn text(kind: Kind, id: &str) -> String {
     let path = kind.route();
     let (request_id, deadline) = (header::REQUEST_ID, header::DEADLINE_MS);
@@ -55,7 +105,7 @@
 }
 
 /// Sends requests to one gateway and leaves each of them, until `ends` is set.
-pub async fn depart(
+async fn depart(
     fleet: Arc<Fleet>,
     gateway: usize,
     seed: u64,
--- a/crates/proof/src/soak.rs
+++ b/crates/proof/src/soak.rs
@@ -13,8 +13,6 @@
 use sardinemux_standin::platform;
 use sardinemux_standin::proxy::{Fault, Isolation};
 use sardinemux_standin::replica::{unix_ms, Faults, Stats};
-use tokio::sync::watch;
-use tokio::task::JoinHandle;
 use tokio::time::{self, Instant};
 
 use crate::errors::Result;
@@ -171,7 +169,7 @@
     });
     let departures = settings
         .has_departures
-        .then(|| Departing::start(fleet, settings.seed));
+        .then(|| departure::Load::start(fleet, settings.seed));
     let (begun, begun_ms) = (Instant::now(), unix_ms());
     let steps = plan.steps.iter().map(|step| async {
         time::sleep_until(begun + step.at).await;
@@ -196,12 +194,17 @@
         replacing.abort();
     }
     let departures = match departures {
-        Some(departing) => departing.end().await,
+        Some(load) => {
+            let departures = load.end().await;
+            // The last requests are under way.
+            time::sleep(Duration::from_millis(STABLE_MS)).await;
+            departures
+        }
         None => Vec::new(),
     };
     let stats = (0..fleet.replicas.len()).map(|index| fleet.stats_once_back(index));
     let stats: Vec<Stats> = join_all(stats).await.into_iter().collect::<Result<_>>()?;
-    let left = departures.iter().map(unanswered);
+    let left = departures.iter().map(Departure::outcome);
     let all = outcomes.iter().chain(&fatal_outcomes).cloned();
     let all: Vec<Outcome> = all.chain(left).collect();
     let mut breaches = check::always(&all, &stats);
@@ -298,57 +301,6 @@
         || is_interrupted(plan, begun_ms, gateway, from_ms, until_ms)
 }
 
-/// The callers that leave their requests, some at each gateway.
-struct Departing {
-    ends: watch::Sender<bool>,
-    callers: Vec<JoinHandle<Vec<Departure>>>,
-}
-
-impl Departing {
-    fn start(fleet: &Arc<Fleet>, seed: u64) -> Self {
-        let ends = watch::Sender::new(false);
-        let callers = (0..fleet.gateways.len()).map(|gateway| {
-            let seed = seed ^ (gateway as u64) << 40;
-            tokio::spawn(departure::depart(
-                fleet.clone(),
-                gateway,
-                seed,
-                ends.subscribe(),
-            ))
-        });
-        Self {
-            callers: callers.collect(),
-            ends,
-        }
-    }
-
-    /// Lets each caller leave its last request, and returns all requests, whose work has ended then.
-    async fn end(self) -> Vec<Departure> {
-        self.ends.send_replace(true);
-        let mut departures = Vec::new();
-        for caller in self.callers {
-            // A caller that panicked shows in the test's output.
-            departures.extend(caller.await.unwrap_or_default());
-        }
-        time::sleep(Duration::from_millis(STABLE_MS)).await;
-        departures
-    }
-}
-
-/// Returns what became of a request whose caller left without looking at its answer.
-fn unanswered(departure: &Departure) -> Outcome {
-    Outcome {
-        id: departure.id.clone(),
-        kind: departure.kind,
-        gateway: departure.gateway,
-        sent_ms: departure.left_ms,
-        took_ms: 0,
-        told: Told::Unreached,
-        replica: String::new(),
-        is_resumption: false,
-    }
-}
-
 /// Returns the replicas that got too many requests in a pause that they had stated.
 fn paused(fleet: &Fleet, plan: &Plan, stats: &[Stats]) -> Vec<Breach> {
     let gateways = fleet.gateways.len();
