Serve a request that is passed on by no earlier catalogue than its sender's

Callers saw a request run in the former pool of its route, or with the former organisation of its key, after a change was in force at the gateway that they were connected to.

Cause: a gateway that has lost its paths passes a request on with the name of its pool and no version, and the gateway that gets it looks the request up in its own catalogue. If that has another pool, it took that one. A gateway that is behind so served by a catalogue that its sender had replaced. A stream that had begun in one pool could go on in another whose build has the same name.

Change: the request states the version of the catalogue in which it was looked up. A gateway that is behind asks the sender for its catalogue, waits for it for 300 ms and otherwise refuses the request as not run. One that is ahead looks the request up anew, and refuses a stream whose pool it no longer routes to. Gateways state in their reports that they compare versions; of those that do not, only the ones that report the version or a later one are chosen, and they get no header that they would pass on to targets. A request of a former build, which states no version, is refused where its pool is not routed. The decisions are in core::passage and core::reach.

The simulation of restores passes requests on between 9 and 100 gateways, also with half of them of the former build. Why the fix works: versions never go back in one process, and the version is compared before the catalogue is read for the request.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod origin;
 pub mod outcome;
 pub mod ownership;
+pub mod passage;
 pub mod placement;
 pub mod position;
 pub mod prelude;
--- a/crates/core/src/reach.rs
+++ b/crates/core/src/reach.rs
@@ -124,4 +124,21 @@
     pub name: &'a str,
     /// Its availability zone.
     pub zone: &'a str,
+    /// The version of the catalogue that it has last reported to have in force; zero if it has reported none.
+    pub catalog: u64,
+    /// Whether it compares the versions of catalogues, and serves nothing by an earlier one than that of the sender.
+    pub compares_catalogs: bool,
+}
+
+/// What a gateway is searched for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Search<'a> {
+    /// The pool of the request.
+    pub pool: &'a str,
+    /// The availability zone of the gateway that searches.
+    pub zone: &'a str,
+    /// The version of the catalogue in which that one has looked the request up.
+    pub catalog: u64,
+    /// The names of the gateways that have been tried.
+    pub tried: &'a [SmolStr],
 }
--- a/crates/core/src/reach/query.rs
+++ b/crates/core/src/reach/query.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 use smol_str::SmolStr;
 
-use super::{Candidate, Reach, State};
+use super::{Candidate, Reach, Search, State};
 
 /// Returns whether this gateway has lost its paths to the targets of a pool.
 pub fn is_lost(reach: &Reach, pool: &str) -> bool {
@@ -27,25 +27,29 @@
 /// have lost their paths, requests go to all zones, so that the few that are left do not serve for their whole zone.
 const LOST_PER_NEAR_MAX: usize = 3;
 
-/// Returns the gateway through which a request for a pool is sent: one that has not stated that it has lost its paths, in the
-/// availability zone `zone` if enough are left there, and drawn at random, so that several gateways without paths do not load
-/// one. Those in `tried` are left out.
+/// Returns the gateway through which a request is sent: one that has not stated that it has lost its paths, in the availability
+/// zone of the searching one if enough are left there, and drawn at random, so that several gateways without paths do not load one.
+/// Left out are those that have been tried, and those that may serve the request by an earlier catalogue.
 ///
 /// # Examples
 ///
 /// ```
-/// use sardinemux_core::reach::{query, Candidate, Reach};
+/// use sardinemux_core::reach::{query, Candidate, Reach, Search};
 ///
-/// let candidates = [Candidate { name: "g1", zone: "z2" }, Candidate { name: "g2", zone: "z1" }];
-/// let chosen = query::choose_gateway(&Reach::default(), "pool", "z1", &candidates, &[], 0, &mut rand::rng());
-/// assert_eq!(chosen, Some("g2"));
+/// let candidate = |name, zone| Candidate { name, zone, catalog: 6, compares_catalogs: true };
+/// let candidates = [candidate("g1", "z2"), candidate("g2", "z1")];
+/// let search = Search { pool: "pool", zone: "z1", catalog: 7, tried: &[] };
+/// let choose = |candidates: &[Candidate<'static>]| {
+///     query::choose_gateway(&Reach::default(), search, candidates, 0, &mut rand::rng())
+/// };
+/// assert_eq!(choose(&candidates), Some("g2"));
+/// let former = candidates.map(|it| Candidate { compares_catalogs: false, ..it });
+/// assert_eq!(choose(&former), None);
 /// ```
 pub fn choose_gateway<'a>(
     reach: &Reach,
-    pool: &str,
-    zone: &str,
+    search: Search<'_>,
     candidates: &[Candidate<'a>],
-    tried: &[SmolStr],
     now_ms: u64,
     random: &mut impl Rng,
 ) -> Option<&'a str> {
@@ -53,14 +57,17 @@
     let has_lost = |name: &str| {
         let notice = reach.notices.get(name);
         notice.is_some_and(|notice| {
-            now_ms.saturating_sub(notice.at_ms) < ttl_ms && notice.lost.contains(pool)
+            now_ms.saturating_sub(notice.at_ms) < ttl_ms && notice.lost.contains(search.pool)
         })
     };
-    let is_open =
-        |it: &&Candidate<'a>| !has_lost(it.name) && !tried.iter().any(|name| name == it.name);
+    let is_tried = |name: &str| search.tried.iter().any(|tried| tried == name);
+    let is_open = |it: &&Candidate<'a>| {
+        let may_serve = it.compares_catalogs || it.catalog >= search.catalog;
+        may_serve && !has_lost(it.name) && !is_tried(it.name)
+    };
     let open: Vec<&Candidate<'a>> = candidates.iter().filter(is_open).collect();
-    let near: Vec<_> = open.iter().filter(|it| it.zone == zone).collect();
-    let is_lost_near = |it: &&Candidate<'a>| it.zone == zone && has_lost(it.name);
+    let near: Vec<_> = open.iter().filter(|it| it.zone == search.zone).collect();
+    let is_lost_near = |it: &&Candidate<'a>| it.zone == search.zone && has_lost(it.name);
     let lost_near = 1 + candidates.iter().filter(is_lost_near).count();
     let chosen = match lost_near <= LOST_PER_NEAR_MAX * near.len() {
         true => near.choose(random).map(|chosen| **chosen),
--- a/crates/core/tests/reach.rs
+++ b/crates/core/tests/reach.rs
@@ -6,7 +6,9 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
-use sardinemux_core::reach::{command, query, Candidate, Failure, Finding, Reach, Settings};
+use sardinemux_core::reach::{
+    command, query, Candidate, Failure, Finding, Reach, Search, Settings,
+};
 use sardinemux_core::target::Key;
 use smol_str::SmolStr;
 
@@ -209,18 +211,19 @@
                 .map(|(_, it)| Candidate {
                     name: &it.name,
                     zone: &it.zone,
+                    catalog: 1,
+                    compares_catalogs: true,
                 })
                 .collect();
             let own = &self.gateways[gateway];
-            let chosen = query::choose_gateway(
-                &own.reach,
-                POOL,
-                &own.zone,
-                &candidates,
-                &tried,
-                now_ms,
-                &mut self.random,
-            );
+            let search = Search {
+                pool: POOL,
+                zone: &own.zone,
+                catalog: 1,
+                tried: &tried,
+            };
+            let chosen =
+                query::choose_gateway(&own.reach, search, &candidates, now_ms, &mut self.random);
             let Some(name) = chosen.map(SmolStr::from) else {
                 break;
             };
--- a/crates/gateway/src/answer/selection.rs
+++ b/crates/gateway/src/answer/selection.rs
@@ -91,7 +91,7 @@
             return Err(self.failure(Reason::NoTarget));
         }
         while self.through.len() < THROUGH_MAX {
-            let Some(peer) = hop::choose(&self.gateway, &self.inbound.pool, &self.through) else {
+            let Some(peer) = hop::choose(&self.gateway, &self.inbound, &self.through) else {
                 break;
             };
             self.through.push(peer.name.clone());
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -79,6 +79,8 @@
     pub name: SmolStr,
     /// The address on which it serves other gateways.
     pub address: SocketAddr,
+    /// Whether it compares the versions of catalogues.
+    pub compares_catalogs: bool,
 }
 
 impl Ready {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -139,6 +139,7 @@
         let result = tokio::select! {
             result = call => result,
             _ = suspensions.changed() => continue,
+            () = gateway.later_catalog.notified(), if topic == Topic::Operators => continue,
         };
         match result {
             Ok(news) => {
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -4,6 +4,8 @@
 //! one of a caller, and counts it on the target that it chooses. It states a failure of its own by an answer without the
 //! signature of a target, whose status tells whether the request has run.
 
+pub mod head;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,14 +13,17 @@
 use futures_util::future::join_all;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue, HOST, RETRY_AFTER};
+use hyper::header::{HeaderValue, HOST, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use rand::seq::IndexedRandom;
-use sardinemux_core::reach::{command, query, Candidate, Failure, Finding};
+use sardinemux_core::passage;
+use sardinemux_core::reach::{command, query, Candidate, Failure, Finding, Search};
 use sardinemux_core::target::{Key, Target};
 use sardinemux_core::{roster, slot_share};
 use tokio::time::{self, Instant};
 
+use self::head::{Passed, ARRIVED, BUILD, CATALOG, EXCHANGE, NOT_ARRIVED, POOL, RUNS, SENDER};
 use crate::answer::{self, Arrived};
 use crate::attempt::answer::{is_encoded, Answer};
 use crate::attempt::{self, statement, AttemptOutcome, InFlight, Peer, Ready, Terms};
@@ -26,27 +31,14 @@
 use crate::prelude::*;
 use crate::reply::{self, Body};
 use crate::request::{self, Hop, Inbound, Rejection};
-use crate::source::Topic;
 use crate::stream::Build;
 use crate::supplement::{self, Supplement};
 
-/// The header of a request that another gateway passes on, with a random number that the answer repeats.
-const EXCHANGE: HeaderName = HeaderName::from_static("x-hop");
-
-/// The header with the pool in which a request is to be served.
-const POOL: HeaderName = HeaderName::from_static("x-hop-pool");
-
-/// The header with the number of targets on which a request may still run.
-const RUNS: HeaderName = HeaderName::from_static("x-hop-runs");
+/// How long a gateway whose catalogue is behind waits for a later one before it refuses a request. Another gateway is tried then.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The header with the build at which a stream must go on, or which sends one.
-const BUILD: HeaderName = HeaderName::from_static("x-hop-build");
-
-/// The header of a failure that states whether a target has received the request. Gateways of earlier builds do not set it.
-const ARRIVED: HeaderName = HeaderName::from_static("x-hop-arrived");
-
-/// The value of [`ARRIVED`] with which a gateway states that no target has received the request.
-const NOT_ARRIVED: HeaderValue = HeaderValue::from_static("0");
+/// The interval at which it checks for that.
+const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The interval at which a gateway tries whether lost paths are back.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
@@ -221,30 +213,31 @@
 }
 
 /// Chooses the gateway through which a request is sent; `None` if there is none besides those in `tried`.
-pub fn choose(gateway: &Gateway, pool: &str, tried: &[SmolStr]) -> Option<Peer> {
+pub fn choose(gateway: &Gateway, inbound: &Inbound, tried: &[SmolStr]) -> Option<Peer> {
     let now_ms = gateway.now_ms();
+    let pool = inbound.pool.as_str();
     let holders = holders(gateway, pool);
     let is_holder = |name: &str| {
         let holders = holders.as_ref();
         holders.is_none_or(|holders| holders.iter().any(|holder| holder == name))
     };
     let members = gateway.members.lock();
-    let recent: Vec<_> = members.iter_recent(Topic::Targets, now_ms).collect();
-    let candidates: Vec<Candidate<'_>> = recent
-        .iter()
-        .filter(|peer| is_holder(peer.name))
-        .map(|peer| Candidate {
-            name: peer.name,
-            zone: peer.zone,
-        })
-        .collect();
-    let zone = &gateway.settings.zone;
+    let candidates = members.candidates(now_ms);
+    let candidates: Vec<Candidate<'_>> = candidates.filter(|it| is_holder(it.name)).collect();
+    let search = Search {
+        pool,
+        zone: &gateway.settings.zone,
+        catalog: inbound.catalog,
+        tried,
+    };
     let random = &mut rand::rng();
     let reach = gateway.reach.lock();
-    let name = query::choose_gateway(&reach, pool, zone, &candidates, tried, now_ms, random)?;
+    let name = query::choose_gateway(&reach, search, &candidates, now_ms, random)?;
+    let chosen = candidates.iter().find(|candidate| candidate.name == name)?;
     Some(Peer {
         name: name.into(),
         address: members.address(name)?,
+        compares_catalogs: chosen.compares_catalogs,
     })
 }
 
@@ -280,6 +273,7 @@
     gateway: &Gateway,
     inbound: &Inbound,
     exchange: &HeaderValue,
+    peer: &Peer,
     terms: &Terms,
 ) -> Option<Request<Full<Bytes>>> {
     let left_ms = inbound.remaining().as_millis() as u64;
@@ -299,6 +293,10 @@
         headers.insert(dialect.api_key.clone(), key.clone());
     }
     headers.insert(RUNS, HeaderValue::from(terms.runs_left));
+    if peer.compares_catalogs {
+        headers.insert(CATALOG, HeaderValue::from(inbound.catalog));
+        headers.insert(SENDER, HeaderValue::from_str(&gateway.settings.name).ok()?);
+    }
     let last_event_id = terms.last_event_id;
     let has_begun = last_event_id.is_some() || inbound.is_resumption();
     if let (true, Some([build])) = (has_begun, terms.builds.as_deref()) {
@@ -323,7 +321,7 @@
 ) -> AttemptOutcome {
     let gateway = in_flight.gateway().clone();
     let number = HeaderValue::from(rand::random::<u64>());
-    let request = build_request(&gateway, inbound, &number, terms);
+    let request = build_request(&gateway, inbound, &number, &peer, terms);
     let Some(request) = request else {
         return attempt::not_run(Reason::Waited, false);
     };
@@ -384,24 +382,14 @@
 pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let running = gateway.drain.guard();
     let (mut parts, mut body) = request.into_parts();
-    let exchange = parts.headers.remove(&EXCHANGE);
-    let pool = parts.headers.remove(&POOL);
-    let build = parts.headers.remove(&BUILD);
-    let runs = parts.headers.remove(&RUNS);
-    let text = |value: Option<HeaderValue>| Some(SmolStr::from(value?.to_str().ok()?));
-    let mut response = match request::read(&gateway, parts, &mut body).await {
-        Ok(mut inbound) => {
-            inbound.hop = Some(Hop { build: text(build) });
-            let runs = text(runs).and_then(|runs| runs.parse().ok());
-            let attempts_max = inbound.route.attempts_max;
-            inbound.route.attempts_max = attempts_max.min(runs.unwrap_or(attempts_max));
-            if let Some(pool) = text(pool) {
-                let is_served = inbound.route.shares.iter().any(|share| share.pool == pool);
-                inbound.pool = if is_served { pool } else { inbound.pool };
-            }
-            answer::serve(gateway.clone(), inbound).await
-        }
-        Err(rejection) => reject(rejection),
+    let passed = Passed::take(&mut parts.headers);
+    let accepted = match catch_up(&gateway, &passed).await {
+        Ok(()) => accept(&gateway, parts, &mut body, &passed).await,
+        Err(rejection) => Err(rejection),
+    };
+    let mut response = match accepted {
+        Ok(inbound) => answer::serve(gateway.clone(), inbound).await,
+        Err(rejection) => reject(&gateway, rejection, &passed),
     };
     let is_answer = response.headers().contains_key(&gateway.dialect.signature);
     let outcome = if is_answer { "answered" } else { "failed" };
@@ -413,7 +401,7 @@
     if !is_answer && !has_arrived {
         headers.insert(ARRIVED, NOT_ARRIVED);
     }
-    if let Some(exchange) = exchange {
+    if let Some(exchange) = passed.exchange {
         headers.insert(EXCHANGE, exchange);
     }
     if let Some(Ok(build)) = sender.map(|Build(build)| HeaderValue::from_str(&build)) {
@@ -422,8 +410,62 @@
     response.map(|body| reply::keep_until_sent(body, running))
 }
 
+/// Waits until the catalogue in force is not earlier than that of the gateway which passes a request on.
+///
+/// # Errors
+///
+/// `Rejection::OtherCatalog` if it is still earlier after [`CATCH_UP_TIMEOUT`].
+async fn catch_up(gateway: &Gateway, passed: &Passed) -> std::result::Result<(), Rejection> {
+    let passage = passed.passage();
+    let is_behind = || passage::is_behind(passage, gateway.catalog.read().version());
+    if !is_behind() {
+        return Ok(());
+    }
+    gateway.metrics.hops.with_label_values(&["behind"]).inc();
+    if let (Some(sender), Some(version)) = (&passed.sender, passed.catalog) {
+        if gateway.members.lock().note_catalog(sender, version) {
+            gateway.later_catalog.notify_waiters();
+        }
+    }
+    let caught_up = async {
+        while is_behind() {
+            time::sleep(CATCH_UP_POLL_INTERVAL).await;
+        }
+    };
+    let result = time::timeout(CATCH_UP_TIMEOUT, caught_up).await;
+    result.map_err(|_| Rejection::OtherCatalog)
+}
+
+/// Checks a request of another gateway like one of a caller, and selects its pool.
+///
+/// # Errors
+///
+/// A [`Rejection`] if this gateway cannot serve the request.
+async fn accept(
+    gateway: &Gateway,
+    parts: Parts,
+    body: &mut Incoming,
+    passed: &Passed,
+) -> std::result::Result<Inbound, Rejection> {
+    let mut inbound = request::read(gateway, parts, body).await?;
+    if passed.pool.is_some() {
+        let shares = &inbound.route.shares;
+        let pool = passage::select_pool(passed.passage(), shares, &inbound.pool);
+        inbound.pool = pool.ok_or(Rejection::OtherCatalog)?;
+    }
+    let attempts_max = inbound.route.attempts_max;
+    inbound.route.attempts_max = attempts_max.min(passed.runs.unwrap_or(attempts_max));
+    let build = passed.build.clone();
+    inbound.hop = Some(Hop { build });
+    Ok(inbound)
+}
+
 /// Returns the answer to a request that this gateway cannot accept, such as one on a route that it does not know yet.
-fn reject(rejection: Rejection) -> Response<Body> {
-    log::info!(reason:% = rejection; "rejected a request of another gateway");
+fn reject(gateway: &Gateway, rejection: Rejection, passed: &Passed) -> Response<Body> {
+    log::info!(
+        reason:% = rejection, sender:% = passed.sender.as_deref().unwrap_or_default(), pool:% = passed.pool.as_deref().unwrap_or_default(),
+        stated = passed.catalog.unwrap_or_default(), version = gateway.catalog.read().version();
+        "rejected a request of another gateway"
+    );
     reply::reject(rejection)
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use sardinemux_core::origin::Witness;
 use sardinemux_core::position::{Era, Position};
+use sardinemux_core::reach::Candidate;
 use sardinemux_core::readers::{KnownEra, Peer, ReaderState};
 use sardinemux_core::reports;
 use serde::{Deserialize, Serialize};
@@ -36,6 +37,7 @@
     targets: Standing,
     /// The version of the catalogue that it has in force.
     catalog: u64,
+    compares_catalogs: bool,
 }
 
 impl Contact {
@@ -142,6 +144,7 @@
                     operators: Standing::default(),
                     targets: Standing::default(),
                     catalog: 0,
+                    compares_catalogs: false,
                 };
                 self.contacts.insert(name, contact);
             }
@@ -158,11 +161,39 @@
             operators: report.operators,
             targets: report.targets,
             catalog: report.catalog,
+            compares_catalogs: report.compares_catalogs,
         };
         let former = self.contacts.insert(report.member.name.clone(), contact);
         former.is_none_or(|former| former.last_report_ms.is_none())
     }
 
+    /// Records that a gateway has a version of the catalogue in force. Returns whether it had reported an earlier one.
+    pub fn note_catalog(&mut self, name: &str, version: u64) -> bool {
+        let contact = self.contacts.get_mut(name);
+        let earlier = contact.filter(|contact| contact.catalog < version);
+        match earlier {
+            Some(contact) => {
+                contact.catalog = version;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Returns the gateways that have sent a report within the silence timeout, as those through which requests may be sent.
+    pub fn candidates(&self, now_ms: u64) -> impl Iterator<Item = Candidate<'_>> {
+        let recent = self
+            .contacts
+            .iter()
+            .filter(move |(_, contact)| self.has_recent_report(contact, now_ms));
+        recent.map(|(name, contact)| Candidate {
+            name,
+            zone: &contact.zone,
+            catalog: contact.catalog,
+            compares_catalogs: contact.compares_catalogs,
+        })
+    }
+
     /// Removes a gateway.
     pub fn remove(&mut self, name: &str) {
         self.contacts.shift_remove(name);
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -59,6 +59,10 @@
     /// The version of the catalogue that it has in force; zero if that is not known. It is in the appendix.
     #[serde(skip)]
     pub catalog: u64,
+    /// Whether its build compares catalogues, and serves no request by an earlier one than that of the gateway which passes it on. It
+    /// is in the appendix.
+    #[serde(skip)]
+    pub compares_catalogs: bool,
 }
 
 /// The appendix of a report.
@@ -70,6 +74,7 @@
     /// The era of the position for the targets.
     targets: Era,
     catalog: u64,
+    compares_catalogs: bool,
 }
 
 /// Returns the datagram of a report.
@@ -82,6 +87,7 @@
         operators: report.operators.newest.era,
         targets: report.targets.newest.era,
         catalog: report.catalog,
+        compares_catalogs: report.compares_catalogs,
     };
     appendix::encode(report, &appendix)
 }
@@ -95,6 +101,7 @@
     let (mut report, appendix): (Report, Option<Appendix>) = appendix::decode(bytes)?;
     let appendix = appendix.unwrap_or_default();
     report.catalog = appendix.catalog;
+    report.compares_catalogs = appendix.compares_catalogs;
     for (standing, era) in [
         (&mut report.operators, appendix.operators),
         (&mut report.targets, appendix.targets),
@@ -130,6 +137,7 @@
         targets: standing(Topic::Targets),
         running,
         catalog,
+        compares_catalogs: true,
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -54,6 +54,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// The version of the catalogue in which the request was looked up.
+    pub catalog: u64,
     /// The route that matches the request.
     pub route: Route,
     /// The name of the pool that the request is assigned to, by the weights of the route's shares.
@@ -121,6 +123,9 @@
     /// The gateway is about to end.
     #[snafu(display("stopping"))]
     Stopping,
+    /// The catalogue of the gateway is earlier than that of the gateway that passes the request on, or does not allow its pool.
+    #[snafu(display("another catalogue"))]
+    OtherCatalog,
     /// The head cannot be forwarded safely, or the body could not be read.
     #[snafu(display("malformed head"))]
     Malformed,
@@ -145,7 +150,7 @@
     /// Returns the status of the answer. A rejected request has not run, whatever its status.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Stopping | Self::OtherCatalog => StatusCode::SERVICE_UNAVAILABLE,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -212,6 +217,7 @@
         uri,
         headers,
         body,
+        catalog: catalog.version(),
         route,
         pool,
         organisation,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,7 +20,7 @@
 use sardinemux_core::target::Key;
 use sardinemux_core::{rate_share, roster::query, slot_share};
 use sardinemux_host::clock::Clock;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 
 use crate::connections::{self, IdlePool};
 use crate::dialect::Dialect;
@@ -53,6 +53,8 @@
     pub clock: Clock,
     /// The catalogue in force.
     pub catalog: RwLock<Arc<Catalog>>,
+    /// Wakes the task that follows other gateways once one of them has shown that it has a later catalogue.
+    pub later_catalog: Notify,
     /// The changes between recent versions of the catalogue.
     pub history: Mutex<History>,
     /// The targets and their load.
@@ -108,6 +110,7 @@
             dialect,
             clock: Clock::default(),
             catalog: RwLock::default(),
+            later_catalog: Notify::new(),
             history: Mutex::default(),
             roster: Mutex::new(Roster::new(roster)),
             members: Mutex::new(Members::new(settings.zone.clone())),
--- a/crates/gateway/tests/former.rs
+++ b/crates/gateway/tests/former.rs
@@ -110,6 +110,7 @@
         targets: standing(Some(2), 7),
         running: [("t0".into(), 4)].into_iter().collect(),
         catalog: 44,
+        compares_catalogs: true,
     };
     let bytes = reports::encode(&report).unwrap();
     let read = reports::decode(&bytes).unwrap();
--- a/crates/gateway/tests/restore.rs
+++ b/crates/gateway/tests/restore.rs
@@ -9,7 +9,9 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use sardinemux_core::catalog::Definition;
+use sardinemux_core::passage::{self, Passage};
 use sardinemux_core::position::Position;
+use sardinemux_core::reach::{query, Candidate, Reach, Search};
 use sardinemux_core::readers::{self, KnownEra, Peer, Progress, ReaderState};
 use sardinemux_core::reports;
 use sardinemux_gateway::relay::Log;
@@ -90,6 +92,8 @@
     is_cut: bool,
     /// Whether it is of a build that knows no eras.
     is_old: bool,
+    /// Whether it compares its catalogue with that of a gateway which passes a request on.
+    compares: bool,
     reports: IndexMap<usize, Report>,
 }
 
@@ -139,6 +143,9 @@
     names: Vec<SmolStr>,
     random: StdRng,
     now_ms: u64,
+    /// The requests that were passed on and served, and those that were refused as the other gateway was behind.
+    passed: usize,
+    refused: usize,
 }
 
 impl Fleet {
@@ -156,6 +163,7 @@
             heard_ms: 0,
             is_cut: false,
             is_old: is_old(index),
+            compares: !is_old(index),
             reports: IndexMap::new(),
         });
         let mut store = Store {
@@ -169,6 +177,8 @@
             names,
             random: StdRng::seed_from_u64(seed),
             now_ms: 0,
+            passed: 0,
+            refused: 0,
         }
     }
 
@@ -186,9 +196,57 @@
             if self.now_ms.is_multiple_of(reports::PERIOD_MS) {
                 self.report();
             }
+            for _ in 0..self.gateways.len() {
+                self.pass_on();
+            }
         }
     }
 
+    /// Passes a request of a gateway that compares catalogues on to another one, which must not serve it by an earlier one.
+    fn pass_on(&mut self) {
+        let index = self.random.random_range(0..self.gateways.len());
+        let sender = &self.gateways[index];
+        if !sender.compares {
+            return;
+        }
+        let peers = sender.peers(&self.names, self.now_ms);
+        let candidate = |(index, peer, catalog): &(usize, Peer<'static>, u64)| Candidate {
+            name: peer.name,
+            zone: peer.zone,
+            catalog: *catalog,
+            compares_catalogs: self.gateways[*index].compares,
+        };
+        let candidates: Vec<Candidate<'_>> = peers.iter().map(candidate).collect();
+        let search = Search {
+            pool: "p",
+            zone: sender.zone,
+            catalog: sender.catalog,
+            tried: &[],
+        };
+        let (reach, random) = (Reach::default(), &mut self.random);
+        let Some(name) = query::choose_gateway(&reach, search, &candidates, self.now_ms, random)
+        else {
+            return;
+        };
+        let receiver = self.gateways.iter().find(|it| it.name == name).unwrap();
+        let passage = Passage {
+            catalog: receiver.compares.then_some(sender.catalog),
+            pool: "p",
+            has_begun: false,
+        };
+        if passage::is_behind(passage, receiver.catalog) {
+            self.refused += 1;
+            return;
+        }
+        self.passed += 1;
+        assert!(
+            receiver.catalog >= sender.catalog,
+            "{name} serves a request by catalogue {} that was looked up in {}",
+            receiver.catalog,
+            sender.catalog
+        );
+    }
+
     fn step(&mut self, index: usize) {
         let now_ms = self.now_ms;
         self.gateways[index].now_ms = now_ms;
@@ -322,6 +380,8 @@
     HalfCut,
     /// Every second gateway is of a build without eras.
     Mixed,
+    /// Every second gateway is of a build that states its catalogue and does not compare it.
+    Former,
     /// A third of the gateways start between the restore and the operators' next write.
     Starts,
 }
@@ -331,13 +391,25 @@
 #[rstest]
 fn verify_changes_after_restores_reach_all(
     #[values(9, 100)] gateways: usize,
-    #[values(Trouble::None, Trouble::HalfCut, Trouble::Mixed, Trouble::Starts)] trouble: Trouble,
+    #[values(
+        Trouble::None,
+        Trouble::HalfCut,
+        Trouble::Mixed,
+        Trouble::Former,
+        Trouble::Starts
+    )]
+    trouble: Trouble,
     #[values(false, true)] passes: bool,
 ) {
     let seeds = if gateways > 9 { 3 } else { 20 };
     for seed in 0..seeds {
         let is_mixed = matches!(trouble, Trouble::Mixed);
         let mut fleet = Fleet::new(gateways, seed, |index| is_mixed && index % 2 == 0);
+        if matches!(trouble, Trouble::Former) {
+            for gateway in fleet.gateways.iter_mut().step_by(2) {
+                gateway.compares = false;
+            }
+        }
         fleet.run(4_000);
         let mut catalog = 1;
         for _ in 0..2 {
@@ -394,6 +466,12 @@
             }
             fleet.run(2_000);
         }
+        assert!(
+            fleet.passed > fleet.refused,
+            "{} requests that were passed on were served, {} refused",
+            fleet.passed,
+            fleet.refused
+        );
     }
 }
 
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -53,6 +53,7 @@
             targets: Standing::default(),
             running: Default::default(),
             catalog: 0,
+            compares_catalogs: false,
         };
         let bytes = rmp_serde::to_vec(&report).unwrap();
         self.socket.send_to(&bytes, self.gateway).await.unwrap();
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -1,6 +1,10 @@
 //! Tests of requests that go through another gateway, which has another version of the catalogue in force.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+#![expect(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a test fails by panicking"
+)]
 
 #[path = "support/fleet.rs"]
 mod fleet;
