Give up an answer of a gateway only when its bytes stop arriving

A change of a large catalogue was not in force at gateways behind a narrow link, however long they waited.

Cause: a query for changes had 1 s for its whole answer, so that a silent reader is detected in time. An answer with many routes that takes longer, as the link is narrow or shared by the followers of a zone, was given up and asked for again from its first byte, each time, and the reader counted as silent.

Change: a call has a limit for the head, for the pause between two parts of the body and for the whole. A query for changes keeps 1 s for the head, gives up after 400 ms without a byte, and has 5 s as a whole, as a complete list has.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -1,25 +1,49 @@
-//! An HTTP client for the store and other gateways. A connection carries one call at a time, and every call has a
-//! timeout.
+//! An HTTP client for the store and other gateways. A connection carries one call at a time, and every call has time
+//! limits.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::{Request, Response};
 use parking_lot::Mutex;
-use snafu::{OptionExt, ResultExt};
+use snafu::{IntoError, OptionExt, ResultExt};
 use tokio::time;
 
 use crate::connections::{self, Connection};
-use crate::errors::{ExchangeSnafu, OversizedSnafu, TimeoutSnafu};
+use crate::errors::{Error, ExchangeSnafu, OversizedSnafu, TimeoutSnafu};
 use crate::prelude::*;
 
 /// The maximum size of an answer, in bytes. The largest one is a list from the store of 500 entries of 64 KiB each, in
 /// base64.
 const ANSWER_MAX_BYTES: usize = 48 << 20;
 
+/// The time limits of a call. An answer over a narrow link may take long as a whole while its bytes keep arriving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The time until the head of the answer.
+    pub head: Duration,
+    /// The longest time without a further part of the body.
+    pub pause: Duration,
+    /// The time until the end of the answer.
+    pub whole: Duration,
+}
+
+impl Limits {
+    /// Returns the limits of a call whose answer must be complete within `timeout`, however it arrives.
+    pub fn within(timeout: Duration) -> Self {
+        Self {
+            head: timeout,
+            pause: timeout,
+            whole: timeout,
+        }
+    }
+}
+
 /// A complete answer, with the connection on which it came. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Reply<'a> {
@@ -63,26 +87,43 @@
         self.idle.lock().take();
     }
 
-    /// Sends a request and returns the complete answer, both within `timeout`. The connection is kept for reuse only if
-    /// the answer arrived completely and the caller accepts it.
+    /// Sends a request and returns the complete answer, within `limits`. The connection is kept for reuse only if the answer arrived
+    /// completely and the caller accepts it.
     ///
     /// # Errors
     ///
-    /// `Error::Connect` if the connection failed, so that nothing was sent. After `Error::Silent`, `Error::Exchange` or
+    /// `Error::Connect` if the connection failed, so that nothing was sent. After `Error::Timeout`, `Error::Exchange` or
     /// `Error::Oversized`, the server may have processed the request.
-    pub async fn call(
-        &self,
-        request: Request<Full<Bytes>>,
-        timeout: Duration,
-    ) -> Result<Reply<'_>> {
+    pub async fn call(&self, request: Request<Full<Bytes>>, limits: Limits) -> Result<Reply<'_>> {
+        self.within(limits.whole, self.exchange(request, limits))
+            .await
+    }
+
+    /// Awaits a step of a call for a limited time.
+    async fn within<T>(&self, limit: Duration, step: impl Future<Output = Result<T>>) -> Result<T> {
         let address = self.address;
-        let limit_ms = timeout.as_millis() as u64;
-        let answered = time::timeout(timeout, self.exchange(request)).await.ok();
-        answered.context(TimeoutSnafu { address, limit_ms })?
+        let limit_ms = limit.as_millis() as u64;
+        let done = time::timeout(limit, step).await.ok();
+        done.context(TimeoutSnafu { address, limit_ms })?
     }
 
     /// Sends a request on the idle connection, or on a new one, and reads the answer.
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Reply<'_>> {
+    async fn exchange(&self, request: Request<Full<Bytes>>, limits: Limits) -> Result<Reply<'_>> {
+        let (connection, response) = self.within(limits.head, self.send(request)).await?;
+        let (parts, body) = response.into_parts();
+        let whole = self.collect(body, limits.pause).await?;
+        Ok(Reply {
+            client: self,
+            connection,
+            response: Response::from_parts(parts, whole),
+        })
+    }
+
+    /// Sends a request, and waits for the head of the answer.
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Connection, Response<Incoming>)> {
         let address = self.address;
         let idle = self.idle.lock().take();
         let mut connection = match connections::reuse(idle).await {
@@ -93,25 +134,32 @@
             .send(request)
             .await
             .map_err(TrySendError::into_error);
-        let (parts, body) = sent.context(ExchangeSnafu { address })?.into_parts();
-        let collected = Limited::new(body, ANSWER_MAX_BYTES).collect().await;
-        let whole = match collected {
-            Ok(whole) => whole.to_bytes(),
-            Err(error) => {
-                return match error.downcast::<hyper::Error>() {
-                    Ok(source) => Err(*source).context(ExchangeSnafu { address }),
-                    Err(_) => OversizedSnafu {
-                        address,
-                        limit: ANSWER_MAX_BYTES,
-                    }
-                    .fail(),
-                }
+        Ok((connection, sent.context(ExchangeSnafu { address })?))
+    }
+
+    /// Reads a body, whose parts arrive at most `pause` apart.
+    async fn collect(&self, body: Incoming, pause: Duration) -> Result<Bytes> {
+        let mut body = Limited::new(body, ANSWER_MAX_BYTES);
+        let mut whole = BytesMut::new();
+        loop {
+            let next = self.within(pause, async { Ok(body.frame().await) });
+            match next.await? {
+                None => return Ok(whole.freeze()),
+                Some(Ok(frame)) => whole.extend(frame.into_data()),
+                Some(Err(error)) => return Err(self.describe(error)),
             }
-        };
-        Ok(Reply {
-            client: self,
-            connection,
-            response: Response::from_parts(parts, whole),
-        })
+        }
+    }
+
+    fn describe(&self, error: Box<dyn std::error::Error + Send + Sync>) -> Error {
+        let address = self.address;
+        match error.downcast::<hyper::Error>() {
+            Ok(source) => ExchangeSnafu { address }.into_error(*source),
+            Err(_) => OversizedSnafu {
+                address,
+                limit: ANSWER_MAX_BYTES,
+            }
+            .build(),
+        }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::appendix;
+use crate::client::Limits;
 use crate::errors::{BuildSnafu, DecodeSnafu, EncodeSnafu, MismatchSnafu};
 use crate::hop;
 use crate::prelude::*;
@@ -27,12 +28,12 @@
 /// detected well within the two seconds in which all gateways must know that a target leaves.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The time for the response to a query in addition to [`LONG_POLL_TIMEOUT`].
+/// The time for the head of the response to a query in addition to [`LONG_POLL_TIMEOUT`], and for each part of its body.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
 
-/// The time limit of a query for the complete list of a topic: 3,000 targets take half a megabyte, and several gateways
-/// may request them from the same one over a link of 10 Mbit/s.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(5);
+/// The time limit of a query whose response may hold all entries of a topic: 3,000 targets take half a megabyte, and several
+/// gateways may request them from the same one over a link of 10 Mbit/s. So does a catalogue with many changes.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The largest accepted body of a query, in bytes.
 const QUERY_MAX_BYTES: usize = 4_096;
@@ -118,12 +119,16 @@
         .header(hyper::header::HOST, address.to_string())
         .body(Full::from(query))
         .context(BuildSnafu)?;
-    let limit = match since {
-        Some(_) => LONG_POLL_TIMEOUT + RESPONSE_MARGIN,
-        None => SNAPSHOT_TIMEOUT,
+    let limits = match since {
+        Some(_) => Limits {
+            head: LONG_POLL_TIMEOUT + RESPONSE_MARGIN,
+            pause: RESPONSE_MARGIN,
+            whole: LIST_TIMEOUT,
+        },
+        None => Limits::within(LIST_TIMEOUT),
     };
     let client = gateway.members.lock().client(address, topic);
-    let reply = client.call(request, limit).await?;
+    let reply = client.call(request, limits).await?;
     let answer = appendix::decode(reply.response().body());
     let (answer, appendix): (Answer, Option<Appendix>) = answer.context(DecodeSnafu { address })?;
     snafu::ensure!(answer.id == id, MismatchSnafu { address });
--- a/crates/gateway/tests/former.rs
+++ b/crates/gateway/tests/former.rs
@@ -14,7 +14,7 @@
 use sardinemux_core::origin::{Epoch, Stored};
 use sardinemux_core::position::Position;
 use sardinemux_core::readers::ReaderState;
-use sardinemux_gateway::client::Client;
+use sardinemux_gateway::client::{Client, Limits};
 use sardinemux_gateway::members::Standing;
 use sardinemux_gateway::prelude::*;
 use sardinemux_gateway::reports::{self, Report};
@@ -184,7 +184,10 @@
             .header("host", address.to_string())
             .body(body.into())
             .unwrap();
-        let reply = client.call(request, Duration::from_secs(5)).await.unwrap();
+        let reply = client
+            .call(request, Limits::within(Duration::from_secs(5)))
+            .await
+            .unwrap();
         let answer: FormerAnswer = rmp_serde::from_slice(reply.response().body()).unwrap();
         assert_eq!(answer.id, 7);
         assert_eq!(answer.update.batch.entries.len(), expected, "{since:?}");
