Notice that a caller leaves behind more than 64 KiB

Work went on for callers that had left, where they had written more than 64 KiB behind their request.

Cause: the task of a connection reads at most 64 KiB ahead. With that and the buffer of the socket full, the caller's close stands behind bytes that nobody reads, and cannot be seen.

Change: a connection reads on up to 1 MiB, or one whole further request where the catalogue allows a longer one. What it has beyond 64 KiB is drawn from a budget of 8 MiB that all connections share (core::read_ahead), so that their memory stays bounded and none loses its own 64 KiB to others. The metric gateway_read_ahead_shared_bytes shows the budget in use. Behind more than that, a caller's close is noticed once its request is answered.

Reading on can only end with the close, with the bound or with an answer, whatever the buffers of the sockets hold.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod quarantine;
 pub mod rate_share;
 pub mod reach;
+pub mod read_ahead;
 pub mod readers;
 pub mod reports;
 pub mod retry;
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -84,7 +84,11 @@
     let inspector = Inspector::default();
     let unsent = Unsent::default();
     let traffic = Traffic::new();
-    let (stream, watcher) = presence::watch(stream);
+    let (stream, watcher) = presence::watch(
+        stream,
+        gateway.read_ahead.clone(),
+        limits.head_bytes.saturating_add(limits.body_bytes),
+    );
     let stream = framing::Stream::new(stream, inspector.clone(), unsent.clone());
     let stream = traffic::Stream::new(stream, traffic.clone());
     let service = service_fn(|request| {
--- a/crates/gateway/src/caller/presence.rs
+++ b/crates/gateway/src/caller/presence.rs
@@ -2,7 +2,8 @@
 //!
 //! The HTTP library reads nothing more from a connection while its buffer holds bytes behind the current request, such as the next
 //! request, so that it does not notice that the caller closes the connection. While a request is served, a [`Watcher`] therefore
-//! reads on into a bounded buffer, from which the library is served later.
+//! reads on into a buffer, which [`read_ahead`](sardinemux_core::read_ahead) bounds, and from which the library is served later. A
+//! caller that has sent more waits until its current request is answered, and its close is noticed only if it has arrived.
 //!
 //! A caller that closes its side of the connection counts as gone, also if it could still read: the two cannot be told apart.
 
@@ -13,16 +14,14 @@
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, BufMut, BytesMut};
 use futures_util::future;
 use parking_lot::Mutex;
+use sardinemux_core::read_ahead::{Budget, Share};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time;
 
-/// The largest number of bytes that are read ahead. Beyond that, the caller waits until its current request is answered.
-const AHEAD_MAX_BYTES: usize = 64 << 10;
-
 /// The size of one read, in bytes.
 const READ_BYTES: usize = 8 << 10;
 
@@ -34,6 +33,7 @@
 struct State {
     stream: TcpStream,
     ahead: BytesMut,
+    share: Share,
     /// How reading ended: with the caller's close, or with an error.
     end: Option<io::Result<()>>,
     /// The number of requests that are being served.
@@ -50,18 +50,23 @@
     /// Reads ahead until nothing more has arrived. Ready once the connection has ended or the buffer is full.
     fn poll_ahead(&mut self, context: &mut Context<'_>) -> Poll<Progress> {
         while self.end.is_none() {
-            if self.ahead.len() >= AHEAD_MAX_BYTES {
+            if !self.share.try_grow(self.ahead.len() + READ_BYTES) {
                 return Poll::Ready(match self.is_closed() {
                     true => Progress::Ended,
                     false => Progress::Full,
                 });
             }
-            if let Err(error) = ready!(self.stream.poll_read_ready(context)) {
+            let ready = self.stream.poll_read_ready(context);
+            if ready.is_pending() {
+                self.share.shrink(self.ahead.len());
+            }
+            if let Err(error) = ready!(ready) {
                 self.end = Some(Err(error));
                 break;
             }
             self.ahead.reserve(READ_BYTES);
-            match self.stream.try_read_buf(&mut self.ahead) {
+            let mut buffer = (&mut self.ahead).limit(READ_BYTES);
+            match self.stream.try_read_buf(&mut buffer) {
                 Ok(0) => self.end = Some(Ok(())),
                 Ok(_) => {}
                 // Another poll registers the task.
@@ -84,11 +89,13 @@
     }
 }
 
-/// Wraps a connection. Returns the stream for the library, and its watcher, which must be polled by the same task.
-pub fn watch(stream: TcpStream) -> (Stream, Watcher) {
+/// Wraps a connection, from which up to `largest` bytes may be read ahead. Returns the stream for the library, and its watcher, which
+/// must be polled by the same task.
+pub fn watch(stream: TcpStream, budget: Arc<Budget>, largest: usize) -> (Stream, Watcher) {
     let state = Arc::new(Mutex::new(State {
         stream,
         ahead: BytesMut::new(),
+        share: Share::new(budget, largest),
         end: None,
         served: 0,
     }));
@@ -173,6 +180,8 @@
             let count = state.ahead.len().min(buffer.remaining());
             buffer.put_slice(&state.ahead[..count]);
             state.ahead.advance(count);
+            let left = state.ahead.len();
+            state.share.shrink(left);
             if state.ahead.is_empty() {
                 state.ahead = BytesMut::new();
             }
--- a/crates/gateway/src/internal.rs
+++ b/crates/gateway/src/internal.rs
@@ -94,6 +94,8 @@
 ) -> std::result::Result<Response<Full<Bytes>>, Infallible> {
     let dropped = sardinemux_host::logs::dropped_lines();
     gateway.metrics.dropped_log_lines.set(dropped as i64);
+    let ahead = gateway.read_ahead.used();
+    gateway.metrics.read_ahead_bytes.set(ahead as i64);
     let mut bytes = Vec::new();
     let families = gateway.metrics.registry.gather();
     if let Err(error) = TextEncoder::new().encode(&families, &mut bytes) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -84,6 +84,8 @@
     pub peer_reports: IntCounter,
     /// The number of log lines dropped because the writer could not keep up.
     pub dropped_log_lines: IntGauge,
+    /// The number of bytes that all connections of callers together have read ahead beyond what each may have.
+    pub read_ahead_bytes: IntGauge,
 }
 
 impl Metrics {
@@ -174,10 +176,14 @@
                     "gateway_log_lines_dropped",
                     "Log lines dropped as the writer could not keep up",
                 )?,
+                read_ahead_bytes: IntGauge::new(
+                    "gateway_read_ahead_shared_bytes",
+                    "Bytes read ahead of callers' connections from the budget that these share",
+                )?,
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
@@ -195,6 +201,7 @@
             Box::new(metrics.restored_entries.clone()),
             Box::new(metrics.peer_reports.clone()),
             Box::new(metrics.dropped_log_lines.clone()),
+            Box::new(metrics.read_ahead_bytes.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).context(MetricSnafu)?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use sardinemux_core::position::Era;
 use sardinemux_core::prompt::Holders;
 use sardinemux_core::reach::{self, Reach};
+use sardinemux_core::read_ahead;
 use sardinemux_core::readers::KnownEra;
 use sardinemux_core::reports;
 use sardinemux_core::retry::{self, Budget};
@@ -89,6 +90,8 @@
     pub bounds: RwLock<Bounds>,
     /// The addresses that get reports while no other gateway is known.
     pub seeds: RwLock<Vec<SocketAddr>>,
+    /// The bytes that are read from callers' connections behind the requests that are served.
+    pub read_ahead: Arc<read_ahead::Budget>,
     /// The running requests and the phase of a stop.
     pub drain: Arc<Drain>,
     /// The metrics.
@@ -128,6 +131,7 @@
             suspensions: watch::Sender::new(0),
             bounds: RwLock::new(settings.bounds),
             seeds: RwLock::new(settings.seeds.clone()),
+            read_ahead: Arc::default(),
             drain: Arc::default(),
             metrics: Metrics::new()?,
             settings,
--- a/crates/gateway/tests/departures.rs
+++ b/crates/gateway/tests/departures.rs
@@ -37,6 +37,9 @@
 /// A number of bytes that is more than a gateway reads ahead, and that the buffers of sockets hold.
 const MANY_BYTES: usize = 100_000;
 
+/// A number of bytes that the buffers of sockets do not hold beside what a gateway reads ahead of every connection.
+const MORE_BYTES: usize = 700_000;
+
 /// What a caller has written behind its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Behind {
@@ -44,6 +47,7 @@
     EmptyLine,
     Request,
     ManyBytes,
+    MoreBytes,
 }
 
 /// Returns a request that leaves its connection open, and the bytes behind it.
@@ -55,6 +59,7 @@
         Behind::EmptyLine => text + "\r\n",
         Behind::Request => text + &next,
         Behind::ManyBytes => text + &next + &"x".repeat(MANY_BYTES),
+        Behind::MoreBytes => text + &next + &"x".repeat(MORE_BYTES),
     }
 }
 
@@ -92,7 +97,13 @@
 #[tokio::test]
 async fn verify_caller_that_leaves_behind_further_bytes_frees_the_target(
     #[values("/safe/", "/unsafe/", "/stream/", "/resumable/")] path: &str,
-    #[values(Behind::Nothing, Behind::EmptyLine, Behind::Request, Behind::ManyBytes)]
+    #[values(
+        Behind::Nothing,
+        Behind::EmptyLine,
+        Behind::Request,
+        Behind::ManyBytes,
+        Behind::MoreBytes
+    )]
     behind: Behind,
 ) {
     let target = MockTarget::start(Behaviour::Hang).await;
@@ -106,6 +117,7 @@
 #[rstest]
 #[case::rejected(Behaviour::LateReject(LATE_MS), Behind::EmptyLine)]
 #[case::rejected_many(Behaviour::LateReject(LATE_MS), Behind::ManyBytes)]
+#[case::rejected_more(Behaviour::LateReject(LATE_MS), Behind::MoreBytes)]
 #[case::answered(Behaviour::PauseAnswer(LATE_MS), Behind::Request)]
 #[tokio::test]
 async fn verify_nothing_is_sent_on_for_a_caller_that_has_left(
@@ -138,6 +150,7 @@
 #[case::nothing(Behind::Nothing)]
 #[case::empty_line(Behind::EmptyLine)]
 #[case::next(Behind::Request)]
+#[case::more(Behind::MoreBytes)]
 #[tokio::test]
 async fn verify_caller_that_leaves_frees_the_target_of_another_gateway(
     #[case] behind: Behind,
