Test added routes, reused addresses and time-outs at the gateway

Three rows of PROOFS.md had no test, or one case: added routes that are served less than the first ones, requests at an address that another pool has taken over, and requests without an answer at the time-out of their route.

--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -281,6 +281,8 @@
     pub store: Store,
     /// The address on which each gateway serves its metrics.
     pub metrics: Vec<SocketAddr>,
+    /// The address on which each gateway serves callers.
+    pub callers: Vec<SocketAddr>,
 }
 
 impl Fleet {
@@ -290,7 +292,12 @@
         store.put(Topic::Operators, "config", Some(catalog(1)));
         let target = harness::announcement("t0", "127.0.0.1:1");
         store.put(Topic::Targets, "t0", Some(Fact::Target(target)));
-        let mut metrics = Vec::new();
+        Self::start_before(store, count, zones).await
+    }
+
+    /// Starts gateways before a store that has the first catalogue and a target.
+    pub async fn start_before(store: Store, count: usize, zones: usize) -> Self {
+        let (mut metrics, mut callers) = (Vec::new(), Vec::new());
         for index in 0..count {
             let settings = Settings {
                 name: format!("g{index}").into(),
@@ -299,10 +306,15 @@
                 ..harness::settings()
             };
             metrics.push(settings.metrics_address);
+            callers.push(settings.caller_address);
             let source = store.source(&settings.name);
             harness::spawn(settings, source);
         }
-        let fleet = Self { store, metrics };
+        let fleet = Self {
+            store,
+            metrics,
+            callers,
+        };
         let started = time::timeout(START_TIMEOUT, fleet.wait_for_version(1));
         started
             .await
--- a/crates/gateway/tests/support/mock.rs
+++ b/crates/gateway/tests/support/mock.rs
@@ -50,6 +50,8 @@
     LateReject(u64),
     /// Sends a body with a given framing, which may break off.
     Send(Script),
+    /// Sends a complete answer to requests that are meant for the target with this id, and rejects all others.
+    Named(&'static str),
     /// Sends this text, in which `{id}` stands for the request id and `{own}` for the id of the target that is meant, and
     /// answers the next request on the connection in the same way.
     Raw(&'static str),
@@ -229,6 +231,12 @@
                     "HTTP/1.1 421 Misdirected\r\nx-instance: {own}\r\ncontent-length: 0\r\n\r\n"
                 )
             }
+            Behaviour::Named(own) => match header(&request, "x-expect").as_deref() {
+                Some(meant) if meant == own => complete_response(200, &id, "answer"),
+                _ => format!(
+                    "HTTP/1.1 421 Misdirected\r\nx-instance: {own}\r\ncontent-length: 0\r\n\r\n"
+                ),
+            },
             Behaviour::Cross => complete_response(200, "another", "another answer"),
             Behaviour::Truncate => complete_response(200, &id, "answer")
                 .replace("content-length: 6", "content-length: 60"),
