Let the soak move routes between pools, and leave large requests behind others

The soak had no change of the desired state that shows where a request runs, and callers that leave wrote at most one small request behind another. Departures also leave a request of 300,000 bytes behind.

--- a/crates/proof/src/bin/sardinemux-soak.rs
+++ b/crates/proof/src/bin/sardinemux-soak.rs
@@ -80,6 +80,14 @@
                 .conflicts_with("fatal-requests")
                 .help("Let entries of replicas that turn requests away lapse at times"),
         )
+        .arg(
+            Arg::new("moves")
+                .long("moves")
+                .num_args(0)
+                .conflicts_with("fatal-requests")
+                .conflicts_with("brittle")
+                .help("Move the routes of the plain service between three pools of its replicas at times"),
+        )
         .arg(
             Arg::new("former")
                 .long("former")
@@ -158,6 +166,7 @@
         settings.fleet.engines = count("engines");
         settings.fleet.services = count("services");
         settings.fleet.builds = count("builds");
+        settings.fleet.has_moves = matches.get_flag("moves");
         settings.fleet.unframed_percent = get_number(matches, "unframed-percent");
         settings.fleet.break_percent = get_number(matches, "break-percent");
         settings.fleet.pause_percent = get_number(matches, "pause-percent");
--- a/crates/proof/src/gateways.rs
+++ b/crates/proof/src/gateways.rs
@@ -7,6 +7,7 @@
 pub mod departure;
 pub mod layout;
 pub mod load;
+pub mod movement;
 pub mod operator;
 
 use std::fs;
@@ -61,6 +62,9 @@
     written: Mutex<IndexMap<(String, String), Option<String>>>,
     /// The start of each replica's present process, as its entry states it.
     births: Mutex<IndexMap<usize, u64>>,
+    /// The pool to which the routes of the plain service lead. It is held while a desired state is written, so that versions are
+    /// written in order.
+    service_pool: tokio::sync::Mutex<&'static str>,
     /// The gateways that run the earlier build.
     former: Mutex<IndexSet<usize>>,
     folder: PathBuf,
--- a/crates/proof/src/gateways/check.rs
+++ b/crates/proof/src/gateways/check.rs
@@ -86,6 +86,17 @@
         /// The users' bound on their number.
         bound: usize,
     },
+    /// A request ran in a pool from which its route had moved away.
+    Former {
+        /// The request.
+        id: String,
+        /// The gateway's index.
+        gateway: usize,
+        /// The pool.
+        pool: String,
+        /// Whether the gateway had shown the move before, rather than being late.
+        is_shown: bool,
+    },
     /// A revoked key was still in use after the users' bound.
     Revoked {
         /// The request.
@@ -163,6 +174,21 @@
                     ids.join(" ")
                 )
             }
+            Self::Former {
+                id,
+                gateway,
+                pool,
+                is_shown,
+            } => {
+                let since = match is_shown {
+                    true => "after gateway",
+                    false => "too late at gateway",
+                };
+                write!(
+                    formatter,
+                    "{id} ran in the former pool {pool}, {since} {gateway} had the move"
+                )
+            }
             Self::Revoked { id } => write!(formatter, "{id} was served with a revoked key"),
             Self::Repeated { late } => {
                 write!(
--- a/crates/proof/src/gateways/departure.rs
+++ b/crates/proof/src/gateways/departure.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use super::caller::{Kind, Outcome, Told, DEADLINE_MS, KINDS};
 use super::operator::{HOST, KEY};
@@ -29,9 +29,19 @@
     Nothing,
     EmptyLine,
     Request,
+    /// The next request, whose body is more than the buffers of sockets hold.
+    LargeRequest,
 }
 
-const BEHIND: [Behind; 3] = [Behind::Nothing, Behind::EmptyLine, Behind::Request];
+const BEHIND: [Behind; 4] = [
+    Behind::Nothing,
+    Behind::EmptyLine,
+    Behind::Request,
+    Behind::LargeRequest,
+];
+
+/// The size of the body of a large request, in bytes.
+const LARGE_BYTES: usize = 300_000;
 
 /// A request whose caller has left.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -95,12 +105,13 @@
     }
 }
 
-fn text(kind: Kind, id: &str) -> String {
+fn text(kind: Kind, id: &str, body: &str) -> String {
     let path = kind.route();
     let (request_id, deadline) = (header::REQUEST_ID, header::DEADLINE_MS);
+    let length = body.len();
     format!(
         "POST /{path}/ HTTP/1.1\r\nhost: {HOST}\r\napi-key: {KEY}\r\n{request_id}: {id}\r\n\
-         {deadline}: {DEADLINE_MS}\r\ncontent-length: 4\r\n\r\nbody"
+         {deadline}: {DEADLINE_MS}\r\ncontent-length: {length}\r\n\r\n{body}"
     )
 }
 
@@ -125,10 +136,12 @@
         let stay = Duration::from_millis(random.random_range(STAY_MS));
         number += 2;
         let ids = [number, number + 1].map(|number| format!("left-{gateway}-{number}"));
+        let first = text(kind, &ids[0], "body");
         let sent = match behind {
-            Behind::Nothing => text(kind, &ids[0]),
-            Behind::EmptyLine => text(kind, &ids[0]) + "\r\n",
-            Behind::Request => text(kind, &ids[0]) + &text(kind, &ids[1]),
+            Behind::Nothing => first,
+            Behind::EmptyLine => first + "\r\n",
+            Behind::Request => first + &text(kind, &ids[1], "body"),
+            Behind::LargeRequest => first + &text(kind, &ids[1], &"x".repeat(LARGE_BYTES)),
         };
         let connecting = TcpStream::connect(fleet.gateways[gateway].callers);
         let connected = time::timeout(stay, connecting).await;
@@ -136,8 +149,9 @@
             continue;
         };
         // What the gateway takes of it before the caller leaves does not matter.
-        let _ = stream.write_all(sent.as_bytes()).await;
-        time::sleep(stay).await;
+        let until = Instant::now() + stay;
+        let _ = time::timeout_at(until, stream.write_all(sent.as_bytes())).await;
+        time::sleep_until(until).await;
         drop(stream);
         let left_ms = unix_ms();
         departures.extend(ids.map(|id| Departure {
--- a/crates/proof/src/gateways/layout.rs
+++ b/crates/proof/src/gateways/layout.rs
@@ -14,6 +14,9 @@
 use crate::errors::{IoSnafu, Result};
 use crate::{client, ports};
 
+/// The pools between which the routes of the plain service move.
+pub const SERVICE_POOLS: [&str; 3] = [SERVICES, "services-b", "services-c"];
+
 /// Numbers the fleets of one process.
 static FLEETS: AtomicU32 = AtomicU32::new(0);
 
@@ -33,6 +36,8 @@
     pub services: usize,
     /// The builds of the replicas that stream, which these have in turn.
     pub builds: usize,
+    /// Whether the replicas of the plain service are of several pools in turn, between which its routes move.
+    pub has_moves: bool,
     /// Further arguments of the replicas.
     pub replica_arguments: Vec<String>,
     /// The percentage of answers of replicas whose end is marked by the end of their connection. If there are any, the
@@ -61,6 +66,7 @@
             engines: 4,
             services: 2,
             builds: 1,
+            has_moves: false,
             replica_arguments: Vec::new(),
             unframed_percent: 0,
             break_percent: 0,
@@ -154,9 +160,10 @@
             let may_crash = settings.has_fatal_requests && !is_engine;
             replicas.push(ReplicaPlace {
                 id: format!("t{index}"),
-                pool: match is_engine {
-                    true => ENGINES,
-                    false => SERVICES,
+                pool: match (is_engine, settings.has_moves) {
+                    (true, _) => ENGINES,
+                    (false, true) => SERVICE_POOLS[index % SERVICE_POOLS.len()],
+                    (false, false) => SERVICES,
                 },
                 build: build(index, settings.builds),
                 zone: zone(index, settings.zones),
@@ -174,6 +181,7 @@
             version: AtomicU64::new(0),
             written: Mutex::default(),
             births: Mutex::default(),
+            service_pool: tokio::sync::Mutex::new(SERVICES),
             former: Mutex::new(match settings.former_program {
                 // The gateways of an earlier build are replaced one after the other.
                 Some(_) => (0..settings.gateways).collect(),
--- a/crates/proof/src/gateways/operator.rs
+++ b/crates/proof/src/gateways/operator.rs
@@ -6,6 +6,7 @@
 use sardinemux_standin::replica::{id_after, unix_ms};
 use serde_json::{json, Value};
 
+use super::layout::SERVICE_POOLS;
 use super::{Fleet, ENGINES, SERVICES};
 use crate::errors::{Error, Result};
 
@@ -114,10 +115,16 @@
     ///
     /// Never; the write is repeated until it is taken.
     pub async fn configure(&self, desired: &Desired) -> Result<u64> {
+        let pool = self.service_pool.lock().await;
+        self.write_desired(desired, *pool).await
+    }
+
+    /// Writes the next version of the desired state, in which the routes of the plain service lead to a pool.
+    pub(super) async fn write_desired(&self, desired: &Desired, pool: &str) -> Result<u64> {
         let timeout_ms = desired.timeout_ms;
         let mut routes = vec![
-            route("read", "safe", SERVICES, timeout_ms),
-            route("write", "unsafe", SERVICES, timeout_ms),
+            route("read", "safe", pool, timeout_ms),
+            route("write", "unsafe", pool, timeout_ms),
             route("stream-once", "streaming", ENGINES, timeout_ms),
             route("stream-again", "streaming", ENGINES, timeout_ms),
         ];
@@ -129,9 +136,11 @@
         if desired.has_second_key {
             keys.push(REVOKED_KEY);
         }
+        let mut services = vec![service(ENGINES, 10.0)];
+        services.extend(SERVICE_POOLS.iter().map(|pool| service(pool, 0.0)));
         let state = json!({
             "Version": self.next_version(), "Routes": routes,
-            "Services": [service(ENGINES, 10.0), service(SERVICES, 0.0)],
+            "Services": services,
             "Limits": {"MaxHeaderBytes": 16_384, "MaxBodyBytes": 65_536, "HeaderTimeoutMs": 3_000,
                 "IdleTimeoutMs": 15_000},
             "Tenants": [{"Name": ORGANISATION, "ApiKeys": keys}],
--- a/crates/proof/src/soak.rs
+++ b/crates/proof/src/soak.rs
@@ -20,6 +20,7 @@
 use crate::gateways::check::{self, Breach};
 use crate::gateways::departure::{self, Departure};
 use crate::gateways::load::Load;
+use crate::gateways::movement::{self, Move};
 use crate::gateways::operator::Desired;
 use crate::gateways::{Fleet, Settings as Parts};
 use crate::process::Process;
@@ -133,6 +134,7 @@
 enum Trace {
     Left(Leaving),
     Stated(check::Stating),
+    Moved(Move),
 }
 
 /// A replica that left, and from when it must get nothing, in Unix milliseconds.
@@ -176,11 +178,12 @@
         act(fleet, step).await
     });
     let traces = try_join_all(steps).await?.into_iter().flatten();
-    let (mut leaving, mut stating) = (Vec::new(), Vec::new());
+    let (mut leaving, mut stating, mut moves) = (Vec::new(), Vec::new(), Vec::new());
     for trace in traces {
         match trace {
             Trace::Left(left) => leaving.push(left),
             Trace::Stated(stated) => stating.push(stated),
+            Trace::Moved(moved) => moves.push(moved),
         }
     }
     fleet.wait_ready().await?;
@@ -217,6 +220,15 @@
         };
         breaches.extend(check::stated(&outcomes, &stating, KNOWN_MS, is_excused));
         breaches.extend(paused(fleet, &plan, &stats));
+        let is_excused = |gateway, from_ms: u64, until_ms| {
+            let from_ms = from_ms.saturating_sub(STABLE_MS);
+            is_interrupted(&plan, begun_ms, gateway, from_ms, until_ms)
+        };
+        let pools = movement::pools(&fleet.replicas, &stats);
+        let bound_ms = KNOWN_MS + STRETCH_MS;
+        breaches.extend(movement::former(
+            &outcomes, &pools, &moves, bound_ms, is_excused,
+        ));
         let is_excused = |gateway, from_ms, until_ms| {
             is_out_of_touch(&plan, begun_ms, gateway, from_ms, until_ms)
         };
@@ -419,6 +431,7 @@
             fleet.set_replica_faults(index, Faults::default()).await?;
         }
         Action::Leave(index) => return leave(fleet, index).await.map(Trace::Left).map(Some),
+        Action::Move => return fleet.move_routes().await.map(Trace::Moved).map(Some),
         Action::Restore(age_ms) => restore(fleet, age_ms, step.lasts).await?,
         Action::State(index) => {
             let stated = state(fleet, index, step.span().end - step.at).await?;
--- a/crates/proof/src/soak/plan.rs
+++ b/crates/proof/src/soak/plan.rs
@@ -26,6 +26,9 @@
 /// The share of the faults that are lapses of entries, where there are such.
 const LAPSES: f64 = 0.3;
 
+/// The share of the faults that are moves of routes, where there are such.
+const MOVES: f64 = 0.3;
+
 /// The age of a copy from which the store comes back, in milliseconds.
 const COPY_AGE_MS: std::ops::Range<u64> = 300..4_000;
 
@@ -58,6 +61,8 @@
     Leave(usize),
     /// A new version of the desired state, with another time-out in milliseconds.
     Configure(u64),
+    /// The routes of the plain service move to another pool.
+    Move,
     /// The store is away, and comes back from a copy of this age in milliseconds.
     Restore(u64),
     /// A replica states in its answers that it leaves, and starts anew.
@@ -138,7 +143,7 @@
         Action::HarmReplicaPath(index, _) => Some(("replica path", index)),
         Action::HarmReplica(index, _) => Some(("replica", index)),
         Action::Leave(index) => Some(("leave", index)),
-        Action::KillAll | Action::ForgetHistory | Action::Configure(_) => None,
+        Action::KillAll | Action::ForgetHistory | Action::Configure(_) | Action::Move => None,
     }
 }
 
@@ -156,7 +161,7 @@
         Action::Terminate(_) | Action::HangUp(_) | Action::Leave(_) | Action::Configure(_) => true,
         Action::HarmStore(_) | Action::ForgetHistory | Action::HarmStorePath(..) => true,
         Action::Restore(_) | Action::State(_) => true,
-        Action::Pause(_) | Action::Lapse(_) => true,
+        Action::Pause(_) | Action::Lapse(_) | Action::Move => true,
     }
 }
 
@@ -254,6 +259,9 @@
         let ways = [Isolation::Silent, Isolation::Reset, Isolation::New];
         return Action::Isolate(gateway, ways[random.random_range(0..ways.len())]);
     }
+    if settings.fleet.has_moves && random.random_bool(MOVES) {
+        return Action::Move;
+    }
     if settings.has_lapses && random.random_bool(LAPSES) {
         return Action::Lapse(replica);
     }
--- a/crates/proof/tests/soak.rs
+++ b/crates/proof/tests/soak.rs
@@ -162,3 +162,26 @@
     let report = run(&settings).await;
     assert!(report.served > report.sent / 4);
 }
+
+/// Gateways that serve requests of others by an earlier catalogue let them run in the former pool of a route that has moved.
+#[rstest]
+#[case::restores(9_600, true)]
+#[case::kept_store(9_601, false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_moves_of_routes_without_paths_break_no_promise(
+    #[case] seed: u64,
+    #[case] has_restores: bool,
+) {
+    let mut settings = Settings {
+        seed,
+        faults: 20,
+        callers: 8,
+        has_isolations: true,
+        has_restores,
+        ..Settings::default()
+    };
+    settings.fleet.has_moves = true;
+    settings.fleet.services = 6;
+    let report = run(&settings).await;
+    assert!(report.served > report.sent / 4);
+}
