Prefer a reader elsewhere to one of the own zone with a far narrower link

A large change took more than the two seconds of the users' bound to reach the gateways of a zone whose machines with wide links were all out.

Cause: the followers of a zone get the changes from the reader of their zone, whatever its link. A change of 1,400 routes takes 90,000 bytes; over 10 Mbit/s, to 35 followers, that is 2.5 s.

Change: a reader whose link is a tenth of the widest reader's or less is chosen only if there is no other. Fleets whose links are alike choose as before; more bytes pass between zones only while a zone has no reader with a wide link.

Evidence: verify_large_change_passes_no_narrow_link_many_times failed before for one and two zones without wide links (2,520 ms) and passes now. It calculates the time from the size and the links; no run with such links was made. A fleet in which no reader has a wide link, with more than 27 followers in a zone, is not helped.

--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -140,11 +140,35 @@
     waited_ms >= FALLBACK_DELAY_MS + spread_ms && !peers.any(|peer| is_following(&peer))
 }
 
+/// The factor by which the link of a reader is narrower than that of the widest one if the followers of its zone prefer a reader
+/// elsewhere.
+const NARROW_FACTOR: u32 = 10;
+
 /// Returns the peer from which to get changes: the first in rank that follows the store, in availability zone `zone` if
-/// there is one.
+/// there is one whose link is not far narrower than that of a reader elsewhere.
+///
+/// A reader behind such a link sends a large change to its zone in seconds, one behind a wide link in a fraction of a second.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::readers::{self, Peer, ReaderState};
+///
+/// let reader = |name, zone, link_mbps| {
+///     Peer { name, zone, link_mbps, state: ReaderState::Following, newest: 1.into() }
+/// };
+/// let near = reader("near", "z1", 100);
+/// let choose = |far| readers::choose_reader("z1", [near, far].into_iter()).unwrap().name;
+/// assert_eq!(choose(reader("far", "z2", 200)), "near");
+/// assert_eq!(choose(reader("far", "z2", 1_000)), "far");
+/// ```
 pub fn choose_reader<'a>(zone: &str, peers: impl Iterator<Item = Peer<'a>>) -> Option<Peer<'a>> {
     let readers = peers.filter(|peer| peer.state == ReaderState::Following);
-    readers.min_by_key(|peer| (peer.zone != zone, peer.rank()))
+    let readers: Vec<Peer<'a>> = readers.collect();
+    let widest_mbps = readers.iter().map(|peer| peer.link_mbps).max()?;
+    let is_narrow = |peer: &Peer<'_>| peer.link_mbps.saturating_mul(NARROW_FACTOR) <= widest_mbps;
+    let preference = |peer: &Peer<'a>| (is_narrow(peer), peer.zone != zone, peer.rank());
+    readers.into_iter().min_by_key(preference)
 }
 
 /// Returns the first in rank of the gateways that follow the store, in whatever availability zone.
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -294,3 +294,58 @@
         assert!(rounds < 8, "the snapshot does not reach all gateways");
     }
 }
+
+/// A change of 1,400 routes, in bytes.
+const LARGE_CHANGE_BYTES: u64 = 90_000;
+
+/// The users' bound on the time until a change is in force, in milliseconds.
+const PROPAGATION_MAX_MS: u64 = 2_000;
+
+/// A reader behind a narrow link takes longer for a large change to its whole zone than the change may take.
+#[rstest]
+#[case::none_out(&[])]
+#[case::one_zone(&["z1"])]
+#[case::two_zones(&["z1", "z2"])]
+fn verify_large_change_passes_no_narrow_link_many_times(#[case] without_wide: &[&str]) {
+    let mut names = Vec::new();
+    for zone in ["z1", "z2", "z3"] {
+        let wide = if without_wide.contains(&zone) { 0 } else { 2 };
+        names.extend((0..wide).map(|index| (format!("{zone}-wide{index}"), zone, 200)));
+        names.extend((0..36).map(|index| (format!("{zone}-{index}"), zone, 10)));
+    }
+    let idle = |(name, zone, link_mbps): &'static (String, &'static str, u32)| Peer {
+        name,
+        zone,
+        link_mbps: *link_mbps,
+        state: ReaderState::Idle,
+        newest: 1.into(),
+    };
+    let names: &'static [_] = names.leak();
+    let all = || names.iter().map(idle);
+    let is_reader = |peer: &Peer<'_>| {
+        let others = all().filter(|other| other.name != peer.name);
+        readers::is_reader(*peer, others)
+    };
+    let readers: Vec<Peer<'_>> = all()
+        .filter(is_reader)
+        .map(|peer| Peer {
+            state: ReaderState::Following,
+            ..peer
+        })
+        .collect();
+    assert_eq!(readers.len(), 3);
+    let mut followers: indexmap::IndexMap<&str, u64> = indexmap::IndexMap::new();
+    for follower in all().filter(|peer| readers.iter().all(|reader| reader.name != peer.name)) {
+        let reader = readers::choose_reader(follower.zone, readers.iter().copied()).unwrap();
+        *followers.entry(reader.name).or_default() += 1;
+    }
+    for reader in &readers {
+        let count = followers.get(reader.name).copied().unwrap_or_default();
+        let took_ms = count * LARGE_CHANGE_BYTES * 8 / (u64::from(reader.link_mbps) * 1_000);
+        assert!(
+            took_ms <= PROPAGATION_MAX_MS,
+            "{} sends the change for {took_ms} ms",
+            reader.name
+        );
+    }
+}
