Keep the catalogue that an entry which cannot be decoded follows

A gateway that started after an entry of the desired state which cannot be decoded had no catalogue, or that of an older copy of the store, while the others went on with the last valid one.

Cause: such an entry replaced the catalogue in the log from which gateways relay entries, though it stayed in force in each process. Whoever started got the entry from the store and from all others.

Change: the log keeps the catalogue under the position of the entry that cannot be decoded, and states that in a log line. A gateway that holds such an entry without a catalogue takes the catalogue of the same position from another one.

Evidence: verify_unreadable_entry_does_not_replace_the_catalog failed before in both cases (with the older copy, catalogue 4 was relayed in place of 5), and verify_kept_catalog_is_taken_from_another_gateway guards the second half.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -204,31 +204,41 @@
     }
 }
 
-/// Returns whether an entry of the same position as the held one has a later catalogue. A gateway that held that before the store
-/// came back from an older copy has kept it.
+/// Returns whether an entry of the same position as the held one has a later catalogue, or one at all. A gateway that held that before
+/// the store came back from an older copy, or before the entry could no longer be decoded, has kept it.
 fn has_later_catalog(held: Option<&Entry>, entry: &Entry) -> bool {
     let Some(held) = held.filter(|held| held.position == entry.position) else {
         return false;
     };
     match (&held.fact, &entry.fact) {
         (Some(Fact::Catalog(held)), Some(Fact::Catalog(other))) => other.version > held.version,
+        (Some(Fact::Unreadable(_)), Some(Fact::Catalog(_))) => true,
         _ => false,
     }
 }
 
-/// Returns the entry, with the held catalogue in place of an older one: the version that operators give orders catalogues
-/// also across eras of the store.
+/// Returns the entry, with the held catalogue in place of an older one or one that cannot be decoded: the version that operators give
+/// orders catalogues also across eras of the store, and gateways that start get the held one from here.
 fn keep_newer_catalog(held: Option<&Entry>, entry: Entry) -> Entry {
-    let held = held.and_then(|held| held.fact.as_ref());
-    match (held, &entry.fact) {
-        (Some(Fact::Catalog(held)), Some(Fact::Catalog(listed)))
-            if held.version > listed.version =>
-        {
-            Entry {
-                fact: Some(Fact::Catalog(held.clone())),
-                ..entry
-            }
+    let Some(Fact::Catalog(held)) = held.and_then(|held| held.fact.as_ref()) else {
+        return entry;
+    };
+    let is_kept = match &entry.fact {
+        Some(Fact::Catalog(listed)) => held.version > listed.version,
+        Some(Fact::Unreadable(reason)) => {
+            log::warn!(
+                key:% = entry.key, version = entry.position.version, held = held.version, reason:% = reason;
+                "cannot decode a catalogue; the previous one stays in force"
+            );
+            true
         }
-        _ => entry,
+        _ => false,
+    };
+    match is_kept {
+        true => Entry {
+            fact: Some(Fact::Catalog(held.clone())),
+            ..entry
+        },
+        false => entry,
     }
 }
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -3,6 +3,8 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use rstest::rstest;
+use sardinemux_core::catalog::Definition;
+use sardinemux_core::position::Position;
 use sardinemux_gateway::relay::{Change, Log};
 use sardinemux_gateway::source::{Batch, Entry, Fact};
 
@@ -102,3 +104,64 @@
     assert_eq!(keys(&whole.entries), ["a"]);
     assert!(!log.changes_since(Some(1_990.into())).unwrap().0);
 }
+
+fn config(fact: Fact, position: Position) -> Batch {
+    let entry = Entry {
+        key: "config".into(),
+        fact: Some(fact),
+        position,
+        may_return: false,
+    };
+    Batch {
+        entries: vec![entry],
+        position,
+    }
+}
+
+fn catalog(version: u64) -> Fact {
+    let definition = Definition {
+        version,
+        ..Definition::default()
+    };
+    Fact::Catalog(definition.into())
+}
+
+/// A gateway that starts after an entry which cannot be decoded gets no catalogue, or that of an older copy of the store.
+#[rstest]
+#[case::alone(None)]
+#[case::before_a_restore(Some(Position::new(Some(2), 1)))]
+fn verify_unreadable_entry_does_not_replace_the_catalog(#[case] restored: Option<Position>) {
+    let mut log = Log::default();
+    let at = |version| Position::new(Some(1), version);
+    log.apply(&config(catalog(5), at(7)), true, false);
+    let unreadable = Fact::Unreadable("missing field".into());
+    log.apply(&config(unreadable, at(8)), false, false);
+    if let Some(position) = restored {
+        log.apply(&config(catalog(4), position), true, false);
+    }
+    let (_, whole) = log.changes_since(None).unwrap();
+    assert_eq!(whole.entries[0].fact, Some(catalog(5)));
+    assert_eq!(whole.entries[0].position, restored.unwrap_or(at(8)));
+    let next = config(
+        catalog(6),
+        at(9).in_era(restored.map_or(Some(1), |it| it.era)),
+    );
+    log.apply(&next, false, false);
+    let (_, whole) = log.changes_since(None).unwrap();
+    assert_eq!(whole.entries[0].fact, Some(catalog(6)));
+}
+
+/// A gateway that has read the entry which cannot be decoded itself does not take the catalogue from those that have kept it.
+#[test]
+fn verify_kept_catalog_is_taken_from_another_gateway() {
+    let mut log = Log::default();
+    let position = Position::new(Some(1), 8);
+    log.apply(
+        &config(Fact::Unreadable("missing field".into()), position),
+        true,
+        false,
+    );
+    let changes = log.apply(&config(catalog(5), position), true, false);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].entry.fact, Some(catalog(5)));
+}
