--- a/crates/gateway/tests/departures.rs
+++ b/crates/gateway/tests/departures.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use fleet::{catalog_of, Store};
-use harness::mock::{Behaviour, MockTarget};
+use harness::mock::{Behaviour, Ending, Framing, MockTarget, Script};
 use harness::{announcement, request, settings, source_of, spawn, wait_until_serving, TestGateway};
 use rstest::rstest;
 use sardinemux_gateway::settings::Settings;
@@ -113,6 +113,48 @@
     assert_eq!(target.request_count(), 1);
 }
 
+const BEGUN_STREAM: Script = Script {
+    framing: Framing::Chunks,
+    media_type: Some("text/event-stream"),
+    body: "id: 1\ndata: x\n\n",
+    ending: Ending::Hold,
+};
+
+const BEGUN_ANSWER: Script = Script {
+    framing: Framing::Length(100),
+    media_type: Some("text/plain"),
+    body: "the first part",
+    ending: Ending::Hold,
+};
+
+/// A target goes on with an answer of which its caller has read the first part and left.
+#[rstest]
+#[case::plain("/safe/", BEGUN_ANSWER)]
+#[case::unsafe_request("/unsafe/", BEGUN_ANSWER)]
+#[case::stream("/stream/", BEGUN_STREAM)]
+#[case::resumable("/resumable/", BEGUN_STREAM)]
+#[tokio::test]
+async fn verify_caller_that_leaves_an_answer_half_way_frees_the_target(
+    #[case] path: &str,
+    #[case] script: Script,
+    #[values(Behind::Nothing, Behind::Request, Behind::MoreBytes)] behind: Behind,
+) {
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let mut caller = TcpStream::connect(gateway.caller_address).await.unwrap();
+    let text = text("POST", path, behind);
+    // Not all of it may be taken before the caller leaves.
+    let sending = time::timeout(Duration::from_millis(LATE_MS / 3), async {
+        caller.write_all(text.as_bytes()).await.unwrap();
+        std::future::pending::<()>().await;
+    });
+    sending.await.unwrap_err();
+    assert_eq!(target.observed.lock().disconnects, 0);
+    drop(caller);
+    verify_freed(&target).await;
+    assert_eq!(target.request_count(), 1);
+}
+
 /// A gateway that does not notice that its caller has left sends the request on to another target, or the next request after it.
 #[rstest]
 #[case::rejected(Behaviour::LateReject(LATE_MS), Behind::EmptyLine)]
