Collect the requests in flight of each zone, so that all gateways know of them at once

Requests for a prompt that many callers ask for all go to its first target until reports show the load, and then all go past it. Besides, each choice of a target summed up the reports of all gateways for each target: 195 x 83 look-ups for each request.

Change: two gateways of each zone, those with the widest links, get a report from the others of their zone in each round and 20 ms after a request has begun. Every 100 ms they send the sum of their zone to the collectors of the others, and the sum over all zones to their zone. Where a sum is missing for 600 ms, the reports count as before. Gateways of an earlier build neither get sums nor count as collectors; their reports are in the sums. The sums of reports are kept up to date with each report, not computed for each choice.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod catalog;
 pub mod chats;
 pub mod class;
+pub mod collection;
 pub mod config;
 pub mod control_traffic;
 pub mod errors;
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -5,6 +5,7 @@
 
 pub mod command;
 pub mod query;
+mod reported;
 
 use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
@@ -13,6 +14,8 @@
 use crate::target::{self, Key, Target};
 use crate::token_bucket::TokenBucket;
 
+pub use self::reported::{Report, Reported};
+
 /// The limits, weights and lifetimes by which a router chooses among targets.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -209,13 +212,6 @@
     pub(crate) at_ms: u64,
 }
 
-/// The requests that another router has in flight, by target.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Report {
-    pub(crate) running: IndexMap<SmolStr, u32>,
-    pub(crate) at_ms: u64,
-}
-
 /// All targets that one router knows.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -223,7 +219,7 @@
     pub(crate) table: target::Table,
     pub(crate) conditions: IndexMap<Key, Condition>,
     pub(crate) evacuated: IndexSet<SmolStr>,
-    pub(crate) reports: IndexMap<SmolStr, Report>,
+    pub(crate) reported: Reported,
     pub(crate) brittle: IndexMap<SmolStr, Brittleness>,
     pub(crate) leaving: leaving::Register,
     /// The targets that were removed last, by id, oldest first.
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -7,6 +7,7 @@
     query, Announcement, BrittleNotice, Brittleness, Condition, Evidence, LimitNotice, Pause,
     RemoteLoad, Removed, Report, Roster, Shares, Statement,
 };
+use crate::collection::Part;
 use crate::leaving;
 use crate::target::{Key, Target};
 use crate::token_bucket::TokenBucket;
@@ -514,15 +515,30 @@
     }
 }
 
-/// Records the requests that another router reports to have in flight, by target.
-pub fn note_report(
+/// Records the requests that another router reports to have in flight.
+pub fn note_report(roster: &mut Roster, router: SmolStr, report: Report, now_ms: u64) {
+    roster.reported.put(router, report, now_ms);
+}
+
+/// Records a part of the sum of the requests of a zone, which its collector `sender` sent.
+pub fn note_zone_part(
     roster: &mut Roster,
-    router: SmolStr,
-    running: IndexMap<SmolStr, u32>,
+    sender: SmolStr,
+    zone: SmolStr,
+    part: Part,
     now_ms: u64,
 ) {
-    let at_ms = now_ms;
-    roster.reports.insert(router, Report { running, at_ms });
+    roster.reported.add_zone_part(sender, zone, part, now_ms);
+}
+
+/// Records a part of the sum of the requests of all routers, which a collector of the own zone sent.
+pub fn note_fleet_part(roster: &mut Roster, sender: SmolStr, part: Part, now_ms: u64) {
+    roster.reported.add_fleet_part(sender, part, now_ms);
+}
+
+/// Records what this router reported of its own requests, which the sums of collectors contain.
+pub fn note_own_report(roster: &mut Roster, running: &IndexMap<SmolStr, u32>) {
+    roster.reported.set_own(running);
 }
 
 /// Sets the multiple of the mean load up to which a target is preferred for the prompts that it caches.
@@ -537,15 +553,14 @@
 
 /// Removes the reports of all other routers, which may be out of date.
 pub fn clear_reports(roster: &mut Roster) {
-    roster.reports.clear();
+    roster.reported.clear();
 }
 
 /// Removes expired reports, and the targets that were not listed again in time. Returns the ids of these targets.
 pub fn remove_expired(roster: &mut Roster, now_ms: u64) -> Vec<SmolStr> {
     let settings = roster.settings;
-    roster
-        .reports
-        .retain(|_, report| now_ms.saturating_sub(report.at_ms) < settings.report_ttl_ms);
+    let oldest_ms = (now_ms + 1).saturating_sub(settings.report_ttl_ms);
+    roster.reported.remove_older_than(oldest_ms);
     let is_expired = |condition: &Condition| {
         let since_ms = condition.missing_since_ms;
         since_ms.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= settings.relist_ms)
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -4,6 +4,7 @@
 use smol_str::SmolStr;
 
 use super::{Announcement, BrittleNotice, Condition, LimitNotice, Roster, Settings};
+use crate::collection::Number;
 use crate::hash;
 use crate::leaving;
 use crate::origin::Presence;
@@ -240,18 +241,14 @@
         return 0;
     };
     let id = roster.table.get(key).map(|target| target.id.as_str());
-    let reported: u32 = roster
-        .reports
-        .values()
-        .filter_map(|report| report.running.get(id?))
-        .sum();
+    let reported = id.map_or(0, |id| roster.reported.running(Number::of(id), now_ms));
     let is_fresh =
         |at_ms: u64| now_ms.saturating_sub(at_ms) < roster.settings.report_ttl_ms && reported == 0;
     let stated = condition
         .remote_load
         .filter(|remote| is_fresh(remote.at_ms))
         .map_or(0, |remote| remote.running);
-    condition.running + reported.max(stated)
+    condition.running.saturating_add(reported.max(stated))
 }
 
 /// Returns the number of requests that this router has in flight, by target id, on at most `limit` targets.
@@ -268,6 +265,31 @@
     busy
 }
 
+/// Returns the requests of this router and of the others of its zone, by target: what a collector sends to those of other zones.
+pub fn zone_sum(roster: &Roster, zone: &str) -> Vec<(Number, u32)> {
+    sum_with(roster, |number| {
+        roster.reported.running_in_zone(zone, number)
+    })
+}
+
+/// Returns the requests of all routers, by target: what a collector sends to the routers of its zone. Sums over all zones that
+/// other collectors sent are left out, so that no sum comes back to its sender.
+pub fn fleet_sum(roster: &Roster, now_ms: u64) -> Vec<(Number, u32)> {
+    sum_with(roster, |number| {
+        roster.reported.running_by_zone(number, now_ms)
+    })
+}
+
+fn sum_with(roster: &Roster, others: impl Fn(Number) -> u32) -> Vec<(Number, u32)> {
+    let sums = roster.table.iter().filter_map(|(key, target)| {
+        let number = Number::of(&target.id);
+        let running = roster.conditions.get(&key)?.running;
+        let sum = running.saturating_add(others(number));
+        (sum > 0).then_some((number, sum))
+    });
+    sums.collect()
+}
+
 /// An eligible target with its load and its score for the request.
 struct Candidate {
     key: Key,
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -8,7 +8,9 @@
 use sardinemux_core::event::{self, Continuity, Cursor, Splitter};
 use sardinemux_core::rate_share;
 use sardinemux_core::roster::query::Criteria;
-use sardinemux_core::roster::{command, query, Announcement, Evidence, Roster, Settings, Shares};
+use sardinemux_core::roster::{
+    command, query, Announcement, Evidence, Report, Roster, Settings, Shares,
+};
 use sardinemux_core::target::{self, Key, Target};
 
 fn route(name: &str, prefix: &str) -> Route {
@@ -177,8 +179,11 @@
 #[test]
 fn verify_reports_of_other_routers_count_until_they_expire() {
     let (mut roster, keys) = roster(2);
-    let running = [("e0".into(), 5)].into_iter().collect();
-    command::note_report(&mut roster, "other".into(), running, 1_000);
+    let report = Report {
+        zone: "z0".into(),
+        running: [("e0".into(), 5)].into_iter().collect(),
+    };
+    command::note_report(&mut roster, "other".into(), report, 1_000);
     assert_eq!(query::load(&roster, keys[0], 1_000), 5);
     assert_eq!(
         query::rank_targets(&roster, criteria(None), 1_000)[0],
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -180,6 +180,7 @@
     if !command::start_request(&mut roster, key, shares, now_ms) {
         return None;
     }
+    gateway.load_change.notify_one();
     let in_flight = InFlight {
         gateway: gateway.clone(),
         key,
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
+use sardinemux_core::collection::{self, Role};
 use sardinemux_core::origin::Witness;
 use sardinemux_core::position::{Era, Position};
 use sardinemux_core::reach::Candidate;
@@ -38,6 +39,7 @@
     /// The version of the catalogue that it has in force.
     catalog: u64,
     compares_catalogs: bool,
+    role: Role,
 }
 
 impl Contact {
@@ -91,7 +93,8 @@
 
     /// Returns whether a gateway has sent a report within the silence timeout.
     fn has_recent_report(&self, contact: &Contact, now_ms: u64) -> bool {
-        let is_every_round = contact.zone == self.zone && contact.is_store_reader();
+        let is_awaited = contact.is_store_reader() || contact.role == Role::Collector;
+        let is_every_round = contact.zone == self.zone && is_awaited;
         let timeout_ms = reports::silence_timeout_ms(self.contacts.len(), is_every_round);
         let heard_ms = contact.last_report_ms;
         heard_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) <= timeout_ms)
@@ -145,6 +148,7 @@
                     targets: Standing::default(),
                     catalog: 0,
                     compares_catalogs: false,
+                    role: Role::None,
                 };
                 self.contacts.insert(name, contact);
             }
@@ -162,6 +166,7 @@
             targets: report.targets,
             catalog: report.catalog,
             compares_catalogs: report.compares_catalogs,
+            role: report.role,
         };
         let former = self.contacts.insert(report.member.name.clone(), contact);
         former.is_none_or(|former| former.last_report_ms.is_none())
@@ -194,6 +199,35 @@
         })
     }
 
+    /// Returns the gateways of the own zone that have sent a report within the silence timeout and report to collectors.
+    pub fn collecting(&self, now_ms: u64) -> impl Iterator<Item = collection::Candidate<'_>> {
+        let contacts = self.contacts.iter().filter(move |(_, contact)| {
+            let collects = contact.role != Role::None && contact.zone == self.zone;
+            collects && self.has_recent_report(contact, now_ms)
+        });
+        contacts.map(|(name, contact)| collection::Candidate {
+            name,
+            zone: &contact.zone,
+            link_mbps: contact.link_mbps,
+        })
+    }
+
+    /// Returns the addresses of the collectors of other zones that have sent a report within the silence timeout.
+    pub fn collectors_elsewhere(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let contacts = self.contacts.values().filter(|contact| {
+            let collects = contact.role == Role::Collector && contact.zone != self.zone;
+            collects && self.has_recent_report(contact, now_ms)
+        });
+        contacts.map(|contact| contact.address).collect()
+    }
+
+    /// Records that a gateway has sent the sum of a zone, so that it collects.
+    pub fn note_collector(&mut self, name: &str) {
+        if let Some(contact) = self.contacts.get_mut(name) {
+            contact.role = Role::Collector;
+        }
+    }
+
     /// Removes a gateway.
     pub fn remove(&mut self, name: &str) {
         self.contacts.shift_remove(name);
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -2,17 +2,19 @@
 //! and its state and position as a reader of operators' entries and targets. A lost report is not repeated; the next one
 //! replaces it.
 
+use std::future::{self, Future};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use sardinemux_core::collection::{self, Candidate, Message, Number, Role};
 use sardinemux_core::position::Era;
 use sardinemux_core::reports;
-use sardinemux_core::roster::{command, query};
+use sardinemux_core::roster::{self, command, query};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use tokio::net::UdpSocket;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::appendix;
 use crate::attempt::statement;
@@ -63,6 +65,9 @@
     /// is in the appendix.
     #[serde(skip)]
     pub compares_catalogs: bool,
+    /// What it does for the collection of requests in flight. It is in the appendix.
+    #[serde(skip)]
+    pub role: Role,
 }
 
 /// The appendix of a report.
@@ -75,6 +80,7 @@
     targets: Era,
     catalog: u64,
     compares_catalogs: bool,
+    role: Role,
 }
 
 /// Returns the datagram of a report.
@@ -88,6 +94,7 @@
         targets: report.targets.newest.era,
         catalog: report.catalog,
         compares_catalogs: report.compares_catalogs,
+        role: report.role,
     };
     appendix::encode(report, &appendix)
 }
@@ -102,6 +109,7 @@
     let appendix = appendix.unwrap_or_default();
     report.catalog = appendix.catalog;
     report.compares_catalogs = appendix.compares_catalogs;
+    report.role = appendix.role;
     for (standing, era) in [
         (&mut report.operators, appendix.operators),
         (&mut report.targets, appendix.targets),
@@ -112,8 +120,14 @@
 }
 
 fn build_report(gateway: &Gateway) -> Report {
-    let running = query::running(&gateway.roster.lock(), TARGETS_MAX);
+    let running = {
+        let mut roster = gateway.roster.lock();
+        let running = query::running(&roster, TARGETS_MAX);
+        command::note_own_report(&mut roster, &running);
+        running
+    };
     let catalog = gateway.catalog.read().version();
+    let role = role(gateway);
     let views = gateway.views.lock();
     let standing = |topic: Topic| {
         let view = views.get(&topic);
@@ -138,6 +152,7 @@
         running,
         catalog,
         compares_catalogs: true,
+        role,
     }
 }
 
@@ -155,6 +170,7 @@
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     let mut round: u64 = 0;
     let mut suspensions = *gateway.suspensions.borrow();
+    let mut schedule = Schedule::default();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
@@ -167,6 +183,21 @@
                 send_supplements(&socket, &hop::news(&gateway), &recipients);
                 gateway.remove_expired();
                 round += 1;
+                schedule.collects = role(&gateway) == Role::Collector;
+            }
+            () = gateway.load_change.notified(), if schedule.notice_at.is_none() => {
+                schedule.notice_at = Some(Instant::now() + Duration::from_millis(collection::NOTICE_MS));
+            }
+            () = schedule.wait_for_notice() => {
+                schedule.notice_at = None;
+                send_reports(&gateway, &socket, &collector_addresses(&gateway));
+            }
+            () = schedule.wait_for_sum() => {
+                schedule.sum_at = Instant::now() + Duration::from_millis(collection::PERIOD_MS);
+                schedule.sums += 1;
+                for (sums, recipients) in sums(&gateway, schedule.sums) {
+                    send_supplements(&socket, &sums, &recipients);
+                }
             }
             () = gateway.quarantine_alarm.wait() => {
                 for (notices, recipients) in quarantine::take_urgent(&gateway) {
@@ -196,6 +227,47 @@
     }
 }
 
+/// When reports and sums are sent besides the rounds.
+struct Schedule {
+    /// When the collectors are told of requests that have begun; `None` if there are none.
+    notice_at: Option<Instant>,
+    /// Whether this gateway is a collector.
+    collects: bool,
+    /// When a collector sends its next sums.
+    sum_at: Instant,
+    /// The number of sums that were sent.
+    sums: u64,
+}
+
+impl Default for Schedule {
+    fn default() -> Self {
+        Self {
+            notice_at: None,
+            collects: false,
+            sum_at: Instant::now(),
+            sums: 0,
+        }
+    }
+}
+
+impl Schedule {
+    fn wait_for_notice(&self) -> impl Future<Output = ()> {
+        wait_until(self.notice_at)
+    }
+
+    fn wait_for_sum(&self) -> impl Future<Output = ()> {
+        wait_until(self.collects.then_some(self.sum_at))
+    }
+}
+
+/// Waits until a moment; without one, forever.
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => time::sleep_until(at).await,
+        None => future::pending().await,
+    }
+}
+
 /// Returns whether the process was suspended since the last call.
 fn has_stood_still(gateway: &Gateway, suspensions: &mut u64) -> bool {
     suspension::note_heartbeat(gateway);
@@ -245,19 +317,113 @@
     }
 }
 
+/// Returns the names of the collectors of this gateway's zone. It is none itself while it stops.
+fn collectors(gateway: &Gateway) -> Vec<SmolStr> {
+    let settings = &gateway.settings;
+    let is_serving = gateway.drain.phase() == Phase::Serving;
+    let me = is_serving.then_some(Candidate {
+        name: &settings.name,
+        zone: &settings.zone,
+        link_mbps: settings.link_mbps,
+    });
+    let members = gateway.members.lock();
+    let others = members.collecting(gateway.now_ms());
+    let found = collection::collectors(&settings.zone, others.chain(me));
+    found.into_iter().map(SmolStr::from).collect()
+}
+
+fn role(gateway: &Gateway) -> Role {
+    match collectors(gateway).contains(&gateway.settings.name) {
+        true => Role::Collector,
+        false => Role::Member,
+    }
+}
+
+/// Returns the addresses of the other collectors of this gateway's zone.
+fn collector_addresses(gateway: &Gateway) -> Vec<SocketAddr> {
+    let collectors = collectors(gateway);
+    let members = gateway.members.lock();
+    let addresses = collectors.iter().filter_map(|name| members.address(name));
+    addresses.collect()
+}
+
+/// Returns the sums of a collector as datagrams, with their recipients: the sum of its zone for the collectors of other zones, and
+/// the sum over all zones for the other gateways of its own. `round` counts the sums.
+fn sums(gateway: &Gateway, round: u64) -> [(Vec<Vec<u8>>, Vec<SocketAddr>); 2] {
+    let zone = &gateway.settings.zone;
+    let now_ms = gateway.now_ms();
+    let (zone_sum, fleet_sum) = {
+        let roster = gateway.roster.lock();
+        let zone_sum = query::zone_sum(&roster, zone);
+        (zone_sum, query::fleet_sum(&roster, now_ms))
+    };
+    let collectors = collectors(gateway);
+    let members = gateway.members.lock();
+    let near = members.collecting(now_ms).map(|member| member.name);
+    let near = near.filter(|name| !collectors.iter().any(|it| it == name));
+    let near: Vec<SocketAddr> = near.filter_map(|name| members.address(name)).collect();
+    let elsewhere = members.collectors_elsewhere(now_ms);
+    let encode = |zone: Option<&SmolStr>, sum: Vec<(Number, u32)>| {
+        let parts = collection::split(sum, round).into_iter();
+        let messages = parts.map(|part| Message {
+            gateway: gateway.settings.name.clone(),
+            zone: zone.cloned(),
+            part,
+        });
+        messages
+            .filter_map(|message| supplement::encode(&Supplement::Sum(message)))
+            .collect()
+    };
+    [
+        (encode(Some(zone), zone_sum), elsewhere),
+        (encode(None, fleet_sum), near),
+    ]
+}
+
+/// Applies a part of a sum that a collector sent. Those of unknown gateways are ignored, and so are sums of the own zone, whose
+/// gateways report to this one as well.
+fn receive_sum(gateway: &Gateway, message: Message) {
+    let now_ms = gateway.now_ms();
+    let Message {
+        gateway: sender,
+        zone,
+        part,
+    } = message;
+    {
+        let mut members = gateway.members.lock();
+        if members.address(&sender).is_none() || zone.as_ref() == Some(&gateway.settings.zone) {
+            return;
+        }
+        if zone.is_some() {
+            members.note_collector(&sender);
+        }
+    }
+    let mut roster = gateway.roster.lock();
+    match zone {
+        Some(zone) => command::note_zone_part(&mut roster, sender, zone, part, now_ms),
+        None => command::note_fleet_part(&mut roster, sender, part, now_ms),
+    }
+}
+
 /// Returns the addresses that get a report in a round: the seeds while no other gateway is known.
 fn choose_recipients(gateway: &Gateway, round: u64) -> Vec<SocketAddr> {
     let is_stopping = gateway.drain.phase() != Phase::Serving;
-    let audience = match replication::is_store_reader(gateway) {
+    let is_awaited = replication::is_store_reader(gateway) || role(gateway) == Role::Collector;
+    let audience = match is_awaited {
         _ if is_stopping || round < STARTUP_ROUNDS => Broadcast::All,
         true => Broadcast::Zone,
         false => Broadcast::None,
     };
+    let collectors = collector_addresses(gateway);
     let members = gateway.members.lock();
-    match members.is_empty() {
-        true => seed_addresses(gateway),
-        false => members.due_addresses(round, audience, gateway.now_ms()),
+    if members.is_empty() {
+        return seed_addresses(gateway);
     }
+    let mut recipients = members.due_addresses(round, audience, gateway.now_ms());
+    let missing = collectors.into_iter().filter(|it| !recipients.contains(it));
+    let missing: Vec<SocketAddr> = missing.collect();
+    recipients.extend(missing);
+    recipients
 }
 
 /// Returns the seeds without this gateway itself. The IP addresses are those of the settings; the port is that of this
@@ -294,6 +460,7 @@
             _,
         )) => hop::receive_news(gateway, name, pools),
         Ok((Supplement::Origins(records), _)) => origins::receive_records(gateway, records),
+        Ok((Supplement::Sum(sum), _)) => receive_sum(gateway, sum),
         Err(error) => {
             log::warn!(sender:% = sender, error:% = error; "failed to decode a supplement to a report; ignored");
         }
@@ -327,7 +494,11 @@
         }
     };
     let Member { name, address } = report.member;
+    let reported = roster::Report {
+        zone: report.zone,
+        running: report.running,
+    };
     let mut roster = gateway.roster.lock();
-    command::note_report(&mut roster, name, report.running, now_ms);
+    command::note_report(&mut roster, name, reported, now_ms);
     is_new.then_some(address)
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -60,6 +60,8 @@
     pub history: Mutex<History>,
     /// The targets and their load.
     pub roster: Mutex<Roster>,
+    /// Wakes the task that tells collectors of requests that have begun.
+    pub load_change: Notify,
     /// The other gateways.
     pub members: Mutex<Members>,
     /// The received entries of each topic.
@@ -116,6 +118,7 @@
             later_catalog: Notify::new(),
             history: Mutex::default(),
             roster: Mutex::new(Roster::new(roster)),
+            load_change: Notify::new(),
             members: Mutex::new(Members::new(settings.zone.clone())),
             views: Mutex::default(),
             holders: Mutex::default(),
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -1,7 +1,8 @@
-//! The datagrams that gateways send beside their reports: evidence against prompt parts, and limits that targets state.
+//! The datagrams that gateways send beside their reports: evidence against prompt parts, limits that targets state, sums of requests.
 //!
 //! They are messages of their own, so that a gateway that does not know one of them still reads the reports.
 
+use sardinemux_core::collection::Message;
 use sardinemux_core::leaving;
 use sardinemux_core::origin::{Origin, Stored};
 use sardinemux_core::position::Era;
@@ -45,6 +46,8 @@
     Origins(Vec<Origin>),
     /// The targets that stated in answers that they leave.
     Leaving(Vec<leaving::Notice>),
+    /// The requests in flight that a collector has summed up. Only gateways that report to collectors get it.
+    Sum(Message),
 }
 
 /// The appendix of a supplement with positions.
--- a/crates/gateway/tests/former.rs
+++ b/crates/gateway/tests/former.rs
@@ -11,6 +11,7 @@
 use harness::{announcement, settings};
 use hyper::Request;
 use indexmap::IndexMap;
+use sardinemux_core::collection::Role;
 use sardinemux_core::origin::{Epoch, Stored};
 use sardinemux_core::position::Position;
 use sardinemux_core::readers::ReaderState;
@@ -111,18 +112,20 @@
         running: [("t0".into(), 4)].into_iter().collect(),
         catalog: 44,
         compares_catalogs: true,
+        role: Role::Collector,
     };
     let bytes = reports::encode(&report).unwrap();
     let read = reports::decode(&bytes).unwrap();
     assert_eq!(read.operators, report.operators);
     assert_eq!(read.targets, report.targets);
-    assert_eq!(read.catalog, 44);
+    assert_eq!((read.catalog, read.role), (44, Role::Collector));
     let former: FormerReport = rmp_serde::from_slice(&bytes).unwrap();
     assert_eq!(former.operators, (ReaderState::Following, 120));
     assert_eq!(former.running, report.running);
     let read = reports::decode(&rmp_serde::to_vec(&former).unwrap()).unwrap();
     assert_eq!(read.operators, standing(None, 120));
-    assert_eq!((read.catalog, read.running), (0, report.running));
+    assert_eq!((read.catalog, read.role), (0, Role::None));
+    assert_eq!(read.running, report.running);
 }
 
 /// The same for the builds of pools.
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -5,11 +5,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use indexmap::IndexMap;
+use sardinemux_core::collection::Role;
 use sardinemux_core::quarantine::Notice;
 use sardinemux_gateway::members::Standing;
-use sardinemux_gateway::reports::Report;
+use sardinemux_gateway::reports::{self, Report};
 use sardinemux_gateway::source::Member;
 use sardinemux_gateway::supplement::{self, Supplement};
+use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 use tokio::time;
 
@@ -18,15 +21,28 @@
 
 /// A peer that the gateway knows.
 pub struct Peer {
+    name: &'static str,
+    role: Option<Role>,
     socket: UdpSocket,
     gateway: SocketAddr,
 }
 
 impl Peer {
-    /// Makes a peer known to a gateway that has started, and waits for the gateway's first report.
+    /// Makes a peer of an earlier build known to a gateway that has started, and waits for the gateway's first report.
     pub async fn join(gateway: SocketAddr) -> Self {
+        Self::join_as("peer", None, gateway).await
+    }
+
+    /// Makes a peer known to a gateway that has started, and waits for the gateway's first report. One without a role is of an
+    /// earlier build.
+    pub async fn join_as(name: &'static str, role: Option<Role>, gateway: SocketAddr) -> Self {
         let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-        let peer = Self { socket, gateway };
+        let peer = Self {
+            name,
+            role,
+            socket,
+            gateway,
+        };
         let mut buffer = [0; DATAGRAM_MAX_BYTES];
         loop {
             peer.report().await;
@@ -40,9 +56,14 @@
 
     /// Sends a report to the gateway.
     pub async fn report(&self) {
+        self.report_running(Default::default()).await;
+    }
+
+    /// Sends a report of these requests in flight to the gateway.
+    pub async fn report_running(&self, running: IndexMap<SmolStr, u32>) {
         let report = Report {
             member: Member {
-                name: "peer".into(),
+                name: self.name.into(),
                 address: self.socket.local_addr().unwrap(),
             },
             is_stopping: false,
@@ -51,11 +72,15 @@
             link_mbps: 1,
             operators: Standing::default(),
             targets: Standing::default(),
-            running: Default::default(),
+            running,
             catalog: 0,
             compares_catalogs: false,
+            role: self.role.unwrap_or_default(),
+        };
+        let bytes = match self.role {
+            Some(_) => reports::encode(&report).unwrap(),
+            None => rmp_serde::to_vec(&report).unwrap(),
         };
-        let bytes = rmp_serde::to_vec(&report).unwrap();
         self.socket.send_to(&bytes, self.gateway).await.unwrap();
     }
 
@@ -65,6 +90,15 @@
         self.socket.send_to(&bytes, self.gateway).await.unwrap();
     }
 
+    /// Returns the next datagram of the gateway that is a supplement, or a report (`None`).
+    pub async fn next(&self) -> Option<Supplement> {
+        let mut buffer = [0; DATAGRAM_MAX_BYTES];
+        let length = self.socket.recv(&mut buffer).await.unwrap();
+        let bytes = &buffer[..length];
+        let is_supplement = supplement::is_supplement(bytes);
+        is_supplement.then(|| supplement::decode(bytes).unwrap().0)
+    }
+
     /// Returns the next notice that the gateway sends of each of these parts.
     pub async fn next_notices(&self, parts: &[u64]) -> Vec<Notice> {
         let mut found: Vec<Notice> = Vec::new();
