Show which gateways collect, and how many sums arrive

A gateway logs when it begins and ceases to collect, and serves gateway_is_collector and gateway_sums_total, so that an operator sees a zone without collectors.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -78,6 +78,10 @@
     pub catalog_version: IntGauge,
     /// The latest era of the store that is known; zero if the store states none.
     pub store_era: IntGauge,
+    /// One while this gateway collects the requests in flight of its availability zone, otherwise zero.
+    pub is_collector: IntGauge,
+    /// The parts of sums of requests in flight that were received from collectors and applied.
+    pub sums: IntCounter,
     /// Entries from the first list of a new era of the store, by topic.
     pub restored_entries: IntCounterVec,
     /// The number of reports received from other gateways and applied.
@@ -163,6 +167,14 @@
                     "The version of the catalogue in force",
                 )?,
                 store_era: IntGauge::new("gateway_store_era", "The era of the store")?,
+                is_collector: IntGauge::new(
+                    "gateway_is_collector",
+                    "Whether the requests in flight of the availability zone are collected here",
+                )?,
+                sums: IntCounter::new(
+                    "gateway_sums_total",
+                    "Parts of sums of requests in flight that collectors sent",
+                )?,
                 restored_entries: counters(
                     "gateway_restored_entries_total",
                     "Entries from the first list of a new era of the store",
@@ -183,7 +195,7 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
@@ -198,6 +210,8 @@
             Box::new(metrics.pauses.clone()),
             Box::new(metrics.catalog_version.clone()),
             Box::new(metrics.store_era.clone()),
+            Box::new(metrics.is_collector.clone()),
+            Box::new(metrics.sums.clone()),
             Box::new(metrics.restored_entries.clone()),
             Box::new(metrics.peer_reports.clone()),
             Box::new(metrics.dropped_log_lines.clone()),
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -183,7 +183,7 @@
                 send_supplements(&socket, &hop::news(&gateway), &recipients);
                 gateway.remove_expired();
                 round += 1;
-                schedule.collects = role(&gateway) == Role::Collector;
+                schedule.set_role(&gateway);
             }
             () = gateway.load_change.notified(), if schedule.notice_at.is_none() => {
                 schedule.notice_at = Some(Instant::now() + Duration::from_millis(collection::NOTICE_MS));
@@ -251,6 +251,22 @@
 }
 
 impl Schedule {
+    /// Lets this gateway collect, or stops it.
+    fn set_role(&mut self, gateway: &Gateway) {
+        let collects = role(gateway) == Role::Collector;
+        if collects == self.collects {
+            return;
+        }
+        self.collects = collects;
+        gateway.metrics.is_collector.set(i64::from(collects));
+        match collects {
+            true => log::info!("collecting the requests in flight of the availability zone"),
+            false => {
+                log::info!("no longer collecting the requests in flight of the availability zone")
+            }
+        }
+    }
+
     fn wait_for_notice(&self) -> impl Future<Output = ()> {
         wait_until(self.notice_at)
     }
@@ -398,6 +414,7 @@
             members.note_collector(&sender);
         }
     }
+    gateway.metrics.sums.inc();
     let mut roster = gateway.roster.lock();
     match zone {
         Some(zone) => command::note_zone_part(&mut roster, sender, zone, part, now_ms),
--- a/crates/gateway/tests/collection.rs
+++ b/crates/gateway/tests/collection.rs
@@ -62,7 +62,7 @@
 async fn verify_collector_sends_the_sum_to_its_zone() {
     let settings = settings();
     let targets = vec![announcement("t0", "127.0.0.1:9")];
-    harness::spawn(settings.clone(), source(targets, true));
+    let gateway = harness::spawn(settings.clone(), source(targets, true));
     wait_until_serving(settings.caller_address, settings.ready_address).await;
     // The gateway has the widest link, and one of the peers is the second collector.
     let mut peers = Vec::new();
@@ -87,6 +87,7 @@
     };
     let message = time::timeout(TIMEOUT, receive).await.unwrap();
     assert_eq!((message.gateway.as_str(), message.zone), ("g1", None));
+    assert_eq!(gateway.metrics.is_collector.get(), 1);
 }
 
 /// A gateway of an earlier build logs each sum that it cannot read.
