--- a/review/support/support.rs
+++ b/review/support/support.rs
@@ -696,6 +696,33 @@
         self.await_answer(wait)
     }
 
+    /// Sends a request and reads the stream that answers it, until it ends or has no event for `patience`. Returns the events
+    /// and bytes that came.
+    pub fn read_events(&mut self, request: &[u8], patience: Duration) -> (usize, usize) {
+        let (mut events, mut bytes) = (0, 0);
+        if self.stream.write_all(request).is_err() {
+            return (events, bytes);
+        }
+        let _ = self.stream.set_read_timeout(Some(patience));
+        let mut last_event = Instant::now();
+        let mut line = Vec::new();
+        while last_event.elapsed() < patience {
+            line.clear();
+            match self.reader.read_until(b'\n', &mut line) {
+                Ok(0) | Err(_) => break,
+                Ok(count) => bytes += count,
+            }
+            if line.starts_with(b"id:") {
+                events += 1;
+                last_event = Instant::now();
+            }
+            if line == b"0\r\n" {
+                break;
+            }
+        }
+        (events, bytes)
+    }
+
     pub fn await_answer(&mut self, wait: Duration) -> Seen {
         let _ = self.stream.set_read_timeout(Some(wait));
         let mut status = None;
