Review case 1: answers in small chunks take far fewer requests

Cause: each chunk of a buffered answer is kept as a frame of its own, whose bookkeeping the limit of 8 MiB does not count. Change: the faulty replica of the case sends chunks of 4 bytes, and 6 requests are in flight in place of 48. No product code is changed.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -16,11 +16,13 @@
 /// `MemoryMb` of the machine, above which the platform kills a process.
 const MEMORY_MB: f64 = 260.0;
 /// The requesters of the service with the faulty replica, each with one request in flight. The replica has 64 slots.
-const PLANNERS: usize = 48;
+const PLANNERS: usize = 6;
 /// The requesters of the sound service.
 const BOOKERS: usize = 12;
-/// The bytes that the faulty replica sends on each channel every 20 ms: 1 MB a second.
-const ENDLESS_BYTES: usize = 20_000;
+/// The bytes in each chunk of the faulty replica's bodies.
+const CHUNK_BYTES: usize = 4;
+/// The chunks that it sends on each channel every 20 ms: 1 MB a second, without their framing.
+const CHUNKS: usize = 5_000;
 
 type Begun = Arc<Mutex<HashSet<String>>>;
 
@@ -35,9 +37,9 @@
         begun.lock().unwrap().insert(request.clone());
         if is_faulty {
             write!(writer, "HTTP/1.1 200 OK\r\nSardinemux-Request-Id: {request}\r\nSardinemux-Response-Stamp: stamp.{request}\r\nTransfer-Encoding: chunked\r\n\r\n")?;
-            let chunk = [format!("{ENDLESS_BYTES:x}\r\n").as_bytes(), &vec![b'?'; ENDLESS_BYTES], b"\r\n"].concat();
+            let chunks = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "?".repeat(CHUNK_BYTES)).repeat(CHUNKS);
             loop {
-                writer.write_all(&chunk)?;
+                writer.write_all(chunks.as_bytes())?;
                 sleep_ms(20);
             }
         }
