Take no unmarked end of an answer at its time limit for its end

Cause: the target closes its connection when the time that it was given is over. The HTTP library reports that as the end of the body, and the gateway took each such end outside an event for the end of the stream; the time that is stated is rounded down, so that the end came up to a millisecond before the gateway's own deadline. Evidence: the record shows the last chunk at most 1 ms after the target's stop, at 5,999 ms of 6,000. Gateways mark answers that they pass on to others as checked; an end at the limit is not believed of one that does not. The soak's replicas work slowly at times and stop at the limit.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -421,6 +421,7 @@
         let may_be_empty = answer.may_be_empty();
         let collected = Limited::new(&mut answer.body, BUFFERED_MAX_BYTES).collect();
         let reason = match time::timeout_at(self.inbound.deadline, collected).await {
+            Ok(Ok(_)) if answer.is_end_forced() => Reason::Silence,
             Ok(Ok(whole)) => {
                 let bytes = whole.to_bytes();
                 let is_empty = bytes.is_empty() && !may_be_empty;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one target, and determines from the result whether the request may have run.
 
 pub mod answer;
+pub mod grant;
 pub mod statement;
 
 use std::net::SocketAddr;
@@ -19,6 +20,7 @@
 use tokio::time::{self, Instant};
 
 use self::answer::Answer;
+use self::grant::Grant;
 use crate::answer::Recipient;
 use crate::connections::{self, Connection};
 use crate::hop;
@@ -301,16 +303,11 @@
     if let Some(peer) = peer {
         return hop::exchange(in_flight, link, peer, inbound, terms, first_byte_deadline).await;
     }
-    let Some(request) = build_request(
-        gateway,
-        inbound,
-        in_flight.key,
-        &target,
-        terms.last_event_id,
-    ) else {
+    let Some(grant) = Grant::until(inbound.deadline) else {
         return not_run(Reason::Waited, false);
     };
     let key = in_flight.key;
+    let request = build_request(gateway, inbound, key, &target, grant, terms.last_event_id);
     let sending = async {
         let mut sending = pin!(link.send(request));
         if !is_new {
@@ -348,7 +345,7 @@
             return unknown(Reason::Silence);
         }
     };
-    interpret_head(gateway, inbound, in_flight, link, target, response)
+    interpret_head(gateway, inbound, in_flight, link, target, grant, response)
 }
 
 pub(crate) fn not_run(reason: Reason, has_arrived: bool) -> AttemptOutcome {
@@ -390,18 +387,15 @@
     }
 }
 
-/// Builds the request to the target. Returns `None` if its deadline has passed.
+/// Builds the request to the target.
 fn build_request(
     gateway: &Gateway,
     inbound: &Inbound,
     key: Key,
     target: &Target,
+    grant: Grant,
     last_event_id: Option<u64>,
-) -> Option<Request<Full<Bytes>>> {
-    let left_ms = inbound.remaining().as_millis() as u64;
-    if left_ms == 0 {
-        return None;
-    }
+) -> Request<Full<Bytes>> {
     let dialect = &gateway.dialect;
     let mut request = Request::new(Full::new(inbound.body.clone()));
     *request.method_mut() = inbound.method.clone();
@@ -415,7 +409,7 @@
             log::warn!(header:% = name, error:% = error; "omitting a request header with an invalid value");
         }
     };
-    set(&dialect.deadline_ms, &left_ms.to_string());
+    set(&dialect.deadline_ms, &grant.as_millis().to_string());
     set(&dialect.expected_target, &target.id);
     if let Some(organisation) = &inbound.organisation {
         set(&dialect.organisation, organisation);
@@ -429,7 +423,7 @@
     if let Some(last_event_id) = last_event_id {
         set(&dialect.last_event_id, &last_event_id.to_string());
     }
-    Some(request)
+    request
 }
 
 /// Returns the address of the engine that most likely caches the shared prefix of the prompt, unless that is the target
@@ -463,6 +457,7 @@
     mut in_flight: InFlight,
     link: Connection,
     target: Target,
+    grant: Grant,
     response: Response<Incoming>,
 ) -> AttemptOutcome {
     let dialect = &gateway.dialect;
@@ -511,8 +506,10 @@
         body,
         in_flight,
         build: target.build,
+        grant,
         link,
         peer: None,
+        is_checked: true,
     }))
 }
 
--- a/crates/gateway/src/attempt/answer.rs
+++ b/crates/gateway/src/attempt/answer.rs
@@ -10,6 +10,7 @@
 use sardinemux_core::event;
 use sardinemux_core::roster::Evidence;
 
+use super::grant::Grant;
 use super::InFlight;
 use crate::connections::Connection;
 use crate::hop;
@@ -103,9 +104,14 @@
     pub in_flight: InFlight,
     /// The version of the target's software; empty if it is not known.
     pub build: SmolStr,
+    /// The time that the target, or the other gateway, was given.
+    pub(crate) grant: Grant,
     pub(crate) link: Connection,
     /// The address of the gateway that sent the request to the target, if it is not this one.
     pub(crate) peer: Option<SocketAddr>,
+    /// Whether the body ends regularly only if the target is known to have completed it. Gateways of earlier builds mark
+    /// the end of a body that the end of a connection may have cut short.
+    pub(crate) is_checked: bool,
 }
 
 impl Answer {
@@ -121,6 +127,13 @@
         self.framing() != Framing::Connection || self.body.is_end_stream()
     }
 
+    /// Returns whether the body, which has ended now, may have been cut short by the time limit of the target: nothing
+    /// but the end of its connection marks the end.
+    pub fn is_end_forced(&self) -> bool {
+        let is_unmarked = !self.may_be_empty() || !self.is_checked;
+        is_unmarked && self.grant.may_be_over()
+    }
+
     /// Returns what the head states about the type of the body, if anything.
     pub fn content_type(&self) -> Option<&str> {
         self.head.headers.get(header::CONTENT_TYPE)?.to_str().ok()
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -23,9 +23,12 @@
 use sardinemux_core::{roster, slot_share};
 use tokio::time::{self, Instant};
 
-use self::head::{Passed, ARRIVED, BUILD, CATALOG, EXCHANGE, NOT_ARRIVED, POOL, RUNS, SENDER};
+use self::head::{
+    Passed, ARRIVED, BUILD, CATALOG, CHECKED, EXCHANGE, IS_CHECKED, NOT_ARRIVED, POOL, RUNS, SENDER,
+};
 use crate::answer::{self, Arrived};
 use crate::attempt::answer::{is_encoded, Answer};
+use crate::attempt::grant::Grant;
 use crate::attempt::{self, statement, AttemptOutcome, InFlight, Peer, Ready, Terms};
 use crate::connections::{self, Connection, IDLE_CONNECTIONS_MAX};
 use crate::prelude::*;
@@ -274,12 +277,9 @@
     inbound: &Inbound,
     exchange: &HeaderValue,
     peer: &Peer,
+    grant: Grant,
     terms: &Terms,
 ) -> Option<Request<Full<Bytes>>> {
-    let left_ms = inbound.remaining().as_millis() as u64;
-    if left_ms == 0 {
-        return None;
-    }
     let dialect = &gateway.dialect;
     let mut request = Request::new(Full::new(inbound.body.clone()));
     *request.method_mut() = inbound.method.clone();
@@ -287,7 +287,10 @@
     let headers = request.headers_mut();
     *headers = inbound.headers.clone();
     headers.insert(EXCHANGE, exchange.clone());
-    headers.insert(dialect.deadline_ms.clone(), HeaderValue::from(left_ms));
+    headers.insert(
+        dialect.deadline_ms.clone(),
+        HeaderValue::from(grant.as_millis()),
+    );
     headers.insert(POOL, HeaderValue::from_str(&inbound.pool).ok()?);
     if let Some(key) = &inbound.key {
         headers.insert(dialect.api_key.clone(), key.clone());
@@ -321,7 +324,10 @@
 ) -> AttemptOutcome {
     let gateway = in_flight.gateway().clone();
     let number = HeaderValue::from(rand::random::<u64>());
-    let request = build_request(&gateway, inbound, &number, &peer, terms);
+    let Some(grant) = Grant::until(inbound.deadline) else {
+        return attempt::not_run(Reason::Waited, false);
+    };
+    let request = build_request(&gateway, inbound, &number, &peer, grant, terms);
     let Some(request) = request else {
         return attempt::not_run(Reason::Waited, false);
     };
@@ -340,6 +346,7 @@
         return attempt::unknown(Reason::Crossed);
     }
     let build = head.headers.remove(&BUILD);
+    let is_checked = head.headers.remove(&CHECKED).is_some();
     let dialect = &gateway.dialect;
     if !head.headers.contains_key(&dialect.signature) {
         return match head.status {
@@ -363,8 +370,10 @@
         body,
         in_flight,
         build: build.unwrap_or_default().into(),
+        grant,
         link,
         peer: Some(peer.address),
+        is_checked,
     }))
 }
 
@@ -398,7 +407,9 @@
     let has_arrived = response.extensions().get::<Arrived>().is_some();
     let headers = response.headers_mut();
     headers.remove(RETRY_AFTER);
-    if !is_answer && !has_arrived {
+    if is_answer {
+        headers.insert(CHECKED, IS_CHECKED);
+    } else if !has_arrived {
         headers.insert(ARRIVED, NOT_ARRIVED);
     }
     if let Some(exchange) = passed.exchange {
--- a/crates/gateway/src/hop/head.rs
+++ b/crates/gateway/src/hop/head.rs
@@ -30,6 +30,12 @@
 /// The value of [`ARRIVED`] with which a gateway states that no target has received the request.
 pub const NOT_ARRIVED: HeaderValue = HeaderValue::from_static("0");
 
+/// The header of an answer whose body ends regularly only if it is complete. Gateways of earlier builds do not set it.
+pub const CHECKED: HeaderName = HeaderName::from_static("x-hop-checked");
+
+/// The value of [`CHECKED`].
+pub const IS_CHECKED: HeaderValue = HeaderValue::from_static("1");
+
 /// What another gateway states of a request that it passes on.
 #[derive(Clone, Debug, Default)]
 pub struct Passed {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -52,7 +52,8 @@
 ///
 /// # Errors
 ///
-/// [`BodyError`] with `Reason::Cut` if the connection failed, with `Reason::Silence` if no chunk arrived in time.
+/// [`BodyError`] with `Reason::Cut` if the connection failed, with `Reason::Silence` if no chunk arrived in time, or if
+/// the body may have ended because the time of the target is over.
 async fn read_chunk(
     answer: &mut Answer,
     deadline: Instant,
@@ -65,6 +66,7 @@
         let frame = match time::timeout_at(deadline, answer.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_))) => return Err(interrupted(Reason::Cut)),
+            Ok(None) if answer.is_end_forced() => return Err(interrupted(Reason::Silence)),
             Ok(None) => return Ok(None),
             Err(_) => return Err(interrupted(Reason::Silence)),
         };
--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use fleet::{catalog_of, Store};
-use harness::mock::{Behaviour, MockTarget};
+use harness::mock::{Behaviour, Ending, MockTarget, Script};
 use harness::{announcement, exchange, looks_complete, wait_until_serving};
 use rstest::rstest;
 use sardinemux_core::catalog::Definition;
@@ -279,3 +279,35 @@
     let arrived = target.request_count() - before;
     assert!(arrived <= REQUESTS + others.len() + 1, "{arrived}");
 }
+
+/// A stream through another gateway that its target stops at its time limit, where only the close of the target's connection
+/// marks the end.
+#[rstest]
+#[case::stream("/stream/")]
+#[case::resumable("/resumable/")]
+#[tokio::test]
+async fn verify_stream_through_another_gateway_that_stops_at_its_limit_does_not_look_complete(
+    #[case] path: &str,
+) {
+    let script = Script {
+        body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        ending: Ending::CloseAtLimit,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let dead_end = DeadEnd::new(Cut::Refused).await;
+    let (cut_off, other) = (named("g0"), named("g1"));
+    start_gateway(&other, &[target.address; TARGETS], &[&cut_off]).await;
+    start_gateway(&cut_off, &[dead_end.address; TARGETS], &[&other]).await;
+    let mut calls = JoinSet::new();
+    for number in 0..20 {
+        let (address, path) = (cut_off.caller_address, path.to_owned());
+        calls.spawn(async move { call(address, &path, number).await });
+        time::sleep(CALL_INTERVAL).await;
+    }
+    let answers = calls.join_all().await;
+    assert!(answers.iter().any(|answer| answer.contains("id: 2")));
+    for answer in answers {
+        assert!(!looks_complete(&answer), "{answer}");
+    }
+}
--- a/crates/gateway/tests/support/mock.rs
+++ b/crates/gateway/tests/support/mock.rs
@@ -81,6 +81,8 @@
     Reset,
     /// Not at all: the connection stays open until the gateway closes it.
     Hold,
+    /// With the close of the connection at the end of the time that the request states.
+    CloseAtLimit,
 }
 
 /// A signed answer with status 200.
@@ -191,9 +193,13 @@
     }
 }
 
+/// How much sooner than stated a target stops whose clock is a little fast.
+const STOP_LEAD: Duration = Duration::from_millis(2);
+
 /// Handles the requests on one connection.
 async fn serve(mut stream: TcpStream, behaviour: Behaviour, observed: Arc<Mutex<Observed>>) {
     while let Some(request) = read_request(&mut stream).await {
+        let arrived_at = time::Instant::now();
         if request.starts_with(STATUS_REQUEST) {
             if !answer_status(&mut stream, behaviour).await {
                 return;
@@ -282,6 +288,11 @@
             Behaviour::Reset | Behaviour::Truncate | Behaviour::BreakStream => Ending::Reset,
             _ => continue,
         };
+        if ending == Ending::CloseAtLimit {
+            let limit_ms = header(&request, "x-deadline").unwrap().parse().unwrap();
+            let limit = arrived_at + Duration::from_millis(limit_ms);
+            time::sleep_until(limit - STOP_LEAD).await;
+        }
         if ending == Ending::Hold {
             let mut rest = [0; 16];
             let _ = stream.read(&mut rest).await;
--- a/crates/proof/src/bin/sardinemux-soak.rs
+++ b/crates/proof/src/bin/sardinemux-soak.rs
@@ -80,6 +80,15 @@
                 .conflicts_with("fatal-requests")
                 .help("Let entries of replicas that turn requests away lapse at times"),
         )
+        .arg(
+            Arg::new("slow-targets")
+                .long("slow-targets")
+                .num_args(0)
+                .conflicts_with("sound-targets")
+                .conflicts_with("fatal-requests")
+                .conflicts_with("brittle")
+                .help("Let replicas work slowly at times, so that answers reach their time limit"),
+        )
         .arg(
             Arg::new("moves")
                 .long("moves")
@@ -159,6 +168,7 @@
             has_restores: matches.get_flag("restores"),
             has_departures: matches.get_flag("departures"),
             has_lapses: matches.get_flag("lapses"),
+            has_slow_targets: matches.get_flag("slow-targets"),
             ..Settings::default()
         };
         settings.fleet.former_program = matches.get_one::<String>("former").cloned();
--- a/crates/proof/src/soak.rs
+++ b/crates/proof/src/soak.rs
@@ -81,6 +81,8 @@
     pub has_departures: bool,
     /// Whether entries of replicas that turn requests away lapse at times.
     pub has_lapses: bool,
+    /// Whether replicas work slowly at times, so that answers reach their time limit.
+    pub has_slow_targets: bool,
     /// The fleet.
     pub fleet: Parts,
 }
@@ -97,6 +99,7 @@
             has_restores: false,
             has_departures: false,
             has_lapses: false,
+            has_slow_targets: false,
             fleet: Parts {
                 gateways: 5,
                 services: 3,
--- a/crates/proof/src/soak/plan.rs
+++ b/crates/proof/src/soak/plan.rs
@@ -26,6 +26,12 @@
 /// The share of the faults that are lapses of entries, where there are such.
 const LAPSES: f64 = 0.3;
 
+/// The share of the faults that slow a replica down, where there are such.
+const SLOWNESS: f64 = 0.4;
+
+/// How much longer each event of a slow replica takes, in milliseconds.
+const LAG_MS: Range<u64> = 100..600;
+
 /// The share of the faults that are moves of routes, where there are such.
 const MOVES: f64 = 0.3;
 
@@ -265,6 +271,13 @@
     if settings.has_lapses && random.random_bool(LAPSES) {
         return Action::Lapse(replica);
     }
+    if settings.has_slow_targets && random.random_bool(SLOWNESS) {
+        let faults = Faults {
+            lag_ms: random.random_range(LAG_MS),
+            ..Faults::default()
+        };
+        return Action::HarmReplica(replica, faults);
+    }
     if settings.has_restores && random.random_bool(RESTORES) {
         return match random.random_range(0..4) {
             0 | 1 => Action::Restore(random.random_range(COPY_AGE_MS)),
--- a/crates/proof/tests/soak.rs
+++ b/crates/proof/tests/soak.rs
@@ -32,6 +32,21 @@
     assert!(report.served > report.sent / 4);
 }
 
+/// Gateways that take the close of a connection at the time limit of a replica for the end of its answer deliver beginnings as whole
+/// answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_answers_that_reach_their_limit_do_not_look_complete() {
+    let mut settings = Settings {
+        seed: 9_500,
+        faults: 16,
+        callers: 6,
+        has_slow_targets: true,
+        ..Settings::default()
+    };
+    settings.fleet.unframed_percent = 70;
+    run(&settings).await;
+}
+
 /// Gateways that forget at which build a stream began, as when all are killed, let it go on at another one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn verify_streams_that_callers_take_up_fit_together() {
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -119,6 +119,9 @@
     pub is_leaving: bool,
     /// If not 0, requests are rejected until this time, in Unix milliseconds, with the time that is left as Retry-After.
     pub pause_until_ms: u64,
+    /// How much longer each event of a stream takes, in milliseconds. Another answer takes as much longer as a stream of
+    /// [`HALF_EVENTS`](answer::HALF_EVENTS) events.
+    pub lag_ms: u64,
 }
 
 /// The requests and tokens that a replica has counted.
@@ -393,6 +396,7 @@
             last_event: parse_header(headers, header::LAST_EVENT_ID).unwrap_or(0),
             arrived_at,
             timeout,
+            lag: Duration::from_millis(self.faults.lock().lag_ms),
         };
         self.run_work(&path, work, running).await
     }
@@ -431,6 +435,9 @@
                     true => {
                         answer::whole_response(StatusCode::INTERNAL_SERVER_ERROR, "failed", false)
                     }
+                    false if !work.lag.is_zero() => {
+                        answer::halved_response(&answer::text(&work.id), work)
+                    }
                     false => {
                         answer::whole_response(StatusCode::OK, &answer::text(&work.id), is_broken)
                     }
--- a/crates/standin/src/replica/answer.rs
+++ b/crates/standin/src/replica/answer.rs
@@ -19,6 +19,9 @@
 /// The body of an answer.
 pub type Body = UnsyncBoxBody<Bytes, Disconnect>;
 
+/// The number of events that take as long as the second half of an answer that is no stream.
+pub const HALF_EVENTS: u32 = 10;
+
 /// The number of times that a whole answer repeats the request id.
 const ID_REPETITIONS: usize = 20;
 
@@ -39,6 +42,18 @@
     pub arrived_at: Instant,
     /// The time for which the caller waits, counted from the arrival.
     pub timeout: Duration,
+    /// How much longer each event takes.
+    pub lag: Duration,
+}
+
+impl Work {
+    /// Works for some time, but not beyond the time for which the caller waits. Returns whether the work may go on.
+    pub async fn advance(&self, time: Duration) -> bool {
+        let limit = self.arrived_at + self.timeout;
+        time::timeout_at(limit.into(), time::sleep(time))
+            .await
+            .is_ok()
+    }
 }
 
 /// A silence inside an answer that goes on afterwards.
@@ -134,6 +149,26 @@
     response
 }
 
+/// Returns a whole answer in two halves. It ends after the first one if the second comes too late.
+pub(super) fn halved_response(text: &str, work: Work) -> Response<Body> {
+    let bytes = Bytes::copy_from_slice(text.as_bytes());
+    let (first, second) = (
+        bytes.slice(..bytes.len() / 2),
+        bytes.slice(bytes.len() / 2..),
+    );
+    let pieces = stream! {
+        yield Ok(Frame::data(first));
+        match work.advance(work.lag * HALF_EVENTS).await {
+            true => yield Ok(Frame::data(second)),
+            false => yield Err(Disconnect),
+        }
+    };
+    let mut response = Response::new(StreamBody::new(pieces).boxed_unsync());
+    let length = text.len().to_string();
+    set_header(response.headers_mut(), CONTENT_LENGTH.as_str(), &length);
+    response
+}
+
 /// Marks the end of an answer by the end of its connection, as in HTTP/1.0, which has no chunks.
 pub(super) fn remove_framing(response: &mut Response<Body>) {
     response.headers_mut().remove(CONTENT_LENGTH);
@@ -154,11 +189,9 @@
     let build = settings.build.clone();
     let pieces = stream! {
         for number in work.last_event + 1..=events {
-            time::sleep(interval).await;
-            if let Some(pause) = pause.filter(|pause| pause.event == Some(number)) {
-                time::sleep(pause.time).await;
-            }
-            if work.arrived_at.elapsed() > work.timeout {
+            let pause = pause.filter(|pause| pause.event == Some(number));
+            let wait = interval + work.lag + pause.map_or(Duration::ZERO, |pause| pause.time);
+            if !work.advance(wait).await {
                 yield Err(Disconnect);
                 return;
             }
