--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -86,6 +86,11 @@
         self.buffer.len()
     }
 
+    /// Returns the number of bytes that the buffer takes.
+    pub fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns the bytes after the last whole event.
     pub fn into_rest(self) -> Vec<u8> {
         self.buffer
@@ -164,6 +169,24 @@
     media_type.trim().eq_ignore_ascii_case("text/event-stream")
 }
 
+/// Returns whether the end of a stream, whose bytes are in segments, lies inside an event.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::event;
+///
+/// let segments: [&[u8]; 3] = [b"data: a\r", b"\n\r\n", b": comment\n"];
+/// assert!(!event::segments_end_inside_event(segments.into_iter()));
+/// ```
+pub fn segments_end_inside_event<'a>(segments: impl Iterator<Item = &'a [u8]>) -> bool {
+    let mut scan = Scan::default();
+    for segment in segments {
+        segment.iter().for_each(|byte| scan.push(*byte));
+    }
+    scan.is_inside_event()
+}
+
 /// Returns whether the end of these bytes of a stream lies inside an event. Blank lines and whole comments after the last
 /// event are not a part of another one.
 ///
@@ -177,17 +200,62 @@
 /// assert!(event::ends_inside_event(b"data: a\n\nid"));
 /// ```
 pub fn ends_inside_event(bytes: &[u8]) -> bool {
-    let mut rest = bytes;
-    let mut is_inside = false;
-    while let Some((line, after)) = split_line(rest) {
-        is_inside = match line.first() {
-            None => false,
-            Some(b':') => is_inside,
-            Some(_) => true,
+    segments_end_inside_event(std::iter::once(bytes))
+}
+
+/// What has been read of the current line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Nothing,
+    /// Nothing, but an LF would belong to the end of the line before.
+    AfterCr,
+    Comment,
+    Field,
+}
+
+/// What the bytes of a stream so far are, read one by one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Scan {
+    line: Line,
+    /// Whether a line of the current event is neither a comment nor blank.
+    has_fields: bool,
+}
+
+impl Scan {
+    /// Reads the next byte.
+    fn push(&mut self, byte: u8) {
+        let is_end = matches!(byte, b'\n' | b'\r');
+        if self.line == Line::AfterCr && byte == b'\n' {
+            self.line = Line::Nothing;
+            return;
+        }
+        if !is_end {
+            if matches!(self.line, Line::Nothing | Line::AfterCr) {
+                self.line = if byte == b':' {
+                    Line::Comment
+                } else {
+                    Line::Field
+                };
+            }
+            return;
+        }
+        self.has_fields = match self.line {
+            Line::Nothing | Line::AfterCr => false,
+            Line::Comment => self.has_fields,
+            Line::Field => true,
         };
-        rest = after;
+        self.line = if byte == b'\r' {
+            Line::AfterCr
+        } else {
+            Line::Nothing
+        };
+    }
+
+    /// Returns whether an event has begun and not ended.
+    fn is_inside_event(&self) -> bool {
+        self.has_fields || matches!(self.line, Line::Comment | Line::Field)
     }
-    is_inside || !rest.is_empty()
 }
 
 /// Splits off the first line, which ends with LF, CRLF or CR. Returns it without its end, and the bytes after it.
--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -19,11 +19,34 @@
 /// assert_ne!(hash::digest(&[b"ab", b"c"]), hash::digest(&[b"a", b"bc"]));
 /// ```
 pub fn digest(parts: &[&[u8]]) -> u64 {
+    let (last, others) = match parts.split_last() {
+        Some((last, others)) => (Some(*last), others),
+        None => return Xxh3::with_seed(SEED).digest(),
+    };
+    digest_segments(others, last.into_iter())
+}
+
+/// Returns the hash of a list of parts of which the last one is in segments.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::hash;
+///
+/// let segments: [&[u8]; 2] = [b"b", b"c"];
+/// assert_eq!(hash::digest_segments(&[b"a"], segments.into_iter()), hash::digest(&[b"a", b"bc"]));
+/// ```
+pub fn digest_segments<'a>(parts: &[&[u8]], last: impl Iterator<Item = &'a [u8]> + Clone) -> u64 {
     let mut hasher = Xxh3::with_seed(SEED);
     for part in parts {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
+    let length: usize = last.clone().map(<[u8]>::len).sum();
+    hasher.update(&(length as u64).to_le_bytes());
+    for segment in last {
+        hasher.update(segment);
+    }
     hasher.digest()
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod leaving;
 pub mod load;
 pub mod membership;
+pub mod memory;
 pub mod origin;
 pub mod outcome;
 pub mod ownership;
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -109,21 +109,28 @@
 }
 
 /// Returns the digest of a request's content, equal on all gateways: what its caller sent, without the headers that
-/// differ from one repeat to the next. `parts` are all parts of its prompt, as far as its headers state them.
+/// differ from one repeat to the next. `parts` are all parts of its prompt, as far as its headers state them, and `body` is
+/// in segments.
 ///
 /// # Examples
 ///
 /// ```
 /// use sardinemux_core::quarantine::content_id;
 ///
-/// let id = |body: &[u8]| content_id("POST", "/chat?a=b", "org", &[1, 2], body);
-/// assert_eq!(id(b"x"), id(b"x"));
-/// assert_ne!(id(b"x"), id(b"y"));
+/// let id = |body: [&[u8]; 2]| content_id("POST", "/chat?a=b", "org", &[1, 2], body.into_iter());
+/// assert_eq!(id([b"x", b"y"]), id([b"xy", b""]));
+/// assert_ne!(id([b"x", b"y"]), id([b"x", b"x"]));
 /// ```
-pub fn content_id(method: &str, path: &str, caller: &str, parts: &[u64], body: &[u8]) -> u64 {
+pub fn content_id<'a>(
+    method: &str,
+    path: &str,
+    caller: &str,
+    parts: &[u64],
+    body: impl Iterator<Item = &'a [u8]> + Clone,
+) -> u64 {
     let parts: Vec<u8> = parts.iter().flat_map(|part| part.to_le_bytes()).collect();
     let (method, path, caller) = (method.as_bytes(), path.as_bytes(), caller.as_bytes());
-    crate::hash::digest(&[b"content", method, path, caller, &parts, body])
+    crate::hash::digest_segments(&[b"content", method, path, caller, &parts], body)
 }
 
 /// How strongly a request is suspected of a crash.
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -8,9 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
-use http_body_util::{BodyExt, Limited};
 use hyper::{Response, StatusCode};
 use sardinemux_core::attempts::Attempts;
 use sardinemux_core::catalog::{Kind, Share};
@@ -29,6 +27,7 @@
 use crate::reply::{self, Body, BUFFERED_MAX_BYTES};
 use crate::request::{self, Inbound, Rejection};
 use crate::stream;
+use crate::whole::{self, Collector, Excess, Unread, Whole};
 
 /// How long a silent target is kept as a fallback once another one has got the request, in milliseconds. The other one
 /// may decline it. If it runs it, both are at work on the request for no longer than this.
@@ -44,7 +43,7 @@
     last_target: Recipient,
     attempts: Attempts,
     reason: Reason,
-    fallback: Option<Response<Bytes>>,
+    fallback: Option<Response<Whole>>,
     /// A server error of another target that came while a silent one had the request.
     reserve: Option<Box<Answer>>,
     /// The number of suspensions of the process before the request was first sent.
@@ -417,24 +416,33 @@
     async fn buffer_answer(
         &mut self,
         mut answer: Answer,
-    ) -> std::result::Result<Option<Response<Bytes>>, Failure> {
+    ) -> std::result::Result<Option<Response<Whole>>, Failure> {
         let may_be_empty = answer.may_be_empty();
-        let collected = Limited::new(&mut answer.body, BUFFERED_MAX_BYTES).collect();
+        let collector = Collector::new(self.gateway.memory.clone(), BUFFERED_MAX_BYTES);
+        let collected = whole::collect(&mut answer.body, collector);
+        let mut evidence = Evidence::TransportError;
         let reason = match time::timeout_at(self.inbound.deadline, collected).await {
             Ok(Ok(_)) if answer.is_end_forced() => Reason::Silence,
             Ok(Ok(whole)) => {
-                let bytes = whole.to_bytes();
-                let is_empty = bytes.is_empty() && !may_be_empty;
-                let is_cut = is_empty || event::ends_inside_event(&bytes);
-                if !(is_cut && answer.is_event_stream()) {
-                    let response = Response::from_parts(answer.head.clone(), bytes);
+                let is_empty = whole.is_empty() && !may_be_empty;
+                let is_cut = answer.is_event_stream()
+                    && (is_empty || event::segments_end_inside_event(whole.segments()));
+                if !is_cut {
+                    let response = Response::from_parts(answer.head.clone(), whole);
                     answer.complete();
                     self.clear_request();
                     return Ok(self.retry_server_error(response));
                 }
                 Reason::Cut
             }
-            Ok(Err(_)) => Reason::Cut,
+            Ok(Err(Unread::Broken(_))) => Reason::Cut,
+            Ok(Err(Unread::Excess(excess))) => {
+                // For want of memory, a sound answer may be given up as well.
+                if excess == Excess::Memory {
+                    evidence = Evidence::Inconclusive;
+                }
+                reply::note_excess(&self.gateway, excess)
+            }
             Err(_) => Reason::Silence,
         };
         log::info!(
@@ -442,7 +450,7 @@
             framing = answer.framing().name(), reason = reason.name();
             "answer broke off"
         );
-        answer.in_flight.set_evidence(Evidence::TransportError);
+        answer.in_flight.set_evidence(evidence);
         let key = answer.in_flight.key;
         drop(answer);
         if reason == Reason::Cut && !self.may_repeat_after(key, Suspicion::Begun).await {
@@ -466,7 +474,7 @@
 
     /// Returns the answer, or `None` if it is a server error and the request may be sent to another target. The error
     /// is then kept, and delivered if no other target answers.
-    fn retry_server_error(&mut self, response: Response<Bytes>) -> Option<Response<Bytes>> {
+    fn retry_server_error(&mut self, response: Response<Whole>) -> Option<Response<Whole>> {
         if !response.status().is_server_error() || self.admit_retry(Reason::Failed).is_err() {
             return Some(response);
         }
--- a/crates/gateway/src/answer/response.rs
+++ b/crates/gateway/src/answer/response.rs
@@ -1,7 +1,6 @@
 //! The response to the caller: the answer of a target without what concerns the gateway only, or a failure with a status that
 //! states whether the request may have run.
 
-use bytes::Bytes;
 use hyper::header::{self, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode};
@@ -11,11 +10,12 @@
 use crate::prelude::*;
 use crate::reply::{self, Body};
 use crate::request::{self, Inbound};
+use crate::whole::Whole;
 use crate::{metrics, quarantine};
 
 impl Serving {
     /// Records the outcome and returns the answer to the caller.
-    pub(super) fn deliver(&self, response: Response<Bytes>) -> Response<Body> {
+    pub(super) fn deliver(&self, response: Response<Whole>) -> Response<Body> {
         let (head, body) = response.into_parts();
         self.record_answer(head.status);
         let stated = head.headers.get(header::CONTENT_LENGTH).cloned();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,8 +9,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -27,6 +25,7 @@
 use crate::prelude::*;
 use crate::quarantine::Hex;
 use crate::request::Inbound;
+use crate::whole::Whole;
 
 /// The time without an answer over a new connection after which the path to the target may be lost. As a sound target may be
 /// silent for as long, this alone proves nothing.
@@ -395,9 +394,9 @@
     target: &Target,
     grant: Grant,
     last_event_id: Option<u64>,
-) -> Request<Full<Bytes>> {
+) -> Request<Whole> {
     let dialect = &gateway.dialect;
-    let mut request = Request::new(Full::new(inbound.body.clone()));
+    let mut request = Request::new(inbound.body.clone());
     *request.method_mut() = inbound.method.clone();
     *request.uri_mut() = inbound.uri.clone();
     *request.headers_mut() = inbound.headers.clone();
--- /dev/null
+++ b/crates/gateway/src/busy.rs
@@ -0,0 +1,49 @@
+//! The longest time for which the process has worked without letting its other tasks go on. A peer whose bytes are processed
+//! for so long holds up all others.
+//!
+//! A tick that comes late by `d` while the process has used `c` of processor time since the one before shows a busy time of
+//! `min(d, c)`: a process that waited for a processor, or was suspended, has used none.
+
+use std::time::{Duration, Instant};
+
+use crate::prelude::*;
+
+/// The busy time from which on a tick is logged.
+const LOGGED_MIN: Duration = Duration::from_millis(250);
+
+/// The last tick, and the longest busy time so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Meter {
+    last: Option<(Instant, Duration)>,
+    longest: Duration,
+}
+
+impl Meter {
+    /// Records a tick at a time, with the processor time that the process has used. Returns the busy time since the last
+    /// one, if ticks are `interval` apart.
+    fn note(&mut self, at: Instant, used: Duration, interval: Duration) -> Duration {
+        let Some((last_at, last_used)) = self.last.replace((at, used)) else {
+            return Duration::ZERO;
+        };
+        let late = at.duration_since(last_at).saturating_sub(interval);
+        let busy = late.min(used.saturating_sub(last_used));
+        self.longest = self.longest.max(busy);
+        busy
+    }
+
+    /// Returns the longest busy time so far.
+    pub fn longest(&self) -> Duration {
+        self.longest
+    }
+}
+
+/// Records a tick of a task whose ticks are `interval` apart.
+pub fn note_tick(gateway: &Gateway, interval: Duration) {
+    let Some(used) = gateway.clock.processor_time() else {
+        return;
+    };
+    let busy = gateway.busy.lock().note(Instant::now(), used, interval);
+    if busy >= LOGGED_MIN {
+        log::warn!(busy_ms = busy.as_millis() as u64; "the process has worked for long without a pause");
+    }
+}
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, Version};
 use hyper_util::rt::TokioIo;
+use sardinemux_core::memory::Share;
 use sardinemux_host::body::DISCARDED_MAX_BYTES;
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -37,6 +38,9 @@
 /// How long a gateway that closes its connections accepts those that are waiting, which it may not have noticed yet.
 const LAST_ACCEPT_DURATION: Duration = Duration::from_millis(25);
 
+/// What a caller's connection without a request takes, in bytes: its tasks and its first buffers.
+const CONNECTION_BYTES: usize = 32 << 10;
+
 /// Accepts connections of callers until the gateway begins to close its connections. A request on a later connection
 /// might be cut off at the end of the grace period; a caller whose connection is not accepted has sent nothing and can
 /// connect to another gateway. Connections that have been waiting to be accepted by then are served, as they may hold requests.
@@ -78,15 +82,22 @@
         log::debug!(error:% = error; "cannot set the socket options of a caller's connection; closing it");
         return;
     }
+    let mut share = Share::essential(gateway.memory.clone());
+    if !share.try_resize(CONNECTION_BYTES) {
+        gateway.metrics.count_memory_refusal("connection");
+        log::warn!("no memory is left for a caller's connection; closing it");
+        return;
+    }
     let limits = gateway.catalog().limits();
     let idle_limit = Duration::from_millis(limits.idle_ms);
     let mut phases = gateway.drain.subscribe();
-    let inspector = Inspector::default();
+    let inspector = Inspector::new(gateway.memory.clone());
     let unsent = Unsent::default();
     let traffic = Traffic::new();
     let (stream, watcher) = presence::watch(
         stream,
         gateway.read_ahead.clone(),
+        gateway.memory.clone(),
         limits.head_bytes.saturating_add(limits.body_bytes),
     );
     let stream = framing::Stream::new(stream, inspector.clone(), unsent.clone());
@@ -129,6 +140,10 @@
             }
         }
     };
+    if inspector.is_refused() {
+        gateway.metrics.count_memory_refusal("head");
+        log::warn!("no memory is left for the head of a request; its connection is closed");
+    }
     traffic.record_end(&ended);
     if let Err(error) = ended {
         log::debug!(error:% = error; "a caller's connection ended with an error");
@@ -211,9 +226,10 @@
     } else {
         request::read(&gateway, parts, &mut body).await
     };
-    inspector.reset();
     let mut response = match read {
         Ok(mut inbound) => {
+            // After a rejection the connection is closed, and the rest of the body is no head.
+            inspector.reset();
             inbound.presence = watcher.presence();
             let response = answer::serve(gateway.clone(), inbound).await;
             response.map(|body| reply::keep_until_sent(body, served))
@@ -235,7 +251,7 @@
         }
     };
     if !accepts_chunks {
-        response = reply::buffer(response).await;
+        response = reply::buffer(&gateway, response).await;
     }
     unanswered.settle();
     // Only the first head in the bytes of one read is inspected, so that a pipelined request may escape the inspection.
--- a/crates/gateway/src/caller/presence.rs
+++ b/crates/gateway/src/caller/presence.rs
@@ -17,12 +17,13 @@
 use bytes::{Buf, BufMut, BytesMut};
 use futures_util::future;
 use parking_lot::Mutex;
+use sardinemux_core::memory;
 use sardinemux_core::read_ahead::{Budget, Share};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time;
 
-/// The size of one read, in bytes.
+/// The size of one read, in bytes. The library's buffer grows with the reads that fill it.
 const READ_BYTES: usize = 8 << 10;
 
 /// The interval at which a connection is checked for its end while the buffer is full.
@@ -34,6 +35,8 @@
     stream: TcpStream,
     ahead: BytesMut,
     share: Share,
+    /// The memory of the buffer, whose capacity grows in powers of two.
+    memory: memory::Share,
     /// How reading ended: with the caller's close, or with an error.
     end: Option<io::Result<()>>,
     /// The number of requests that are being served.
@@ -50,7 +53,7 @@
     /// Reads ahead until nothing more has arrived. Ready once the connection has ended or the buffer is full.
     fn poll_ahead(&mut self, context: &mut Context<'_>) -> Poll<Progress> {
         while self.end.is_none() {
-            if !self.share.try_grow(self.ahead.len() + READ_BYTES) {
+            if !self.try_grow(self.ahead.len() + READ_BYTES) {
                 return Poll::Ready(match self.is_closed() {
                     true => Progress::Ended,
                     false => Progress::Full,
@@ -58,7 +61,7 @@
             }
             let ready = self.stream.poll_read_ready(context);
             if ready.is_pending() {
-                self.share.shrink(self.ahead.len());
+                self.shrink();
             }
             if let Err(error) = ready!(ready) {
                 self.end = Some(Err(error));
@@ -77,6 +80,18 @@
         Poll::Ready(Progress::Ended)
     }
 
+    /// Returns whether the buffer may hold a number of bytes.
+    fn try_grow(&mut self, bytes: usize) -> bool {
+        self.share.try_grow(bytes) && self.memory.try_resize(2 * bytes)
+    }
+
+    /// Gives back what the buffer does not need.
+    fn shrink(&mut self) {
+        let bytes = self.ahead.len();
+        self.share.shrink(bytes);
+        self.memory.try_resize((2 * bytes).min(self.memory.size()));
+    }
+
     /// Returns whether the caller's close has arrived, behind bytes that have not been read.
     fn is_closed(&self) -> bool {
         let mut context = Context::from_waker(Waker::noop());
@@ -91,11 +106,17 @@
 
 /// Wraps a connection, from which up to `largest` bytes may be read ahead. Returns the stream for the library, and its watcher, which
 /// must be polled by the same task.
-pub fn watch(stream: TcpStream, budget: Arc<Budget>, largest: usize) -> (Stream, Watcher) {
+pub fn watch(
+    stream: TcpStream,
+    budget: Arc<Budget>,
+    memory: Arc<memory::Budget>,
+    largest: usize,
+) -> (Stream, Watcher) {
     let state = Arc::new(Mutex::new(State {
         stream,
         ahead: BytesMut::new(),
         share: Share::new(budget, largest),
+        memory: memory::Share::new(memory),
         end: None,
         served: 0,
     }));
@@ -180,15 +201,21 @@
             let count = state.ahead.len().min(buffer.remaining());
             buffer.put_slice(&state.ahead[..count]);
             state.ahead.advance(count);
-            let left = state.ahead.len();
-            state.share.shrink(left);
+            state.shrink();
             if state.ahead.is_empty() {
                 state.ahead = BytesMut::new();
             }
             return Poll::Ready(Ok(()));
         }
         match &state.end {
-            None => Pin::new(&mut state.stream).poll_read(context, buffer),
+            None => {
+                let room = buffer.remaining().min(READ_BYTES);
+                let mut part = ReadBuf::new(buffer.initialize_unfilled_to(room));
+                let polled = Pin::new(&mut state.stream).poll_read(context, &mut part);
+                let count = part.filled().len();
+                buffer.advance(count);
+                polled
+            }
             Some(Ok(())) => Poll::Ready(Ok(())),
             Some(Err(error)) => Poll::Ready(Err(error.kind().into())),
         }
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::{Request, Response};
@@ -17,6 +17,7 @@
 use crate::connections::{self, Connection};
 use crate::errors::{Error, ExchangeSnafu, OversizedSnafu, TimeoutSnafu};
 use crate::prelude::*;
+use crate::whole::Whole;
 
 /// The maximum size of an answer, in bytes. The largest one is a list from the store of 500 entries of 64 KiB each, in
 /// base64.
@@ -94,7 +95,7 @@
     ///
     /// `Error::Connect` if the connection failed, so that nothing was sent. After `Error::Timeout`, `Error::Exchange` or
     /// `Error::Oversized`, the server may have processed the request.
-    pub async fn call(&self, request: Request<Full<Bytes>>, limits: Limits) -> Result<Reply<'_>> {
+    pub async fn call(&self, request: Request<Whole>, limits: Limits) -> Result<Reply<'_>> {
         self.within(limits.whole, self.exchange(request, limits))
             .await
     }
@@ -108,7 +109,7 @@
     }
 
     /// Sends a request on the idle connection, or on a new one, and reads the answer.
-    async fn exchange(&self, request: Request<Full<Bytes>>, limits: Limits) -> Result<Reply<'_>> {
+    async fn exchange(&self, request: Request<Whole>, limits: Limits) -> Result<Reply<'_>> {
         let (connection, response) = self.within(limits.head, self.send(request)).await?;
         let (parts, body) = response.into_parts();
         let whole = self.collect(body, limits.pause).await?;
@@ -120,10 +121,7 @@
     }
 
     /// Sends a request, and waits for the head of the answer.
-    async fn send(
-        &self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<(Connection, Response<Incoming>)> {
+    async fn send(&self, request: Request<Whole>) -> Result<(Connection, Response<Incoming>)> {
         let address = self.address;
         let idle = self.idle.lock().take();
         let mut connection = match connections::reuse(idle).await {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -9,8 +9,6 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::client::conn::TrySendError;
@@ -28,6 +26,7 @@
 use self::head_limit::{Allowance, LimitedStream};
 use crate::errors::{ConnectSnafu, ExchangeSnafu, TimeoutSnafu};
 use crate::prelude::*;
+use crate::whole::Whole;
 
 /// The time limit of a connection attempt. Availability zones are about a millisecond apart, so after this time another
 /// target is faster.
@@ -50,6 +49,10 @@
 /// connection that the target is closing.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// The largest read buffer of a connection, in bytes: also the largest head of an answer, and the largest part of its body
+/// that is read at once.
+const READ_BUFFER_MAX_BYTES: usize = 32 << 10;
+
 /// The largest number of idle connections that are kept to one target.
 pub const IDLE_CONNECTIONS_MAX: usize = 8;
 
@@ -98,7 +101,7 @@
 /// An open connection. Dropping it closes it.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Whole>,
     allowance: Allowance,
     driver: Driver,
 }
@@ -117,8 +120,8 @@
     /// end of the head break the connection off.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        request: Request<Whole>,
+    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Whole>>> {
         self.allowance.await_head();
         let response = self.sender.try_send_request(request).await?;
         self.allowance.note_head();
@@ -161,7 +164,10 @@
     set_options(&stream).context(ConnectSnafu { address })?;
     let allowance = Allowance::default();
     let stream = LimitedStream::new(stream, allowance.clone());
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_MAX_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.context(ExchangeSnafu { address })?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -11,6 +11,7 @@
 use std::task::{Context, Poll};
 
 use parking_lot::Mutex;
+use sardinemux_core::memory::{Budget, Share};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::caller::presence;
@@ -19,37 +20,62 @@
 /// The largest head that is inspected, in bytes. The head of a larger one is not checked here.
 pub const HEAD_MAX_BYTES: usize = 64 << 10;
 
+/// The end of a head.
+const END: &[u8] = b"\r\n\r\n";
+
+/// The number of copies of a head: the library's, and the one that is inspected, in a buffer that doubles.
+const HEAD_COPIES: usize = 3;
+
 /// The bytes of one request's head until it is complete, and the result of its inspection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Head {
     bytes: Vec<u8>,
     /// The number of bytes up to its end, or so far.
     length: usize,
     is_complete: bool,
     is_ambiguous: bool,
+    /// The memory of the head here and in the HTTP library. The headers of a request that is served keep it.
+    share: Share,
+    is_refused: bool,
 }
 
 impl Head {
-    /// Appends bytes that were read, and inspects the head once its end has arrived.
-    fn append(&mut self, bytes: &[u8]) {
+    /// Appends bytes that were read, and inspects the head once its end has arrived. Returns whether the memory holds it.
+    fn append(&mut self, bytes: &[u8]) -> bool {
         if self.is_complete {
-            return;
+            return true;
         }
         self.length += bytes.len();
-        if self.length > HEAD_MAX_BYTES {
-            return;
-        }
-        self.bytes.extend_from_slice(bytes);
-        let end = self
-            .bytes
-            .windows(4)
-            .position(|window| window == b"\r\n\r\n");
-        if let Some(end) = end {
-            self.is_complete = true;
-            self.length = end + 4;
-            self.is_ambiguous = is_ambiguous(&self.bytes[..end]);
-            self.bytes = Vec::new();
+        if self.length <= HEAD_MAX_BYTES {
+            let searched = self.bytes.len().saturating_sub(END.len() - 1);
+            self.bytes.extend_from_slice(bytes);
+            self.inspect(searched);
         }
+        let is_held = self.share.try_resize(HEAD_COPIES * self.length);
+        self.is_refused = !is_held;
+        is_held
+    }
+
+    /// Inspects the head if it ends after the bytes that have been searched.
+    fn inspect(&mut self, searched: usize) {
+        let end = self.bytes[searched..]
+            .windows(END.len())
+            .position(|window| window == END);
+        let Some(end) = end.map(|end| searched + end) else {
+            return;
+        };
+        self.is_complete = true;
+        self.length = end + END.len();
+        self.is_ambiguous = is_ambiguous(&self.bytes[..end]);
+        self.bytes = Vec::new();
+    }
+
+    /// Makes ready for the next head.
+    fn reset(&mut self) {
+        self.bytes = Vec::new();
+        self.length = 0;
+        self.is_complete = false;
+        self.is_ambiguous = false;
     }
 }
 
@@ -74,10 +100,27 @@
 }
 
 /// The inspection of the current request's head, shared by a [`Stream`] and the handler of its requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Inspector(Arc<Mutex<Head>>);
 
 impl Inspector {
+    /// Creates an inspector of heads that share this memory.
+    pub fn new(memory: Arc<Budget>) -> Self {
+        Self(Arc::new(Mutex::new(Head {
+            bytes: Vec::new(),
+            length: 0,
+            is_complete: false,
+            is_ambiguous: false,
+            share: Share::essential(memory),
+            is_refused: false,
+        })))
+    }
+
+    /// Returns whether the connection ends as the memory does not hold the current head.
+    pub fn is_refused(&self) -> bool {
+        self.0.lock().is_refused
+    }
+
     /// Returns whether the current head has ambiguous framing.
     pub fn is_ambiguous(&self) -> bool {
         self.0.lock().is_ambiguous
@@ -90,7 +133,7 @@
 
     /// Discards the current head, so that the next bytes are taken for the start of another one.
     pub fn reset(&self) {
-        *self.0.lock() = Head::default();
+        self.0.lock().reset();
     }
 }
 
@@ -154,7 +197,10 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
         if let Poll::Ready(Ok(())) = &polled {
-            self.inspector.0.lock().append(&buffer.filled()[before..]);
+            let is_held = self.inspector.0.lock().append(&buffer.filled()[before..]);
+            if !is_held {
+                return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+            }
         }
         polled
     }
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -9,9 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::future::join_all;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, HOST, RETRY_AFTER};
 use hyper::http::request::Parts;
@@ -36,6 +34,7 @@
 use crate::request::{self, Hop, Inbound, Rejection};
 use crate::stream::Build;
 use crate::supplement::{self, Supplement};
+use crate::whole::Whole;
 
 /// How long a gateway whose catalogue is behind waits for a later one before it refuses a request. Another gateway is tried then.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(300);
@@ -179,7 +178,7 @@
     let Ok(host) = HeaderValue::from_str(&target.address) else {
         return false;
     };
-    let mut request = Request::new(Full::new(Bytes::new()));
+    let mut request = Request::new(Whole::default());
     *request.uri_mut() = Uri::from_static(gateway.dialect.status_path);
     let headers = request.headers_mut();
     headers.insert(HOST, host);
@@ -279,9 +278,9 @@
     peer: &Peer,
     grant: Grant,
     terms: &Terms,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<Whole>> {
     let dialect = &gateway.dialect;
-    let mut request = Request::new(Full::new(inbound.body.clone()));
+    let mut request = Request::new(inbound.body.clone());
     *request.method_mut() = inbound.method.clone();
     *request.uri_mut() = inbound.uri.clone();
     let headers = request.headers_mut();
--- a/crates/gateway/src/internal.rs
+++ b/crates/gateway/src/internal.rs
@@ -19,8 +19,12 @@
 
 use crate::caller::ACCEPT_RETRY_DELAY;
 use crate::errors::ListenSnafu;
+use crate::framing::HEAD_MAX_BYTES;
 use crate::prelude::*;
 
+/// What another gateway adds to the head of a request that it passes on, in bytes.
+const HOP_HEAD_BYTES: usize = 4 << 10;
+
 /// How long a connection may stay without a request. The load balancer checks readiness once a second.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -52,11 +56,13 @@
         };
         let gateway = gateway.clone();
         let handler = handler.clone();
+        let head_max = gateway.catalog().limits().head_bytes + HOP_HEAD_BYTES;
         tokio::spawn(async move {
             let service = service_fn(move |request| handler(gateway.clone(), request));
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(IDLE_TIMEOUT)
+                .max_buf_size(head_max.max(HEAD_MAX_BYTES))
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 log::debug!(error:% = error; "a connection to an internal server ended with an error");
@@ -96,6 +102,12 @@
     gateway.metrics.dropped_log_lines.set(dropped as i64);
     let ahead = gateway.read_ahead.used();
     gateway.metrics.read_ahead_bytes.set(ahead as i64);
+    let longest_busy = gateway.busy.lock().longest();
+    gateway
+        .metrics
+        .longest_busy_s
+        .set(longest_busy.as_secs_f64());
+    gateway.metrics.held_bytes.set(gateway.memory.used() as i64);
     let mut bytes = Vec::new();
     let families = gateway.metrics.registry.gather();
     if let Err(error) = TextEncoder::new().encode(&families, &mut bytes) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod appendix;
 pub mod attempt;
+pub mod busy;
 pub mod caller;
 pub mod client;
 pub mod connections;
@@ -36,3 +37,4 @@
 pub mod stream;
 pub mod supplement;
 pub mod suspension;
+pub mod whole;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! The Prometheus metrics of a gateway: counters, gauges and latency histograms.
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 use sardinemux_core::catalog::Catalog;
 use snafu::ResultExt;
@@ -88,6 +88,12 @@
     pub peer_reports: IntCounter,
     /// The number of log lines dropped because the writer could not keep up.
     pub dropped_log_lines: IntGauge,
+    /// The longest time for which the process has worked without a pause, in seconds.
+    pub longest_busy_s: Gauge,
+    /// The number of bytes that are held for callers, targets and other gateways.
+    pub held_bytes: IntGauge,
+    /// What was refused or broken off for want of memory: a `connection`, a `head`, a `request`, an `answer` or an `event`.
+    pub memory_refusals: IntCounterVec,
     /// The number of bytes that all connections of callers together have read ahead beyond what each may have.
     pub read_ahead_bytes: IntGauge,
 }
@@ -188,6 +194,19 @@
                     "gateway_log_lines_dropped",
                     "Log lines dropped as the writer could not keep up",
                 )?,
+                longest_busy_s: Gauge::new(
+                    "gateway_longest_busy_seconds",
+                    "The longest time for which the process has worked without a pause",
+                )?,
+                held_bytes: IntGauge::new(
+                    "gateway_held_bytes",
+                    "Bytes that are held for callers, targets and other gateways",
+                )?,
+                memory_refusals: counters(
+                    "gateway_memory_refusals_total",
+                    "What was refused or broken off for want of memory",
+                    &["subject"],
+                )?,
                 read_ahead_bytes: IntGauge::new(
                     "gateway_read_ahead_shared_bytes",
                     "Bytes read ahead of callers' connections from the budget that these share",
@@ -195,7 +214,7 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 23] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
@@ -215,6 +234,9 @@
             Box::new(metrics.restored_entries.clone()),
             Box::new(metrics.peer_reports.clone()),
             Box::new(metrics.dropped_log_lines.clone()),
+            Box::new(metrics.longest_busy_s.clone()),
+            Box::new(metrics.held_bytes.clone()),
+            Box::new(metrics.memory_refusals.clone()),
             Box::new(metrics.read_ahead_bytes.clone()),
         ];
         for collector in collectors {
@@ -222,4 +244,9 @@
         }
         Ok(metrics)
     }
+
+    /// Counts something that is refused or broken off for want of memory.
+    pub fn count_memory_refusal(&self, subject: &str) {
+        self.memory_refusals.with_label_values(&[subject]).inc();
+    }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use sardinemux_core::position::{Era, Position};
@@ -23,6 +23,7 @@
 use crate::replication;
 use crate::reply::{self, Body};
 use crate::source::{Batch, Topic};
+use crate::whole::Whole;
 
 /// The time after which a query without changes is answered. It is short so that a reader that no longer answers is
 /// detected well within the two seconds in which all gateways must know that a target leaves.
@@ -117,7 +118,7 @@
     let query = appendix::encode(&query, &appendix).context(EncodeSnafu)?;
     let request = Request::post("/news")
         .header(hyper::header::HOST, address.to_string())
-        .body(Full::from(query))
+        .body(Whole::from(Bytes::from(query)))
         .context(BuildSnafu)?;
     let limits = match since {
         Some(_) => Limits {
@@ -211,7 +212,7 @@
     };
     let bytes = appendix::encode(&answer, &appendix).context(EncodeSnafu);
     Ok(match bytes {
-        Ok(bytes) => Response::new(reply::full_body(bytes.into())),
+        Ok(bytes) => Response::new(reply::full_body(Bytes::from(bytes))),
         Err(error) => {
             log::error!(error:% = error; "cannot encode the changes for another gateway; answered with status 500");
             empty_response(StatusCode::INTERNAL_SERVER_ERROR)
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -14,6 +14,7 @@
 
 use crate::prelude::*;
 use crate::request::Rejection;
+use crate::whole::{self, Collector, Excess, Unread, Whole};
 
 /// The error that ends the body of an answer early. The caller's connection is closed without the end of the body, so
 /// that the answer does not look complete.
@@ -31,10 +32,8 @@
 pub const BUFFERED_MAX_BYTES: usize = 8 << 20;
 
 /// Returns a body that consists of these bytes.
-pub fn full_body(bytes: Bytes) -> Body {
-    Full::new(bytes)
-        .map_err(|never| match never {})
-        .boxed_unsync()
+pub fn full_body(whole: impl Into<Whole>) -> Body {
+    whole.into().map_err(|never| match never {}).boxed_unsync()
 }
 
 /// Returns an answer of the gateway itself, with the reason as its body.
@@ -54,7 +53,7 @@
     let status = rejection.status();
     let mut response = text_response(status, &rejection.to_string());
     match rejection {
-        Rejection::NotReady => set_retry_after(
+        Rejection::NotReady | Rejection::NoRoom => set_retry_after(
             &mut response,
             Duration::from_millis(attempts::RETRY_AFTER_MAX_MS),
         ),
@@ -87,27 +86,38 @@
 /// a caller could not tell an answer that breaks off, also at the end of this process, from a complete one.
 ///
 /// An answer that breaks off is replaced by a failure.
-pub async fn buffer(response: Response<Body>) -> Response<Body> {
+pub async fn buffer(gateway: &Gateway, response: Response<Body>) -> Response<Body> {
     if response.body().size_hint().exact().is_some() {
         return response;
     }
     let (head, body) = response.into_parts();
-    let bytes = match Limited::new(body, BUFFERED_MAX_BYTES).collect().await {
-        Ok(whole) => whole.to_bytes(),
-        Err(error) => {
-            let reason = error.downcast::<BodyError>();
-            let reason = reason.map_or(Reason::Cut, |error| error.reason);
+    let collector = Collector::new(gateway.memory.clone(), BUFFERED_MAX_BYTES);
+    let whole = match whole::collect(body, collector).await {
+        Ok(whole) => whole,
+        Err(unread) => {
+            let reason = match unread {
+                Unread::Broken(error) => error.reason,
+                Unread::Excess(excess) => note_excess(gateway, excess),
+            };
             return text_response(failure_status(reason), reason.name());
         }
     };
-    let length = HeaderValue::from(bytes.len());
-    let mut response = Response::from_parts(head, full_body(bytes));
+    let length = HeaderValue::from(whole.len());
+    let mut response = Response::from_parts(head, full_body(whole));
     response
         .headers_mut()
         .insert(header::CONTENT_LENGTH, length);
     response
 }
 
+/// Counts an answer that is not buffered to its end, and returns the reason for which its request fails.
+pub fn note_excess(gateway: &Gateway, excess: Excess) -> Reason {
+    if excess == Excess::Memory {
+        gateway.metrics.count_memory_refusal("answer");
+    }
+    Reason::Failed
+}
+
 /// Returns the status of the answer to a request that may have run and failed for this reason.
 pub fn failure_status(reason: Reason) -> StatusCode {
     match reason {
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -18,6 +18,7 @@
 
 use crate::appendix;
 use crate::attempt::statement;
+use crate::busy;
 use crate::drain::Phase;
 use crate::errors::ListenSnafu;
 use crate::hop;
@@ -174,6 +175,7 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {
+                busy::note_tick(&gateway, Duration::from_millis(reports::PERIOD_MS));
                 suspension::note_heartbeat(&gateway);
                 let recipients = choose_recipients(&gateway, round);
                 send_reports(&gateway, &socket, &recipients);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,14 +4,13 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use sardinemux_core::catalog::{self, Catalog, Kind, Route};
 use sardinemux_core::hash;
+use sardinemux_core::memory::Share;
 use sardinemux_core::origin;
 use sardinemux_core::prompt::Prompt;
 use sardinemux_core::quarantine;
@@ -21,6 +20,7 @@
 use crate::drain::Phase;
 use crate::prelude::*;
 use crate::suspension;
+use crate::whole::{self, Collector, Excess, Unread, Whole};
 
 /// The headers that apply to a single connection and are not forwarded. Source: RFC 9110, section 7.6.1.
 static HOP_BY_HOP: [HeaderName; 8] = [
@@ -34,6 +34,9 @@
     header::UPGRADE,
 ];
 
+/// What a request takes while it is served, in bytes: its state, and the connection to its target.
+const REQUEST_BYTES: usize = 32 << 10;
+
 /// What another gateway states of a request that it passes on. Such a request is not passed on again.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Hop {
@@ -53,7 +56,9 @@
     /// The headers to forward, without those that only the gateway sets.
     pub headers: HeaderMap,
     /// The complete body.
-    pub body: Bytes,
+    pub body: Whole,
+    /// The memory that the request takes while it is served, besides its body.
+    pub memory: Arc<Share>,
     /// The version of the catalogue in which the request was looked up.
     pub catalog: u64,
     /// The route that matches the request.
@@ -141,6 +146,9 @@
     /// The body exceeds the size limit of the catalogue.
     #[snafu(display("body too large"))]
     TooLarge,
+    /// The memory that is left does not hold the body. Callers can use another gateway at once.
+    #[snafu(display("no memory is left for the body"))]
+    NoRoom,
     /// The body did not arrive completely before its timeout or the deadline of the request.
     #[snafu(display("body not received"))]
     BodyTimeout,
@@ -150,7 +158,9 @@
     /// Returns the status of the answer. A rejected request has not run, whatever its status.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::Stopping | Self::OtherCatalog => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Stopping | Self::OtherCatalog | Self::NoRoom => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -174,6 +184,7 @@
 ) -> std::result::Result<Inbound, Rejection> {
     let received_at = Instant::now();
     check_phase(gateway)?;
+    let memory = take_memory(gateway)?;
     suspension::wait_for_refresh(gateway).await;
     if !gateway.can_serve() {
         return Err(Rejection::NotReady);
@@ -205,18 +216,19 @@
     let headers = forwarded_headers(gateway, parts.headers);
     let limits = catalog.limits();
     let body_deadline = deadline.min(received_at + Duration::from_millis(limits.read_ms));
-    let body = read_body(body, limits.body_bytes, body_deadline).await?;
+    let body = read_body(gateway, body, limits.body_bytes, body_deadline).await?;
     check_phase(gateway)?;
     let caller = organisation.as_deref().unwrap_or_default();
     let part_ids: Vec<u64> = prompt.parts.iter().map(|part| part.id).collect();
     let method = parts.method.as_str();
-    let content = quarantine::content_id(method, path.as_str(), caller, &part_ids, &body);
+    let content = quarantine::content_id(method, path.as_str(), caller, &part_ids, body.segments());
     Ok(Inbound {
         id,
         method: parts.method,
         uri,
         headers,
         body,
+        memory: Arc::new(memory),
         catalog: catalog.version(),
         route,
         pool,
@@ -235,6 +247,18 @@
     })
 }
 
+/// Takes the memory for a request.
+fn take_memory(gateway: &Gateway) -> std::result::Result<Share, Rejection> {
+    let mut share = Share::new(gateway.memory.clone());
+    match share.try_resize(REQUEST_BYTES) {
+        true => Ok(share),
+        false => {
+            gateway.metrics.count_memory_refusal("request");
+            Err(Rejection::NoRoom)
+        }
+    }
+}
+
 /// Rejects a request that arrives while the gateway closes its connections.
 fn check_phase(gateway: &Gateway) -> std::result::Result<(), Rejection> {
     match gateway.drain.phase() {
@@ -345,17 +369,28 @@
     }
 }
 
-/// Reads a body of at most `limit` bytes.
+/// Reads a body of at most `limit` bytes. One whose stated length the memory does not hold is refused before it is read.
 async fn read_body(
+    gateway: &Gateway,
     body: &mut Incoming,
     limit: usize,
     body_deadline: Instant,
-) -> std::result::Result<Bytes, Rejection> {
-    let collected = Limited::new(body, limit).collect();
-    match time::timeout_at(body_deadline, collected).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Rejection::TooLarge),
-        Ok(Err(_)) => Err(Rejection::Malformed),
-        Err(_) => Err(Rejection::BodyTimeout),
-    }
+) -> std::result::Result<Whole, Rejection> {
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let collected = match stated <= limit && !gateway.memory.has_room(stated) {
+        true => Err(Unread::Excess(Excess::Memory)),
+        false => {
+            let collector = Collector::new(gateway.memory.clone(), limit);
+            let collected = time::timeout_at(body_deadline, whole::collect(body, collector));
+            collected.await.map_err(|_| Rejection::BodyTimeout)?
+        }
+    };
+    collected.map_err(|unread| match unread {
+        Unread::Excess(Excess::Limit) => Rejection::TooLarge,
+        Unread::Excess(Excess::Memory) => {
+            gateway.metrics.count_memory_refusal("request");
+            Rejection::NoRoom
+        }
+        Unread::Broken(_) => Rejection::Malformed,
+    })
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -28,6 +28,8 @@
     /// The bandwidth of the instance's network link, in Mbit/s. In each availability zone, the gateway with the widest
     /// link reads the store for the others.
     pub link_mbps: u32,
+    /// The memory that the process may have, in bytes. What it holds for others is bounded by a part of that.
+    pub memory_bytes: usize,
     /// The address of the store.
     pub store_address: SocketAddr,
     /// The time for which a starting gateway waits for reports of others before it reads the store, in milliseconds.
@@ -57,8 +59,14 @@
 /// The longest discovery time that can be set, in milliseconds.
 const DISCOVERY_MAX_MS: u64 = 10_000;
 
+/// The largest memory that can be set, in megabytes.
+const MEMORY_MAX_MB: u32 = 1_000_000;
+
+/// The bytes of a megabyte.
+const MEGABYTE: f64 = 1e6;
+
 /// The keys of the settings file.
-pub const KEYS: [Key; 15] = [
+pub const KEYS: [Key; 16] = [
     Key::new(
         "instance",
         "name",
@@ -122,6 +130,15 @@
         Some("1000"),
         "The bandwidth of the instance's link, in Mbit/s.",
     ),
+    Key::new(
+        "instance",
+        "memory_mb",
+        Kind::Fraction {
+            most: MEMORY_MAX_MB,
+        },
+        Some("256"),
+        "The memory that the process may have, in megabytes.",
+    ),
     Key::new("store", "address", Kind::Address, None, "The store."),
     Key::new(
         "store",
@@ -180,6 +197,7 @@
                 .first()
                 .map(SocketAddr::ip),
             link_mbps: values.fraction("instance", "link_mbps")? as u32,
+            memory_bytes: (values.fraction("instance", "memory_mb")? * MEGABYTE) as usize,
             store_address: values.address("store", "address")?,
             discovery_ms: values.number("store", "listen")?,
             bounds: Bounds {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use parking_lot::{Mutex, RwLock};
 use sardinemux_core::catalog::patch::History;
 use sardinemux_core::catalog::Catalog;
+use sardinemux_core::memory;
 use sardinemux_core::position::Era;
 use sardinemux_core::prompt::Holders;
 use sardinemux_core::reach::{self, Reach};
@@ -23,6 +24,7 @@
 use sardinemux_host::clock::Clock;
 use tokio::sync::{watch, Notify};
 
+use crate::busy::Meter;
 use crate::connections::{self, IdlePool};
 use crate::dialect::Dialect;
 use crate::drain::{Drain, Phase};
@@ -94,6 +96,10 @@
     pub seeds: RwLock<Vec<SocketAddr>>,
     /// The bytes that are read from callers' connections behind the requests that are served.
     pub read_ahead: Arc<read_ahead::Budget>,
+    /// The memory that everything which is held for callers, targets and other gateways shares.
+    pub memory: Arc<memory::Budget>,
+    /// The longest time for which the process has worked without a pause.
+    pub busy: Mutex<Meter>,
     /// The running requests and the phase of a stop.
     pub drain: Arc<Drain>,
     /// The metrics.
@@ -135,6 +141,8 @@
             bounds: RwLock::new(settings.bounds),
             seeds: RwLock::new(settings.seeds.clone()),
             read_ahead: Arc::default(),
+            memory: Arc::new(memory::Budget::of_process(settings.memory_bytes)),
+            busy: Mutex::default(),
             drain: Arc::default(),
             metrics: Metrics::new()?,
             settings,
--- a/crates/gateway/src/stream/assembler.rs
+++ b/crates/gateway/src/stream/assembler.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use sardinemux_core::event::{Content, Continuity, Cursor, Splitter};
+use sardinemux_core::memory::Share;
 
 use crate::attempt::answer::Answer;
 use crate::prelude::*;
@@ -10,6 +11,8 @@
 #[derive(Debug)]
 pub struct Assembler {
     splitter: Splitter,
+    /// The memory of the bytes after the last whole event.
+    share: Share,
     /// Whether the stream may be resumed, for which its events must be numbered.
     is_resumable: bool,
     /// Whether events that the caller has may still come, as an answer that resumes a stream may begin with them.
@@ -23,8 +26,9 @@
 impl Assembler {
     /// Creates the assembler of an answer whose body has not been read yet. `cursor` is at the last event that the
     /// caller has.
-    pub fn new(answer: &Answer, cursor: &Cursor, is_resumable: bool) -> Self {
+    pub fn new(answer: &Answer, cursor: &Cursor, is_resumable: bool, share: Share) -> Self {
         Self {
+            share,
             splitter: Splitter::default(),
             is_resumable,
             may_repeat: cursor.last_id().is_some(),
@@ -37,9 +41,14 @@
     ///
     /// # Errors
     ///
-    /// `Reason::Crossed` if the chunk belongs to an event that is larger than those of any engine.
+    /// `Reason::Crossed` if the chunk belongs to an event that is larger than those of any engine, `Reason::Failed` if no
+    /// memory is left for it.
     pub fn push(&mut self, chunk: &[u8]) -> std::result::Result<(), Reason> {
-        self.splitter.push(chunk).map_err(|_| Reason::Crossed)
+        self.splitter.push(chunk).map_err(|_| Reason::Crossed)?;
+        match self.share.try_resize(self.splitter.capacity()) {
+            true => Ok(()),
+            false => Err(Reason::Failed),
+        }
     }
 
     /// Returns the bytes of the whole events that have not been taken yet, and whether all of them were in order; the
--- a/crates/gateway/src/stream/live.rs
+++ b/crates/gateway/src/stream/live.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use sardinemux_core::attempts;
 use sardinemux_core::event::Cursor;
+use sardinemux_core::memory::Share;
 use sardinemux_core::target::Key;
 use tokio::time::{self, Instant};
 
@@ -70,9 +71,10 @@
 impl Live {
     /// Begins to forward an answer. `cursor` is at the last event that the caller has.
     pub fn new(serving: &Serving, answer: Answer, cursor: &Cursor, is_resumable: bool) -> Self {
+        let share = Share::new(serving.gateway().memory.clone());
         Self {
             origin: Origin::new(serving, &answer),
-            assembler: Assembler::new(&answer, cursor, is_resumable),
+            assembler: Assembler::new(&answer, cursor, is_resumable, share),
             answer,
             is_resumable,
             has_cleared: false,
@@ -141,8 +143,10 @@
             match chunk {
                 Ok(Some(data)) => {
                     self.last_data_at = Instant::now();
-                    let pushed = self.assembler.push(&data);
-                    self.ending = pushed.err().map(interrupted);
+                    if let Err(reason) = self.assembler.push(&data) {
+                        note_refusal(serving, reason);
+                        self.ending = Some(interrupted(reason));
+                    }
                 }
                 Ok(None) if self.assembler.is_cut() => {
                     return Step::Broken(interrupted(Reason::Cut))
@@ -231,3 +235,10 @@
         }
     }
 }
+
+/// Counts a stream that breaks off for want of memory.
+fn note_refusal(serving: &Serving, reason: Reason) {
+    if reason == Reason::Failed {
+        serving.gateway().metrics.count_memory_refusal("event");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/whole.rs
@@ -0,0 +1,226 @@
+//! Whole bodies: what is collected of one, within its own limit and the memory that all holders share.
+//!
+//! A body is copied into segments of a bounded size. The frames of the HTTP library would keep its read buffers, with the
+//! framing in them, and take some tens of bytes each; one buffer that grows would be moved, and leave holes of all sizes.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, SizeHint};
+use sardinemux_core::memory::{Budget, Share};
+use snafu::Snafu;
+
+/// The largest segment, in bytes.
+const SEGMENT_MAX_BYTES: usize = 64 << 10;
+
+/// The smallest segment, in bytes.
+const SEGMENT_MIN_BYTES: usize = 1 << 10;
+
+/// What a segment and its entry in the list take besides its bytes.
+const SEGMENT_OVERHEAD_BYTES: usize = 128;
+
+/// Why a body is not collected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum Excess {
+    /// It is larger than its limit.
+    #[snafu(display("the body is too large"))]
+    Limit,
+    /// It may not have more of the memory.
+    #[snafu(display("no memory is left for the body"))]
+    Memory,
+}
+
+/// Why a body could not be read to its end.
+#[derive(Debug)]
+pub enum Unread<E> {
+    /// It was given up.
+    Excess(Excess),
+    /// Its connection failed.
+    Broken(E),
+}
+
+/// The bytes of a segment, and its share of the memory.
+struct Segment {
+    bytes: Vec<u8>,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for Segment {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// A whole body, in segments. Its memory is given back segment by segment once all clones have sent it.
+#[derive(Clone, Debug, Default)]
+pub struct Whole {
+    segments: VecDeque<Bytes>,
+    length: usize,
+}
+
+impl Whole {
+    /// Returns the number of bytes.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Returns whether there are no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Returns the bytes, in segments.
+    pub fn segments(&self) -> impl Iterator<Item = &[u8]> + Clone {
+        self.segments.iter().map(|segment| &segment[..])
+    }
+}
+
+impl From<Bytes> for Whole {
+    fn from(bytes: Bytes) -> Self {
+        let length = bytes.len();
+        let segments = (length > 0).then_some(bytes).into_iter().collect();
+        Self { segments, length }
+    }
+}
+
+impl Body for Whole {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let segment = self.segments.pop_front();
+        self.length -= segment.as_ref().map_or(0, Bytes::len);
+        Poll::Ready(segment.map(|segment| Ok(Frame::data(segment))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.length as u64)
+    }
+}
+
+/// A body that is being collected.
+#[derive(Debug)]
+pub struct Collector {
+    segments: Vec<Vec<u8>>,
+    length: usize,
+    /// The memory of all segments.
+    share: Share,
+    limit: usize,
+    /// The stated number of bytes; 0 if it is not known.
+    stated: usize,
+}
+
+impl Collector {
+    /// Creates the collector of a body of at most `limit` bytes.
+    pub fn new(budget: Arc<Budget>, limit: usize) -> Self {
+        Self {
+            segments: Vec::new(),
+            length: 0,
+            share: Share::new(budget),
+            limit,
+            stated: 0,
+        }
+    }
+
+    /// Appends a part of the body.
+    ///
+    /// # Errors
+    ///
+    /// [`Excess`] if the body has become larger than it may.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use sardinemux_core::memory::Budget;
+    /// use sardinemux_gateway::whole::{Collector, Excess};
+    ///
+    /// let mut collector = Collector::new(Arc::new(Budget::new(1 << 20)), 4);
+    /// assert_eq!(collector.push(b"abc"), Ok(()));
+    /// assert_eq!(collector.push(b"de"), Err(Excess::Limit));
+    /// assert_eq!(collector.finish().len(), 3);
+    /// ```
+    pub fn push(&mut self, mut data: &[u8]) -> Result<(), Excess> {
+        if data.len() > self.limit - self.length {
+            return Err(Excess::Limit);
+        }
+        while !data.is_empty() {
+            let segment = self.segment_with_room(data.len())?;
+            let room = segment.capacity() - segment.len();
+            let (now, later) = data.split_at(data.len().min(room));
+            segment.extend_from_slice(now);
+            self.length += now.len();
+            data = later;
+        }
+        Ok(())
+    }
+
+    /// Returns the last segment if it has room, or a new one. Each is as large as all before it, within bounds.
+    fn segment_with_room(&mut self, needed: usize) -> Result<&mut Vec<u8>, Excess> {
+        let has_room = |segment: &Vec<u8>| segment.len() < segment.capacity();
+        if !self.segments.last().is_some_and(has_room) {
+            let rest = match self.stated.saturating_sub(self.length) {
+                0 => SEGMENT_MAX_BYTES,
+                rest => rest.min(SEGMENT_MAX_BYTES),
+            };
+            let size = needed.max(self.length).max(SEGMENT_MIN_BYTES).min(rest);
+            if !self
+                .share
+                .try_resize(self.share.size() + size + SEGMENT_OVERHEAD_BYTES)
+            {
+                return Err(Excess::Memory);
+            }
+            self.segments.push(Vec::with_capacity(size));
+        }
+        self.segments.last_mut().ok_or(Excess::Memory)
+    }
+
+    /// Returns the body.
+    pub fn finish(mut self) -> Whole {
+        let segments = std::mem::take(&mut self.segments).into_iter();
+        let segments = segments.map(|bytes| {
+            let share = self
+                .share
+                .split_off(bytes.capacity() + SEGMENT_OVERHEAD_BYTES);
+            Bytes::from_owner(Segment {
+                bytes,
+                _share: share,
+            })
+        });
+        Whole {
+            segments: segments.collect(),
+            length: self.length,
+        }
+    }
+}
+
+/// Reads a body to its end. Trailers are left out.
+///
+/// # Errors
+///
+/// [`Unread`] if the body becomes larger than it may, or its connection fails.
+pub async fn collect<B>(mut body: B, mut collector: Collector) -> Result<Whole, Unread<B::Error>>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    collector.stated = usize::try_from(body.size_hint().lower()).unwrap_or_default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(Unread::Broken)?;
+        if let Some(data) = frame.data_ref() {
+            collector.push(data).map_err(Unread::Excess)?;
+        }
+    }
+    Ok(collector.finish())
+}
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -123,6 +123,7 @@
         seeds: Vec::new(),
         source_address: None,
         link_mbps: 1_000,
+        memory_bytes: 256_000_000,
         discovery_ms: 0,
         store_address: address(4),
         bounds: Bounds {
--- a/crates/host/src/clock.rs
+++ b/crates/host/src/clock.rs
@@ -47,4 +47,18 @@
         let time = clock_gettime(ClockId::CLOCK_BOOTTIME).ok()?;
         Some(Duration::from(time).as_millis() as u64)
     }
+
+    /// Returns the processor time that all threads of the process have used, or `None` if the kernel does not count it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_host::clock::Clock;
+    ///
+    /// assert!(Clock::default().processor_time() <= Clock::default().processor_time());
+    /// ```
+    pub fn processor_time(&self) -> Option<Duration> {
+        let time = clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID).ok()?;
+        Some(Duration::from(time))
+    }
 }
--- a/crates/proof/src/bin/sardinemux-soak.rs
+++ b/crates/proof/src/bin/sardinemux-soak.rs
@@ -80,6 +80,16 @@
                 .conflicts_with("fatal-requests")
                 .help("Let entries of replicas that turn requests away lapse at times"),
         )
+        .arg(number("memory-mb", "256", "The memory that a gateway may have, in megabytes"))
+        .arg(
+            Arg::new("floods")
+                .long("floods")
+                .num_args(0)
+                .conflicts_with("sound-targets")
+                .conflicts_with("fatal-requests")
+                .conflicts_with("brittle")
+                .help("Let replicas send bytes without end at times"),
+        )
         .arg(
             Arg::new("slow-targets")
                 .long("slow-targets")
@@ -168,6 +178,7 @@
             has_restores: matches.get_flag("restores"),
             has_departures: matches.get_flag("departures"),
             has_lapses: matches.get_flag("lapses"),
+            has_floods: matches.get_flag("floods"),
             has_slow_targets: matches.get_flag("slow-targets"),
             ..Settings::default()
         };
@@ -176,6 +187,7 @@
         settings.fleet.engines = count("engines");
         settings.fleet.services = count("services");
         settings.fleet.builds = count("builds");
+        settings.fleet.memory_mb = get_number(matches, "memory-mb");
         settings.fleet.has_moves = matches.get_flag("moves");
         settings.fleet.unframed_percent = get_number(matches, "unframed-percent");
         settings.fleet.break_percent = get_number(matches, "break-percent");
--- a/crates/proof/src/gateways.rs
+++ b/crates/proof/src/gateways.rs
@@ -28,7 +28,7 @@
 
 use crate::client::{self, until};
 use crate::errors::{IoSnafu, NoProcessSnafu, Result};
-use crate::process::Process;
+use crate::process::{Process, Usage};
 pub use layout::{GatewayPlace, ReplicaPlace, Settings};
 
 /// The pool of the replicas that stream.
@@ -40,6 +40,9 @@
 /// How long a brittle replica works on a request, in milliseconds.
 const BRITTLE_WORK_MS: u64 = 400;
 
+/// How long a gateway has for the answer with its metrics.
+const METRIC_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The body of requests under which replicas crash.
 pub const FATAL_BODY: &str = "fatal";
 
@@ -191,9 +194,14 @@
     /// `Error::Io` if they cannot be written.
     pub fn write_settings(&self, index: usize, grace_ms: u64) -> Result<String> {
         let place = &self.gateways[index];
+        // Earlier builds do not know the setting.
+        let memory = match &self.settings.former_program {
+            None => format!("memory_mb = {}\n", self.settings.memory_mb),
+            Some(_) => String::new(),
+        };
         let text = format!(
             "[program]\nthreads = 1\n\n[instance]\nname = {}\nzone = {}\ncallers = {}\nready = {}\n\
-             metrics = {}\npeers = {}\nsource = {}:0\n\n[store]\naddress = {}\n\n[limits]\ngrace = {grace_ms}ms\n\
+             metrics = {}\npeers = {}\nsource = {}:0\n{memory}\n[store]\naddress = {}\n\n[limits]\ngrace = {grace_ms}ms\n\
              retry_extra = 60\n",
             place.name, place.zone, place.callers, place.ready, place.metrics, place.peers, place.source, place.store,
         );
@@ -260,6 +268,20 @@
         send(processes.get(name).context(NoProcessSnafu { name })?)
     }
 
+    /// Returns what a process has used; `None` if it does not run.
+    pub fn usage(&self, name: &str) -> Option<Usage> {
+        self.processes.lock().get(name)?.usage()
+    }
+
+    /// Returns the value of a metric without labels; `None` if the gateway does not answer in time or does not have it.
+    pub async fn metric(&self, address: SocketAddr, name: &str) -> Option<f64> {
+        let url = format!("http://{address}/metrics");
+        let request = self.client.get(&url).timeout(METRIC_TIMEOUT);
+        let text = request.send().await.ok()?.text().await.ok()?;
+        let mut lines = text.lines().filter_map(|line| line.strip_prefix(name));
+        lines.find_map(|value| value.strip_prefix(' ')?.parse().ok())
+    }
+
     /// Asks a process to end gracefully, and waits until it has.
     ///
     /// # Errors
--- a/crates/proof/src/gateways/check.rs
+++ b/crates/proof/src/gateways/check.rs
@@ -123,6 +123,22 @@
         /// The same at gateways that have paths.
         others: (usize, usize),
     },
+    /// A gateway took more memory than it may have.
+    Overfull {
+        /// The gateway.
+        name: String,
+        /// The most that it took, in megabytes.
+        most_mb: u64,
+        /// What it may have, in megabytes.
+        bound_mb: u64,
+    },
+    /// A gateway worked for too long without letting its other tasks go on.
+    Busy {
+        /// The gateway.
+        name: String,
+        /// For how long, in milliseconds.
+        busy_ms: u64,
+    },
     /// Too few requests are served after all faults have ended.
     Unrecovered {
         /// Those that were served.
@@ -213,6 +229,16 @@
                     own.0, own.1, others.0, others.1
                 )
             }
+            Self::Overfull {
+                name,
+                most_mb,
+                bound_mb,
+            } => {
+                write!(formatter, "{name} took {most_mb} MB of {bound_mb}")
+            }
+            Self::Busy { name, busy_ms } => {
+                write!(formatter, "{name} worked for {busy_ms} ms without a pause")
+            }
             Self::Unrecovered { served, sent } => {
                 write!(
                     formatter,
--- a/crates/proof/src/gateways/layout.rs
+++ b/crates/proof/src/gateways/layout.rs
@@ -53,6 +53,8 @@
     /// Whether the replicas of the plain service crash under requests with [`FATAL_BODY`](super::FATAL_BODY). They are
     /// listed with their own addresses then, as the proxy would accept connections for one that has crashed.
     pub has_fatal_requests: bool,
+    /// The memory that a gateway may have, in megabytes.
+    pub memory_mb: u64,
     /// The gateway's program of an earlier build, which all gateways run at first. Each start after a graceful stop or a kill changes
     /// the build.
     pub former_program: Option<String>,
@@ -73,6 +75,7 @@
             pause_percent: 0,
             brittle: 0,
             has_fatal_requests: false,
+            memory_mb: 256,
             former_program: None,
         }
     }
--- a/crates/proof/src/soak.rs
+++ b/crates/proof/src/soak.rs
@@ -5,6 +5,7 @@
 
 pub mod fatal;
 pub mod plan;
+pub mod watch;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,7 @@
 use crate::gateways::{Fleet, Settings as Parts};
 use crate::process::Process;
 use plan::{Action, Plan, Step};
+use watch::Watch;
 
 /// How long after the last fault service must be back, as the users ask.
 const RECOVER: Duration = Duration::from_secs(12);
@@ -81,6 +83,8 @@
     pub has_departures: bool,
     /// Whether entries of replicas that turn requests away lapse at times.
     pub has_lapses: bool,
+    /// Whether replicas send bytes without end at times.
+    pub has_floods: bool,
     /// Whether replicas work slowly at times, so that answers reach their time limit.
     pub has_slow_targets: bool,
     /// The fleet.
@@ -99,6 +103,7 @@
             has_restores: false,
             has_departures: false,
             has_lapses: false,
+            has_floods: false,
             has_slow_targets: false,
             fleet: Parts {
                 gateways: 5,
@@ -167,6 +172,7 @@
 
 async fn attack(settings: &Settings, fleet: &Arc<Fleet>) -> Result<Report> {
     let plan = Plan::draw(settings);
+    let watch = Watch::start(fleet);
     let load = Load::start(fleet, settings.callers, settings.seed);
     let fatal = settings.fleet.has_fatal_requests.then(|| {
         let replacing = tokio::spawn(fatal::replace_crashed(fleet.clone()));
@@ -237,6 +243,7 @@
         };
         breaches.extend(check::sent_on(&departures, &stats, is_excused));
     }
+    breaches.extend(watch.find_breaches(fleet).await);
     breaches.extend(unrecovered(&outcomes, back_ms));
     breaches.extend(check::isolated(&outcomes, &isolated(&plan, begun_ms)));
     breaches.extend(check::fallen(&stats[settings.fleet.engines..]));
--- a/crates/proof/src/soak/plan.rs
+++ b/crates/proof/src/soak/plan.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use sardinemux_standin::platform;
 use sardinemux_standin::proxy::{Fault, Isolation};
+use sardinemux_standin::replica::answer::Flood;
 use sardinemux_standin::replica::Faults;
 
 use super::Settings;
@@ -26,6 +27,9 @@
 /// The share of the faults that are lapses of entries, where there are such.
 const LAPSES: f64 = 0.3;
 
+/// The share of the faults that let a replica send bytes without end, where there are such.
+const FLOODS: f64 = 0.4;
+
 /// The share of the faults that slow a replica down, where there are such.
 const SLOWNESS: f64 = 0.4;
 
@@ -271,6 +275,14 @@
     if settings.has_lapses && random.random_bool(LAPSES) {
         return Action::Lapse(replica);
     }
+    if settings.has_floods && random.random_bool(FLOODS) {
+        let floods = [Flood::Pieces, Flood::Event, Flood::LineEnds];
+        let faults = Faults {
+            flood: floods[random.random_range(0..floods.len())],
+            ..Faults::default()
+        };
+        return Action::HarmReplica(replica, faults);
+    }
     if settings.has_slow_targets && random.random_bool(SLOWNESS) {
         let faults = Faults {
             lag_ms: random.random_range(LAG_MS),
--- a/crates/proof/tests/soak.rs
+++ b/crates/proof/tests/soak.rs
@@ -47,6 +47,21 @@
     run(&settings).await;
 }
 
+/// Gateways that hold all that replicas send end for want of memory, and those that work on it without a pause answer nobody.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_bytes_without_end_break_no_promise() {
+    let mut settings = Settings {
+        seed: 9_600,
+        faults: 14,
+        callers: 6,
+        has_floods: true,
+        ..Settings::default()
+    };
+    settings.fleet.memory_mb = 64;
+    let report = run(&settings).await;
+    assert!(report.served > report.sent / 4);
+}
+
 /// Gateways that forget at which build a stream began, as when all are killed, let it go on at another one.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn verify_streams_that_callers_take_up_fit_together() {
--- a/crates/standin/src/replica.rs
+++ b/crates/standin/src/replica.rs
@@ -24,7 +24,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time;
 
-use answer::{Body, Pause, Work};
+use answer::{Body, Flood, Pause, Work};
 use cache::Cache;
 use serving::Disconnect;
 
@@ -122,6 +122,9 @@
     /// How much longer each event of a stream takes, in milliseconds. Another answer takes as much longer as a stream of
     /// [`HALF_EVENTS`](answer::HALF_EVENTS) events.
     pub lag_ms: u64,
+    /// The bytes without end that all answers consist of, if they do.
+    #[serde(default)]
+    pub flood: Flood,
 }
 
 /// The requests and tokens that a replica has counted.
@@ -423,7 +426,9 @@
         if let Some(Pause { event: None, time }) = pause {
             time::sleep(time).await;
         }
+        let flood = self.faults.lock().flood;
         let mut response = match is_stream {
+            _ if flood != Flood::None => answer::endless_response(flood, is_stream, work),
             true => answer::stream_response(settings, work, running, is_broken, pause),
             false => {
                 time::sleep(Duration::from_millis(settings.work_ms)).await;
--- a/crates/standin/src/replica/answer.rs
+++ b/crates/standin/src/replica/answer.rs
@@ -11,7 +11,7 @@
 use hyper::body::Frame;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE};
 use hyper::{Response, StatusCode, Version};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::time;
 
 use super::{empty_body, Disconnect, RequestGuard, Settings};
@@ -31,6 +31,34 @@
 /// How long an answer is silent, in milliseconds.
 const PAUSE_MS: Range<u64> = 1_000..2_001;
 
+/// Bytes of an answer that never ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Flood {
+    /// Answers end.
+    #[default]
+    None,
+    /// Small pieces, each a chunk of its own.
+    Pieces,
+    /// One event.
+    Event,
+    /// Line ends.
+    LineEnds,
+}
+
+/// The pause between two parts of a flood.
+const FLOOD_PAUSE: Duration = Duration::from_millis(2);
+
+impl Flood {
+    /// Returns the size and the number of the pieces between two pauses.
+    fn part(self) -> (usize, usize) {
+        match self {
+            Self::Pieces | Self::None => (4, 4_096),
+            Self::Event => (16 << 10, 1),
+            Self::LineEnds => (64 << 10, 1),
+        }
+    }
+}
+
 /// A request that holds a slot.
 #[derive(Clone, Debug)]
 pub struct Work {
@@ -169,6 +197,36 @@
     response
 }
 
+/// Returns an answer that ends only with the time for which its caller waits.
+pub(super) fn endless_response(flood: Flood, is_stream: bool, work: Work) -> Response<Body> {
+    let (size, count) = flood.part();
+    let byte = if flood == Flood::LineEnds {
+        b'\n'
+    } else {
+        b'?'
+    };
+    let piece = Bytes::from(vec![byte; size]);
+    let pieces = stream! {
+        if flood == Flood::Event {
+            yield Ok(Frame::data(Bytes::from_static(b"data: ")));
+        }
+        while work.advance(FLOOD_PAUSE).await {
+            for _ in 0..count {
+                yield Ok(Frame::data(piece.clone()));
+            }
+        }
+        yield Err(Disconnect);
+    };
+    let mut response = Response::new(StreamBody::new(pieces).boxed_unsync());
+    let media_type = if is_stream {
+        "text/event-stream"
+    } else {
+        "text/plain"
+    };
+    set_header(response.headers_mut(), CONTENT_TYPE.as_str(), media_type);
+    response
+}
+
 /// Marks the end of an answer by the end of its connection, as in HTTP/1.0, which has no chunks.
 pub(super) fn remove_framing(response: &mut Response<Body>) {
     response.headers_mut().remove(CONTENT_LENGTH);
