Do the work for a stream in proportion to its bytes, and in small parts

Cause: taking an event copied all bytes behind it, so that the time for a chunk grew with its square; all events of a chunk were taken without a pause. The search for the end of an event, and of a head, began anew with each piece. Evidence: the caller of the stream got 1 MB in 2 s, and nothing else was answered meanwhile. A gateway with the former splitter worked for 691 ms without a pause under 48 streams of line ends. Change: the splitter keeps how far it has searched and removes what was taken once for each piece; chunks are read in parts of 4 KiB with other tasks between; comments and blank lines break a stream off after 1 MiB without an event. Case line_ends of floods failed before and passes; the work is at most four times the bytes.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -40,9 +40,23 @@
 }
 
 /// Assembles whole events from the pieces of a stream, and yields them as an iterator.
+///
+/// Each byte is examined once, however the pieces and lines divide the stream.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     buffer: Vec<u8>,
+    /// Where the first event begins that has not been taken.
+    begin: usize,
+    /// Where its current line begins.
+    line: usize,
+    /// Up to where the current line has been searched for its end.
+    searched: usize,
+    /// Whether the event has a whole line.
+    has_line: bool,
+    /// Whether the line before ended with a CR at the end of the buffer, to which an LF may belong that comes later.
+    awaits_lf: bool,
+    /// The number of bytes that were searched, copied or moved.
+    handled: u64,
 }
 
 impl Splitter {
@@ -64,7 +78,7 @@
     /// assert!(splitter.is_inside_event());
     /// ```
     pub fn push(&mut self, piece: &[u8]) -> Result<()> {
-        let found = (self.buffer.len() + piece.len()) as u64;
+        let found = (self.rest_len() + piece.len()) as u64;
         ensure!(
             found <= EVENT_MAX_BYTES as u64,
             OversizedSnafu {
@@ -72,18 +86,20 @@
                 found
             }
         );
+        self.discard_taken();
+        self.handled += piece.len() as u64;
         self.buffer.extend_from_slice(piece);
         Ok(())
     }
 
     /// Returns whether the buffered bytes are a part of an event, so that a stream that ends here has been broken off.
     pub fn is_inside_event(&self) -> bool {
-        ends_inside_event(&self.buffer)
+        ends_inside_event(&self.buffer[self.begin..])
     }
 
     /// Returns the number of buffered bytes, which follow the last whole event once all events have been taken.
     pub fn rest_len(&self) -> usize {
-        self.buffer.len()
+        self.buffer.len() - self.begin
     }
 
     /// Returns the number of bytes that the buffer takes.
@@ -91,22 +107,59 @@
         self.buffer.capacity()
     }
 
+    /// Returns the number of bytes that have been searched, copied or moved so far, which is in proportion to the bytes of
+    /// the stream.
+    pub fn handled_bytes(&self) -> u64 {
+        self.handled
+    }
+
     /// Returns the bytes after the last whole event.
-    pub fn into_rest(self) -> Vec<u8> {
-        self.buffer
+    pub fn into_rest(mut self) -> Vec<u8> {
+        self.buffer.split_off(self.begin)
+    }
+
+    /// Removes the events that have been taken. What is left has arrived with the last piece.
+    fn discard_taken(&mut self) {
+        if self.begin == 0 {
+            return;
+        }
+        self.buffer.drain(..self.begin);
+        self.handled += self.buffer.len() as u64;
+        self.line -= self.begin;
+        self.searched -= self.begin;
+        self.begin = 0;
     }
 
-    /// Returns the length of the first whole event, including its blank line. A blank line that ends with CR ends the
-    /// event at once; if an LF follows, it counts as a blank line before the next event.
-    fn find_end(&self) -> Option<usize> {
-        let (_, mut rest) = split_line(&self.buffer)?;
-        while let Some((line, after)) = split_line(rest) {
-            if line.is_empty() {
-                return Some(self.buffer.len() - after.len());
+    /// Returns the end of the first whole event, including its blank line. A blank line that ends with CR ends the event at
+    /// once; if an LF follows in a later piece, it counts as a blank line before the next event.
+    fn find_end(&mut self) -> Option<usize> {
+        loop {
+            if self.awaits_lf {
+                let is_lf = *self.buffer.get(self.line)? == b'\n';
+                self.line += usize::from(is_lf);
+                self.searched = self.line;
+                self.awaits_lf = false;
+            }
+            let unsearched = &self.buffer[self.searched..];
+            let is_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+            let Some(length) = unsearched.iter().position(is_end) else {
+                self.handled += unsearched.len() as u64;
+                self.searched = self.buffer.len();
+                return None;
+            };
+            let end = self.searched + length;
+            let rest = &self.buffer[end..];
+            let next = end + if rest.starts_with(b"\r\n") { 2 } else { 1 };
+            let is_blank = end == self.line;
+            let is_last = is_blank && self.has_line;
+            self.awaits_lf = rest == b"\r" && !is_last;
+            self.handled += (next - self.searched) as u64;
+            self.has_line = !is_last;
+            (self.line, self.searched) = (next, next);
+            if is_last {
+                return Some(next);
             }
-            rest = after;
         }
-        None
     }
 }
 
@@ -115,8 +168,9 @@
 
     fn next(&mut self) -> Option<Event> {
         let end = self.find_end()?;
-        let rest = self.buffer.split_off(end);
-        let bytes = std::mem::replace(&mut self.buffer, rest);
+        let bytes = self.buffer[self.begin..end].to_vec();
+        self.handled += bytes.len() as u64;
+        self.begin = end;
         Some(Event {
             id: parse_id(&bytes),
             content: classify(&bytes),
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -381,3 +381,35 @@
         prop_assert_eq!(event::ends_inside_event(&whole.as_bytes()[..cut]), !is_boundary);
     }
 }
+
+/// The largest number of times that each byte of a stream may be handled: appended, searched, copied and moved.
+const HANDLED_MAX: u64 = 4;
+
+/// Work that grows with what is buffered, for each line or each piece, holds up everything else for seconds.
+#[rstest]
+#[case::line_ends("\n", 512 << 10)]
+#[case::line_ends_in_pieces("\n", 4 << 10)]
+#[case::carriage_returns("\r", 512 << 10)]
+#[case::both("\r\n", 4 << 10)]
+#[case::comments(": a\n\n", 64 << 10)]
+#[case::events("data: a\n\n", 64 << 10)]
+#[case::one_event_in_small_pieces("data", 4)]
+#[case::one_event_of_many_lines("data: a\n", 64)]
+fn verify_work_for_events_is_in_proportion_to_their_bytes(
+    #[case] text: &str,
+    #[case] piece: usize,
+) {
+    let whole = text.repeat((512 << 10) / text.len());
+    let mut splitter = Splitter::default();
+    let mut bytes = 0;
+    for piece in whole.as_bytes().chunks(piece) {
+        splitter.push(piece).unwrap();
+        bytes += splitter
+            .by_ref()
+            .map(|event| event.bytes.len())
+            .sum::<usize>();
+    }
+    assert_eq!(bytes + splitter.rest_len(), whole.len());
+    let handled = splitter.handled_bytes();
+    assert!(handled <= HANDLED_MAX * whole.len() as u64, "{handled}");
+}
--- a/crates/gateway/src/stream/assembler.rs
+++ b/crates/gateway/src/stream/assembler.rs
@@ -1,7 +1,7 @@
 //! Assembles the events of one answer from its chunks, and checks their order and the end of the answer.
 
 use bytes::Bytes;
-use sardinemux_core::event::{Content, Continuity, Cursor, Splitter};
+use sardinemux_core::event::{Content, Continuity, Cursor, Splitter, EVENT_MAX_BYTES};
 use sardinemux_core::memory::Share;
 
 use crate::attempt::answer::Answer;
@@ -21,6 +21,8 @@
     may_end: bool,
     /// The number of new events so far.
     events: u64,
+    /// The bytes of comments and blank lines since the last event.
+    idle_bytes: usize,
 }
 
 impl Assembler {
@@ -34,6 +36,7 @@
             may_repeat: cursor.last_id().is_some(),
             may_end: answer.may_be_empty(),
             events: 0,
+            idle_bytes: 0,
         }
     }
 
@@ -52,12 +55,16 @@
     }
 
     /// Returns the bytes of the whole events that have not been taken yet, and whether all of them were in order; the
-    /// events from the first one that is out of order are left out.
+    /// events from the first one that is out of order are left out. Comments and blank lines without end are out of order.
     pub fn take_events(&mut self, cursor: &mut Cursor) -> (Bytes, bool) {
         let mut bytes = Vec::new();
         for event in &mut self.splitter {
             match event.content {
                 Content::Comments => {
+                    self.idle_bytes += event.bytes.len();
+                    if self.idle_bytes > EVENT_MAX_BYTES {
+                        return (bytes.into(), false);
+                    }
                     bytes.extend(event.bytes);
                     continue;
                 }
@@ -69,6 +76,7 @@
                     self.may_repeat = false;
                     self.may_end = true;
                     self.events += 1;
+                    self.idle_bytes = 0;
                     bytes.extend(event.bytes);
                 }
                 Continuity::Duplicate if self.may_repeat => {}
--- a/crates/gateway/src/stream/live.rs
+++ b/crates/gateway/src/stream/live.rs
@@ -7,6 +7,7 @@
 use sardinemux_core::event::Cursor;
 use sardinemux_core::memory::Share;
 use sardinemux_core::target::Key;
+use tokio::task;
 use tokio::time::{self, Instant};
 
 use super::assembler::Assembler;
@@ -18,6 +19,9 @@
 use crate::quarantine::CLEARING_EVENTS;
 use crate::reply::BodyError;
 
+/// The largest part of a chunk, in bytes, that is read before other tasks go on. A part may be thousands of events.
+const PART_BYTES: usize = 4 << 10;
+
 /// An answer whose events are being forwarded.
 #[derive(Debug)]
 pub struct Live {
@@ -27,6 +31,8 @@
     is_resumable: bool,
     has_cleared: bool,
     last_data_at: Instant,
+    /// The rest of the last chunk.
+    unread: Bytes,
     /// Why the answer ends after the events that were taken last.
     ending: Option<BodyError>,
 }
@@ -79,6 +85,7 @@
             is_resumable,
             has_cleared: false,
             last_data_at: Instant::now(),
+            unread: Bytes::new(),
             ending: None,
         }
     }
@@ -126,6 +133,14 @@
             if let Some(cause) = self.ending {
                 return Step::Broken(cause);
             }
+            if !self.unread.is_empty() {
+                task::yield_now().await;
+                let events = self.read_part(serving, cursor);
+                if !events.is_empty() {
+                    return Step::Events(events);
+                }
+                continue;
+            }
             let deadline = self.chunk_deadline(serving);
             let mut chunk = read_chunk(&mut self.answer, deadline).await;
             if self.is_resumable && chunk == Err(interrupted(Reason::Silence)) {
@@ -143,10 +158,7 @@
             match chunk {
                 Ok(Some(data)) => {
                     self.last_data_at = Instant::now();
-                    if let Err(reason) = self.assembler.push(&data) {
-                        note_refusal(serving, reason);
-                        self.ending = Some(interrupted(reason));
-                    }
+                    self.unread = data;
                 }
                 Ok(None) if self.assembler.is_cut() => {
                     return Step::Broken(interrupted(Reason::Cut))
@@ -154,16 +166,19 @@
                 Ok(None) => return Step::Complete,
                 Err(cause) => return Step::Broken(cause),
             }
-            let events = self.take_events(serving, cursor);
+            let events = self.read_part(serving, cursor);
             if !events.is_empty() {
                 return Step::Events(events);
             }
         }
     }
 
-    /// Returns the whole events that have arrived, up to the first one that is out of order.
-    fn take_events(&mut self, serving: &Serving, cursor: &mut Cursor) -> Bytes {
-        if self.ending.is_some() {
+    /// Reads on in the last chunk, and returns the whole events up to the first one that is out of order.
+    fn read_part(&mut self, serving: &Serving, cursor: &mut Cursor) -> Bytes {
+        let part = self.unread.split_to(self.unread.len().min(PART_BYTES));
+        if let Err(reason) = self.assembler.push(&part) {
+            note_refusal(serving, reason);
+            self.ending = Some(interrupted(reason));
             return Bytes::new();
         }
         let (events, is_in_order) = self.assembler.take_events(cursor);
--- a/crates/proof/tests/floods.rs
+++ b/crates/proof/tests/floods.rs
@@ -66,6 +66,7 @@
 #[case::pieces_of_an_answer(Kind::Write, Flood::Pieces)]
 #[case::one_event(Kind::StreamOnce, Flood::Event)]
 #[case::one_event_of_a_resumable_stream(Kind::StreamAgain, Flood::Event)]
+#[case::line_ends(Kind::StreamOnce, Flood::LineEnds)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn verify_endless_answers_harm_no_other_request(#[case] kind: Kind, #[case] flood: Flood) {
     let fleet = start().await;
