Keep the meter of busy times apart from the gateway's state

Cause: the module imported the state that holds it, and so joined the circle of modules that import each other. Change: the meter gets the clock. Result: none in behaviour.

--- a/crates/gateway/src/busy.rs
+++ b/crates/gateway/src/busy.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::prelude::*;
+use sardinemux_host::clock::Clock;
 
 /// The busy time from which on a tick is logged.
 const LOGGED_MIN: Duration = Duration::from_millis(250);
@@ -19,8 +19,20 @@
 }
 
 impl Meter {
+    /// Records a tick of a task whose ticks are `interval` apart, and logs a long busy time. Does nothing on a machine that
+    /// does not count processor time.
+    pub fn note_tick(&mut self, clock: &Clock, interval: Duration) {
+        let Some(used) = clock.processor_time() else {
+            return;
+        };
+        let busy = self.note(Instant::now(), used, interval);
+        if busy >= LOGGED_MIN {
+            log::warn!(busy_ms = busy.as_millis() as u64; "the process has worked for long without a pause");
+        }
+    }
+
     /// Records a tick at a time, with the processor time that the process has used. Returns the busy time since the last
-    /// one, if ticks are `interval` apart.
+    /// one.
     fn note(&mut self, at: Instant, used: Duration, interval: Duration) -> Duration {
         let Some((last_at, last_used)) = self.last.replace((at, used)) else {
             return Duration::ZERO;
@@ -36,14 +48,3 @@
         self.longest
     }
 }
-
-/// Records a tick of a task whose ticks are `interval` apart.
-pub fn note_tick(gateway: &Gateway, interval: Duration) {
-    let Some(used) = gateway.clock.processor_time() else {
-        return;
-    };
-    let busy = gateway.busy.lock().note(Instant::now(), used, interval);
-    if busy >= LOGGED_MIN {
-        log::warn!(busy_ms = busy.as_millis() as u64; "the process has worked for long without a pause");
-    }
-}
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -18,7 +18,6 @@
 
 use crate::appendix;
 use crate::attempt::statement;
-use crate::busy;
 use crate::drain::Phase;
 use crate::errors::ListenSnafu;
 use crate::hop;
@@ -175,7 +174,8 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {
-                busy::note_tick(&gateway, Duration::from_millis(reports::PERIOD_MS));
+                let interval = Duration::from_millis(reports::PERIOD_MS);
+                gateway.busy.lock().note_tick(&gateway.clock, interval);
                 suspension::note_heartbeat(&gateway);
                 let recipients = choose_recipients(&gateway, round);
                 send_reports(&gateway, &socket, &recipients);
