--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -134,7 +134,7 @@
     /// use std::sync::Arc;
     /// use sardinemux_core::memory::{Budget, Share, SMALL_BYTES};
     ///
-    /// let budget = Arc::new(Budget::new(10 * SMALL_BYTES));
+    /// let budget = Arc::new(Budget::new(11 * SMALL_BYTES));
     /// let mut endless = Share::new(budget.clone());
     /// assert!(endless.try_resize(5 * SMALL_BYTES));
     /// assert!(!endless.try_resize(6 * SMALL_BYTES));
