Hold back comments of a resumable stream until the event that follows

Cause: comments and blank lines were forwarded as they came, and bytes that have been forwarded cannot be taken back. Evidence: the log of one request: broke off at t0 after 0 events (crossed), ended at t2 with 20 events. Change: where a stream may be resumed, they are held until the next event, and dropped with the rest of the answer if it breaks off before.

--- a/crates/gateway/src/stream/assembler.rs
+++ b/crates/gateway/src/stream/assembler.rs
@@ -23,6 +23,9 @@
     events: u64,
     /// The bytes of comments and blank lines since the last event.
     idle_bytes: usize,
+    /// These bytes themselves, where the stream may be resumed: what a target sends before it breaks off, and that is no part of
+    /// an event, is not joined with the answer of another one.
+    held: Vec<u8>,
 }
 
 impl Assembler {
@@ -37,6 +40,7 @@
             may_end: answer.may_be_empty(),
             events: 0,
             idle_bytes: 0,
+            held: Vec::new(),
         }
     }
 
@@ -48,7 +52,8 @@
     /// memory is left for it.
     pub fn push(&mut self, chunk: &[u8]) -> std::result::Result<(), Reason> {
         self.splitter.push(chunk).map_err(|_| Reason::Crossed)?;
-        match self.share.try_resize(self.splitter.capacity()) {
+        let size = self.splitter.capacity() + self.held.capacity();
+        match self.share.try_resize(size) {
             true => Ok(()),
             false => Err(Reason::Failed),
         }
@@ -65,7 +70,10 @@
                     if self.idle_bytes > EVENT_MAX_BYTES {
                         return (bytes.into(), false);
                     }
-                    bytes.extend(event.bytes);
+                    match self.is_resumable {
+                        true => self.held.extend(event.bytes),
+                        false => bytes.extend(event.bytes),
+                    }
                     continue;
                 }
                 Content::Fields if event.id.is_some() || !self.is_resumable => {}
@@ -77,6 +85,7 @@
                     self.may_end = true;
                     self.events += 1;
                     self.idle_bytes = 0;
+                    bytes.append(&mut self.held);
                     bytes.extend(event.bytes);
                 }
                 Continuity::Duplicate if self.may_repeat => {}
@@ -101,8 +110,10 @@
         self.splitter.rest_len()
     }
 
-    /// Returns the bytes after the last whole event.
+    /// Returns the bytes after the last event.
     pub fn into_rest(self) -> Bytes {
-        self.splitter.into_rest().into()
+        let mut rest = self.held;
+        rest.extend(self.splitter.into_rest());
+        rest.into()
     }
 }
--- a/crates/gateway/tests/endings.rs
+++ b/crates/gateway/tests/endings.rs
@@ -182,6 +182,45 @@
         .any(|seen| header(seen, "last-event-id").as_deref() == Some("2")));
 }
 
+/// Comments of a target that breaks off before its next event would come between the events of another one.
+#[tokio::test]
+async fn verify_comments_before_a_break_are_not_joined_with_another_answer() {
+    let script = Script {
+        body: "id: 1\ndata: x\n\n: noise\n\n\n\n: noise\n\nid: 2\nda",
+        ..Script::default()
+    };
+    let faulty = MockTarget::start(Behaviour::Send(script)).await;
+    let healthy = MockTarget::start(Behaviour::Stream).await;
+    let gateway = TestGateway::start(&[&faulty, &healthy], true).await;
+    for _ in 0..4 {
+        let answer = gateway.call("POST", "/resumable/", "", "p").await;
+        assert!(looks_complete(&answer), "{answer}");
+        assert!(!answer.contains("noise"), "{answer}");
+    }
+    assert!(healthy.request_count() >= 4);
+}
+
+/// Comments of a whole answer are delivered where they stand.
+#[rstest]
+#[case::once("/stream/")]
+#[case::resumable("/resumable/")]
+#[tokio::test]
+async fn verify_comments_of_a_whole_stream_are_delivered(#[case] path: &str) {
+    let script = Script {
+        framing: Framing::Chunks,
+        ending: Ending::Finish,
+        body: "id: 1\ndata: a\n\n: between\n\nid: 2\ndata: b\n\n: last\n\n",
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let gateway = TestGateway::start(&[&target], true).await;
+    let answer = gateway.call("POST", path, "", "p").await;
+    assert!(looks_complete(&answer), "{answer}");
+    let order = ["id: 1", ": between", "id: 2", ": last"];
+    let found = order.map(|part| answer.find(part).unwrap());
+    assert!(found.is_sorted(), "{answer}");
+}
+
 /// Lines may end with LF, CRLF or CR. The order of events is checked with each of them.
 #[rstest]
 #[case::lf("id: 1\ndata: a\n\nid: 3\ndata: c\n\n")]
