Keep room for sound requests under endless answers, and count what callers leave unread

What callers saw: while 96 streams sent an event without an end, a gateway of 64 MB refused requests to a sound service with 503.

Cause: every holder of up to 64 KiB was exempt from the dynamic threshold, and one reserve was left, for connections. Streams that were given up and began anew took the last bytes while the large ones had not asked for more yet. The log shows 503 "no memory is left for the body" in the 4 ms after the first streams were given up, and none once the large ones had been.

Change: each class of holder leaves a part of the budget to those before it in the life of a request: answers an eighth, bodies of requests a 16th, requests a 32nd. Answers are not exempt; their first 8 KiB are taken with the request, so that a short answer does not fail for want of room.

Found on the way, the same promise: events on their way to a caller that does not read were not counted, and the wrappers of callers' connections had no vectored writes, so that the HTTP library copied all that it writes into a buffer of its own. Events and chunks now keep their share until they are sent, and are not copied. A chunk of a stream without events waits for room.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -1,27 +1,55 @@
 //! The bytes that one process holds for its peers, and how all holders share one bound.
 //!
 //! A holder is whatever a peer may make grow: the body of a request or an answer, an event that has not ended, a head. With
-//! `free` bytes left of the budget, a holder may have `n` bytes as long as
+//! `free` bytes left of the budget beyond what its [`Class`] leaves to others, a holder may have `n` bytes as long as
 //!
-//! `n <= max(free, SMALL_BYTES)` and the budget is not exceeded,
+//! `n <= max(free, exempt)` and the budget is not exceeded,
 //!
-//! so that the largest holders are the first that may not grow, and room for small ones is always left: `k` holders that
-//! grow without end get a share of `1 / (k + 1)` of the budget each. The last [`RESERVE_DIVISOR`]th of the budget is for
-//! essential holders, such as connections, on which other requests are refused. Source: Choudhury and Hahne, "Dynamic queue length
-//! thresholds for shared-memory packet switches", IEEE/ACM Transactions on Networking, 1998, with the factor 1.
+//! so that the largest holders are the first that may not grow: `k` holders that grow without end get a share of
+//! `1 / (k + 1)` of the budget each. Answers are never exempt, since endless ones that begin anew would together take the last
+//! bytes, and requests would be refused. Source: Choudhury and Hahne, "Dynamic queue length thresholds for shared-memory packet
+//! switches", IEEE/ACM Transactions on Networking, 1998, with the factor 1.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-/// The number of bytes that a holder may have as long as the budget lasts.
+/// The number of bytes that a holder may have as long as the budget lasts, unless it is an answer.
 pub const SMALL_BYTES: usize = 64 << 10;
 
 /// The part of a process's memory that holders may have, as a fraction. The rest is for the state of the process, the
 /// buffers of its connections and what the allocator cannot reuse.
 const HELD_SHARE: (usize, usize) = (2, 3);
 
-/// The budget divided by this is reserved for essential holders.
-pub const RESERVE_DIVISOR: usize = 32;
+/// What a holder is. Each class leaves a part of the budget to those before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// A connection, on which requests are refused, or the head of a request.
+    Connection,
+    /// A request without its body.
+    Request,
+    /// The body of a request.
+    Body,
+    /// An answer or a part of one.
+    Answer,
+}
+
+impl Class {
+    /// The parts of the budget that each class leaves to others, as divisors of the budget.
+    const LEFT_DIVISORS: [Option<usize>; 4] = [None, Some(32), Some(16), Some(8)];
+
+    /// Returns how much of a budget of `limit` bytes is left to others.
+    fn left(self, limit: usize) -> usize {
+        Self::LEFT_DIVISORS[self as usize].map_or(0, |divisor| limit / divisor)
+    }
+
+    /// Returns the number of bytes that a holder may have whatever others have.
+    fn exempt(self) -> usize {
+        match self {
+            Self::Answer => 0,
+            Self::Connection | Self::Request | Self::Body => SMALL_BYTES,
+        }
+    }
+}
 
 /// The bytes that all holders together may have.
 #[derive(Debug)]
@@ -46,8 +74,7 @@
     /// ```
     /// use sardinemux_core::memory::Budget;
     ///
-    /// assert!(Budget::of_process(960).has_room(620));
-    /// assert!(!Budget::of_process(960).has_room(621));
+    /// assert_eq!(Budget::of_process(960).limit(), 640);
     /// ```
     pub fn of_process(memory_bytes: usize) -> Self {
         let (part, whole) = HELD_SHARE;
@@ -59,25 +86,27 @@
         self.used.load(Ordering::Relaxed)
     }
 
-    /// Returns whether a new holder of this many bytes is allowed now.
-    pub fn has_room(&self, bytes: usize) -> bool {
-        self.allows(self.used(), bytes, bytes, self.reserve())
+    /// Returns the number of bytes that may be in use.
+    pub fn limit(&self) -> usize {
+        self.limit
     }
 
-    fn reserve(&self) -> usize {
-        self.limit / RESERVE_DIVISOR
+    /// Returns whether a new holder of this many bytes is allowed now.
+    pub fn has_room(&self, class: Class, bytes: usize) -> bool {
+        self.allows(class, self.used(), bytes, bytes)
     }
 
-    /// Returns whether a holder may grow by `more` bytes, to `size`, while `used` bytes are in use, if it leaves the reserve.
-    fn allows(&self, used: usize, more: usize, size: usize, reserve: usize) -> bool {
-        let taken = used.saturating_add(more).saturating_add(reserve);
+    /// Returns whether a holder may grow by `more` bytes, to `size`, while `used` bytes are in use.
+    fn allows(&self, class: Class, used: usize, more: usize, size: usize) -> bool {
+        let taken = used.saturating_add(more);
         let free = self.limit.checked_sub(taken);
-        free.is_some_and(|free| size <= free.max(SMALL_BYTES))
+        let free = free.and_then(|free| free.checked_sub(class.left(self.limit)));
+        free.is_some_and(|free| size <= free.max(class.exempt()))
     }
 
-    fn try_take(&self, more: usize, size: usize, reserve: usize) -> bool {
+    fn try_take(&self, class: Class, more: usize, size: usize) -> bool {
         let take = |used| {
-            let is_allowed = self.allows(used, more, size, reserve);
+            let is_allowed = self.allows(class, used, more, size);
             is_allowed.then(|| used + more)
         };
         let taken = self
@@ -95,28 +124,17 @@
 #[derive(Debug)]
 pub struct Share {
     budget: Arc<Budget>,
+    class: Class,
     size: usize,
-    /// What it leaves of the budget.
-    reserve: usize,
 }
 
 impl Share {
     /// Creates the share of a holder that has nothing yet.
-    pub fn new(budget: Arc<Budget>) -> Self {
-        let reserve = budget.reserve();
-        Self {
-            budget,
-            size: 0,
-            reserve,
-        }
-    }
-
-    /// Creates the share of an essential holder, which may use up the reserve.
-    pub fn essential(budget: Arc<Budget>) -> Self {
+    pub fn new(budget: Arc<Budget>, class: Class) -> Self {
         Self {
             budget,
+            class,
             size: 0,
-            reserve: 0,
         }
     }
 
@@ -132,19 +150,19 @@
     ///
     /// ```
     /// use std::sync::Arc;
-    /// use sardinemux_core::memory::{Budget, Share, SMALL_BYTES};
+    /// use sardinemux_core::memory::{Budget, Class, Share};
     ///
-    /// let budget = Arc::new(Budget::new(11 * SMALL_BYTES));
-    /// let mut endless = Share::new(budget.clone());
-    /// assert!(endless.try_resize(5 * SMALL_BYTES));
-    /// assert!(!endless.try_resize(6 * SMALL_BYTES));
-    /// assert!(Share::new(budget.clone()).try_resize(2 * SMALL_BYTES));
+    /// let budget = Arc::new(Budget::new(1_600));
+    /// let mut endless = Share::new(budget.clone(), Class::Answer);
+    /// assert!(endless.try_resize(750));
+    /// assert!(!endless.try_resize(751));
+    /// assert!(Share::new(budget.clone(), Class::Answer).try_resize(375));
     /// drop(endless);
     /// assert_eq!(budget.used(), 0);
     /// ```
     pub fn try_resize(&mut self, size: usize) -> bool {
         match size.checked_sub(self.size) {
-            Some(more) if more > 0 && !self.budget.try_take(more, size, self.reserve) => {
+            Some(more) if more > 0 && !self.budget.try_take(self.class, more, size) => {
                 return false
             }
             Some(_) => {}
@@ -160,8 +178,8 @@
         self.size -= size;
         Self {
             budget: self.budget.clone(),
+            class: self.class,
             size,
-            reserve: self.reserve,
         }
     }
 }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -418,7 +418,7 @@
         mut answer: Answer,
     ) -> std::result::Result<Option<Response<Whole>>, Failure> {
         let may_be_empty = answer.may_be_empty();
-        let collector = Collector::new(self.gateway.memory.clone(), BUFFERED_MAX_BYTES);
+        let collector = Collector::of_answer(self.gateway.memory.clone(), BUFFERED_MAX_BYTES);
         let collected = whole::collect(&mut answer.body, collector);
         let mut evidence = Evidence::TransportError;
         let reason = match time::timeout_at(self.inbound.deadline, collected).await {
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, Version};
 use hyper_util::rt::TokioIo;
-use sardinemux_core::memory::Share;
+use sardinemux_core::memory::{Class, Share};
 use sardinemux_host::body::DISCARDED_MAX_BYTES;
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -82,7 +82,7 @@
         log::debug!(error:% = error; "cannot set the socket options of a caller's connection; closing it");
         return;
     }
-    let mut share = Share::essential(gateway.memory.clone());
+    let mut share = Share::new(gateway.memory.clone(), Class::Connection);
     if !share.try_resize(CONNECTION_BYTES) {
         gateway.metrics.count_memory_refusal("connection");
         log::warn!("no memory is left for a caller's connection; closing it");
--- a/crates/gateway/src/caller/presence.rs
+++ b/crates/gateway/src/caller/presence.rs
@@ -8,7 +8,7 @@
 //! A caller that closes its side of the connection counts as gone, also if it could still read: the two cannot be told apart.
 
 use std::future::{poll_fn, Future};
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::{pin, Pin};
 use std::sync::{Arc, Weak};
 use std::task::{ready, Context, Poll, Waker};
@@ -116,7 +116,7 @@
         stream,
         ahead: BytesMut::new(),
         share: Share::new(budget, largest),
-        memory: memory::Share::new(memory),
+        memory: memory::Share::new(memory, memory::Class::Body),
         end: None,
         served: 0,
     }));
@@ -231,6 +231,19 @@
         Pin::new(&mut self.0.lock().stream).poll_write(context, bytes)
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.lock().stream).poll_write_vectored(context, slices)
+    }
+
+    // Otherwise the library would copy what it writes into a buffer that is not accounted for.
+    fn is_write_vectored(&self) -> bool {
+        self.0.lock().stream.is_write_vectored()
+    }
+
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.0.lock().stream).poll_flush(context)
     }
--- a/crates/gateway/src/caller/traffic.rs
+++ b/crates/gateway/src/caller/traffic.rs
@@ -1,6 +1,6 @@
 //! What a caller's connection carried last, to tell at its end whether a request remains without an answer.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -126,6 +126,22 @@
         polled
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        if let Poll::Ready(Ok(_)) = &polled {
+            self.traffic.note_written();
+        }
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_flush(context)
     }
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -5,13 +5,13 @@
 //! smuggling). The library ignores the `Content-Length` without an error; the gateway rejects such a request instead.
 //! Source: RFC 9112, section 6.3.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use parking_lot::Mutex;
-use sardinemux_core::memory::{Budget, Share};
+use sardinemux_core::memory::{Budget, Class, Share};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::caller::presence;
@@ -40,8 +40,9 @@
 }
 
 impl Head {
-    /// Appends bytes that were read, and inspects the head once its end has arrived. Returns whether the memory holds it.
-    fn append(&mut self, bytes: &[u8]) -> bool {
+    /// Appends bytes that were read, and inspects the head once its end has arrived. Returns `false` if the memory does not
+    /// hold it.
+    fn try_append(&mut self, bytes: &[u8]) -> bool {
         if self.is_complete {
             return true;
         }
@@ -111,7 +112,7 @@
             length: 0,
             is_complete: false,
             is_ambiguous: false,
-            share: Share::essential(memory),
+            share: Share::new(memory, Class::Connection),
             is_refused: false,
         })))
     }
@@ -197,7 +198,11 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
         if let Poll::Ready(Ok(())) = &polled {
-            let is_held = self.inspector.0.lock().append(&buffer.filled()[before..]);
+            let is_held = self
+                .inspector
+                .0
+                .lock()
+                .try_append(&buffer.filled()[before..]);
             if !is_held {
                 return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
             }
@@ -215,6 +220,18 @@
         Pin::new(&mut self.inner).poll_write(context, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         // The library flushes once its own buffer is empty.
         let polled = Pin::new(&mut self.inner).poll_flush(context);
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -91,7 +91,7 @@
         return response;
     }
     let (head, body) = response.into_parts();
-    let collector = Collector::new(gateway.memory.clone(), BUFFERED_MAX_BYTES);
+    let collector = Collector::of_answer(gateway.memory.clone(), BUFFERED_MAX_BYTES);
     let whole = match whole::collect(body, collector).await {
         Ok(whole) => whole,
         Err(unread) => {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, Method, StatusCode, Uri};
 use sardinemux_core::catalog::{self, Catalog, Kind, Route};
 use sardinemux_core::hash;
-use sardinemux_core::memory::Share;
+use sardinemux_core::memory::{Class, Share};
 use sardinemux_core::origin;
 use sardinemux_core::prompt::Prompt;
 use sardinemux_core::quarantine;
@@ -34,7 +34,8 @@
     header::UPGRADE,
 ];
 
-/// What a request takes while it is served, in bytes: its state, and the connection to its target.
+/// What a request takes while it is served, in bytes: its state, the connection to its target, and the first
+/// [`ANSWER_BYTES`](whole::ANSWER_BYTES) of its answer.
 const REQUEST_BYTES: usize = 32 << 10;
 
 /// What another gateway states of a request that it passes on. Such a request is not passed on again.
@@ -249,7 +250,7 @@
 
 /// Takes the memory for a request.
 fn take_memory(gateway: &Gateway) -> std::result::Result<Share, Rejection> {
-    let mut share = Share::new(gateway.memory.clone());
+    let mut share = Share::new(gateway.memory.clone(), Class::Request);
     match share.try_resize(REQUEST_BYTES) {
         true => Ok(share),
         false => {
@@ -377,10 +378,10 @@
     body_deadline: Instant,
 ) -> std::result::Result<Whole, Rejection> {
     let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let collected = match stated <= limit && !gateway.memory.has_room(stated) {
+    let collected = match stated <= limit && !gateway.memory.has_room(Class::Body, stated) {
         true => Err(Unread::Excess(Excess::Memory)),
         false => {
-            let collector = Collector::new(gateway.memory.clone(), limit);
+            let collector = Collector::of_request(gateway.memory.clone(), limit);
             let collected = time::timeout_at(body_deadline, whole::collect(body, collector));
             collected.await.map_err(|_| Rejection::BodyTimeout)?
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -3,6 +3,8 @@
 pub mod assembler;
 mod live;
 
+use std::time::Duration;
+
 use async_stream::stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
@@ -23,6 +25,10 @@
 use crate::origins;
 use crate::prelude::*;
 use crate::reply::{Body, BodyError};
+use crate::whole;
+
+/// The interval at which a chunk that waits for memory tries to get it.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The build of the target that sends a streamed answer, as an extension of the response.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -170,7 +176,7 @@
     let chunks = stream! {
         let origin = Origin::new(&serving, &answer);
         loop {
-            match read_chunk(&mut answer, serving.inbound().deadline).await {
+            match read_copy(&mut answer, &serving).await {
                 Ok(Some(data)) => yield Ok(Frame::data(data)),
                 Ok(None) => {
                     record_end(&serving, &origin, Progress::default(), None);
@@ -194,6 +200,32 @@
     StreamBody::new(chunks).boxed_unsync()
 }
 
+/// Reads the next chunk, and waits until there is memory for it, which is accounted for until the caller has read it. A chunk
+/// of the HTTP library would keep a whole read buffer.
+///
+/// # Errors
+///
+/// Those of [`read_chunk`], and [`BodyError`] with `Reason::Silence` if there is no memory in time.
+async fn read_copy(
+    answer: &mut Answer,
+    serving: &Serving,
+) -> std::result::Result<Option<Bytes>, BodyError> {
+    let deadline = serving.inbound().deadline;
+    let Some(data) = read_chunk(answer, deadline).await? else {
+        return Ok(None);
+    };
+    let memory = &serving.gateway().memory;
+    loop {
+        if let Ok(copy) = whole::copy(&data, memory.clone()) {
+            return Ok(Some(copy));
+        }
+        if Instant::now() >= deadline {
+            return Err(interrupted(Reason::Silence));
+        }
+        time::sleep(MEMORY_POLL_INTERVAL).await;
+    }
+}
+
 /// Forwards whole events. A stream that ends inside an event has broken off, whatever its framing: the end of a
 /// connection may mark the end of the answer or a crash of the target. A resumable stream that breaks off is resumed at
 /// another target after the last event that was forwarded. An event that is out of order belongs to another stream, so
--- a/crates/gateway/src/stream/assembler.rs
+++ b/crates/gateway/src/stream/assembler.rs
@@ -6,12 +6,13 @@
 
 use crate::attempt::answer::Answer;
 use crate::prelude::*;
+use crate::whole::{self, ANSWER_BYTES};
 
 /// The events of one answer. A stream that is resumed consists of several answers, over which a [`Cursor`] is kept.
 #[derive(Debug)]
 pub struct Assembler {
     splitter: Splitter,
-    /// The memory of the bytes after the last whole event.
+    /// The memory of the bytes that have not been taken.
     share: Share,
     /// Whether the stream may be resumed, for which its events must be numbered.
     is_resumable: bool,
@@ -52,8 +53,10 @@
     /// memory is left for it.
     pub fn push(&mut self, chunk: &[u8]) -> std::result::Result<(), Reason> {
         self.splitter.push(chunk).map_err(|_| Reason::Crossed)?;
-        let size = self.splitter.capacity() + self.held.capacity();
-        match self.share.try_resize(size) {
+        // The events that are taken are copies. Their memory is reserved here, as they cannot be put back.
+        let copies = self.splitter.rest_len() + self.held.len();
+        let size = self.splitter.capacity() + self.held.capacity() + copies;
+        match self.share.try_resize(size.saturating_sub(ANSWER_BYTES)) {
             true => Ok(()),
             false => Err(Reason::Failed),
         }
@@ -63,12 +66,18 @@
     /// events from the first one that is out of order are left out. Comments and blank lines without end are out of order.
     pub fn take_events(&mut self, cursor: &mut Cursor) -> (Bytes, bool) {
         let mut bytes = Vec::new();
+        let is_in_order = self.append_events(cursor, &mut bytes);
+        (whole::with_share(bytes, &mut self.share), is_in_order)
+    }
+
+    /// Appends the events up to the first one that is out of order, and returns whether there is none.
+    fn append_events(&mut self, cursor: &mut Cursor, bytes: &mut Vec<u8>) -> bool {
         for event in &mut self.splitter {
             match event.content {
                 Content::Comments => {
                     self.idle_bytes += event.bytes.len();
                     if self.idle_bytes > EVENT_MAX_BYTES {
-                        return (bytes.into(), false);
+                        return false;
                     }
                     match self.is_resumable {
                         true => self.held.extend(event.bytes),
@@ -77,7 +86,7 @@
                     continue;
                 }
                 Content::Fields if event.id.is_some() || !self.is_resumable => {}
-                Content::Fields | Content::Unknown => return (bytes.into(), false),
+                Content::Fields | Content::Unknown => return false,
             }
             match cursor.accept(event.id) {
                 Continuity::Next => {
@@ -89,10 +98,10 @@
                     bytes.extend(event.bytes);
                 }
                 Continuity::Duplicate if self.may_repeat => {}
-                Continuity::Duplicate | Continuity::Gap => return (bytes.into(), false),
+                Continuity::Duplicate | Continuity::Gap => return false,
             }
         }
-        (bytes.into(), true)
+        true
     }
 
     /// Returns whether an answer whose body ends now has been broken off.
@@ -111,9 +120,9 @@
     }
 
     /// Returns the bytes after the last event.
-    pub fn into_rest(self) -> Bytes {
+    pub fn into_rest(mut self) -> Bytes {
         let mut rest = self.held;
         rest.extend(self.splitter.into_rest());
-        rest.into()
+        whole::with_share(rest, &mut self.share)
     }
 }
--- a/crates/gateway/src/stream/live.rs
+++ b/crates/gateway/src/stream/live.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use sardinemux_core::attempts;
 use sardinemux_core::event::Cursor;
-use sardinemux_core::memory::Share;
+use sardinemux_core::memory::{Class, Share};
 use sardinemux_core::target::Key;
 use tokio::task;
 use tokio::time::{self, Instant};
@@ -77,7 +77,7 @@
 impl Live {
     /// Begins to forward an answer. `cursor` is at the last event that the caller has.
     pub fn new(serving: &Serving, answer: Answer, cursor: &Cursor, is_resumable: bool) -> Self {
-        let share = Share::new(serving.gateway().memory.clone());
+        let share = Share::new(serving.gateway().memory.clone(), Class::Answer);
         Self {
             origin: Origin::new(serving, &answer),
             assembler: Assembler::new(&answer, cursor, is_resumable, share),
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
-use sardinemux_core::memory::{Budget, Share};
+use sardinemux_core::memory::{Budget, Class, Share};
 use snafu::Snafu;
 
 /// The largest segment, in bytes.
@@ -24,6 +24,9 @@
 /// What a segment and its entry in the list take besides its bytes.
 const SEGMENT_OVERHEAD_BYTES: usize = 128;
 
+/// The bytes of an answer that the memory of its request includes. A short answer therefore never fails for want of memory.
+pub const ANSWER_BYTES: usize = 8 << 10;
+
 /// Why a body is not collected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum Excess {
@@ -44,7 +47,7 @@
     Broken(E),
 }
 
-/// The bytes of a segment, and its share of the memory.
+/// The bytes of a segment, and its share of the memory, which lasts until they have been sent.
 struct Segment {
     bytes: Vec<u8>,
     _share: Share,
@@ -115,7 +118,11 @@
 pub struct Collector {
     segments: Vec<Vec<u8>>,
     length: usize,
-    /// The memory of all segments.
+    /// The bytes of all segments, and what they take besides.
+    taken: usize,
+    /// The part of these that is accounted for elsewhere.
+    prepaid: usize,
+    /// The memory of the rest.
     share: Share,
     limit: usize,
     /// The stated number of bytes; 0 if it is not known.
@@ -123,12 +130,24 @@
 }
 
 impl Collector {
-    /// Creates the collector of a body of at most `limit` bytes.
-    pub fn new(budget: Arc<Budget>, limit: usize) -> Self {
+    /// Creates the collector of the body of a request, of at most `limit` bytes.
+    pub fn of_request(budget: Arc<Budget>, limit: usize) -> Self {
+        Self::new(Share::new(budget, Class::Body), 0, limit)
+    }
+
+    /// Creates the collector of the body of an answer, of at most `limit` bytes. The first [`ANSWER_BYTES`] are accounted for with
+    /// its request.
+    pub fn of_answer(budget: Arc<Budget>, limit: usize) -> Self {
+        Self::new(Share::new(budget, Class::Answer), ANSWER_BYTES, limit)
+    }
+
+    fn new(share: Share, prepaid: usize, limit: usize) -> Self {
         Self {
             segments: Vec::new(),
             length: 0,
-            share: Share::new(budget),
+            taken: 0,
+            prepaid,
+            share,
             limit,
             stated: 0,
         }
@@ -147,10 +166,13 @@
     /// use sardinemux_core::memory::Budget;
     /// use sardinemux_gateway::whole::{Collector, Excess};
     ///
-    /// let mut collector = Collector::new(Arc::new(Budget::new(1 << 20)), 4);
-    /// assert_eq!(collector.push(b"abc"), Ok(()));
-    /// assert_eq!(collector.push(b"de"), Err(Excess::Limit));
-    /// assert_eq!(collector.finish().len(), 3);
+    /// let exhausted = Arc::new(Budget::new(0));
+    /// let mut request = Collector::of_request(exhausted.clone(), 4);
+    /// assert_eq!(request.push(b"abc"), Err(Excess::Memory));
+    /// let mut answer = Collector::of_answer(exhausted, 4);
+    /// assert_eq!(answer.push(b"abc"), Ok(()));
+    /// assert_eq!(answer.push(b"de"), Err(Excess::Limit));
+    /// assert_eq!(answer.finish().len(), 3);
     /// ```
     pub fn push(&mut self, mut data: &[u8]) -> Result<(), Excess> {
         if data.len() > self.limit - self.length {
@@ -176,12 +198,11 @@
                 rest => rest.min(SEGMENT_MAX_BYTES),
             };
             let size = needed.max(self.length).max(SEGMENT_MIN_BYTES).min(rest);
-            if !self
-                .share
-                .try_resize(self.share.size() + size + SEGMENT_OVERHEAD_BYTES)
-            {
+            let taken = self.taken + size + SEGMENT_OVERHEAD_BYTES;
+            if !self.share.try_resize(taken.saturating_sub(self.prepaid)) {
                 return Err(Excess::Memory);
             }
+            self.taken = taken;
             self.segments.push(Vec::with_capacity(size));
         }
         self.segments.last_mut().ok_or(Excess::Memory)
@@ -190,15 +211,7 @@
     /// Returns the body.
     pub fn finish(mut self) -> Whole {
         let segments = std::mem::take(&mut self.segments).into_iter();
-        let segments = segments.map(|bytes| {
-            let share = self
-                .share
-                .split_off(bytes.capacity() + SEGMENT_OVERHEAD_BYTES);
-            Bytes::from_owner(Segment {
-                bytes,
-                _share: share,
-            })
-        });
+        let segments = segments.map(|bytes| with_share(bytes, &mut self.share));
         Whole {
             segments: segments.collect(),
             length: self.length,
@@ -206,6 +219,31 @@
     }
 }
 
+/// Returns bytes that keep their part of `share`, as far as it goes, until they have been sent.
+pub fn with_share(bytes: Vec<u8>, share: &mut Share) -> Bytes {
+    if bytes.is_empty() {
+        return Bytes::new();
+    }
+    let share = share.split_off(bytes.capacity() + SEGMENT_OVERHEAD_BYTES);
+    Bytes::from_owner(Segment {
+        bytes,
+        _share: share,
+    })
+}
+
+/// Returns a copy of a part of an answer that has its share of the memory until it has been sent.
+///
+/// # Errors
+///
+/// [`Excess::Memory`] if no memory is left for it.
+pub fn copy(data: &[u8], budget: Arc<Budget>) -> Result<Bytes, Excess> {
+    let mut share = Share::new(budget, Class::Answer);
+    match share.try_resize(data.len() + SEGMENT_OVERHEAD_BYTES) {
+        true => Ok(with_share(data.to_vec(), &mut share)),
+        false => Err(Excess::Memory),
+    }
+}
+
 /// Reads a body to its end. Trailers are left out.
 ///
 /// # Errors
--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -15,10 +15,11 @@
 use std::time::Duration;
 
 use fleet::{catalog_of, Store};
-use harness::mock::{Behaviour, Ending, MockTarget, Script};
+use harness::mock::{Behaviour, Ending, Framing, MockTarget, Script};
 use harness::{announcement, exchange, looks_complete, wait_until_serving};
 use rstest::rstest;
 use sardinemux_core::catalog::Definition;
+use sardinemux_core::roster::Announcement;
 use sardinemux_gateway::settings::Settings;
 use sardinemux_gateway::source::{Fact, Member, Topic};
 use socket2::{Domain, Socket, Type};
@@ -31,6 +32,10 @@
 
 const TARGETS: usize = 4;
 
+/// The memory of a gateway that may not hold an answer of this size, and of one that may.
+const SMALL_MEMORY_BYTES: usize = 2 << 20;
+const LARGE_MEMORY_BYTES: usize = 256 << 20;
+
 /// The time between two requests while the gateway finds out.
 const CALL_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -104,15 +109,25 @@
 
 /// Starts a gateway that has the targets at these addresses in its list, and knows the other gateways.
 async fn start_gateway(settings: &Settings, targets: &[SocketAddr], others: &[&Settings]) {
+    let listed = targets.iter().enumerate();
+    let listed = listed
+        .map(|(index, address)| announcement(&format!("t{index}"), &address.to_string()))
+        .collect();
+    start_gateway_of(definition(), settings, listed, others).await;
+}
+
+/// Starts a gateway with a catalogue and a list of targets, which knows the other gateways.
+async fn start_gateway_of(
+    definition: Definition,
+    settings: &Settings,
+    targets: Vec<Announcement>,
+    others: &[&Settings],
+) {
     let store = Store::default();
-    store.put(Topic::Operators, "config", Some(catalog_of(definition())));
-    for (index, address) in targets.iter().enumerate() {
-        let target = announcement(&format!("t{index}"), &address.to_string());
-        store.put(
-            Topic::Targets,
-            &format!("t{index}"),
-            Some(Fact::Target(target)),
-        );
+    store.put(Topic::Operators, "config", Some(catalog_of(definition)));
+    for target in targets {
+        let id = target.target.id.clone();
+        store.put(Topic::Targets, &id, Some(Fact::Target(target)));
     }
     for other in others {
         let member = Member {
@@ -311,3 +326,69 @@
         assert!(!looks_complete(&answer), "{answer}");
     }
 }
+
+/// A plain answer through another gateway that its target stops at its time limit, where only the close of the target's
+/// connection marks the end.
+#[rstest]
+#[case::safe("/safe/")]
+#[case::unsafe_requests("/unsafe/")]
+#[tokio::test]
+async fn verify_plain_answer_through_another_gateway_that_stops_at_its_limit_is_not_delivered(
+    #[case] path: &str,
+) {
+    let script = Script {
+        media_type: Some("text/plain"),
+        body: "the first half",
+        ending: Ending::CloseAtLimit,
+        ..Script::default()
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let dead_end = DeadEnd::new(Cut::Refused).await;
+    let (cut_off, other) = (named("g0"), named("g1"));
+    start_gateway(&other, &[target.address; TARGETS], &[&cut_off]).await;
+    start_gateway(&cut_off, &[dead_end.address; TARGETS], &[&other]).await;
+    let mut calls = JoinSet::new();
+    for number in 0..20 {
+        let (address, path) = (cut_off.caller_address, path.to_owned());
+        calls.spawn(async move { call(address, &path, number).await });
+        time::sleep(CALL_INTERVAL).await;
+    }
+    for answer in calls.join_all().await {
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert!(target.request_count() > 0);
+}
+
+/// An answer through another gateway may take the memory of either gateway.
+#[rstest]
+#[case::first(SMALL_MEMORY_BYTES, LARGE_MEMORY_BYTES)]
+#[case::second(LARGE_MEMORY_BYTES, SMALL_MEMORY_BYTES)]
+#[tokio::test]
+async fn verify_answer_through_another_gateway_does_not_take_the_memory_of_either(
+    #[case] first_bytes: usize,
+    #[case] second_bytes: usize,
+) {
+    let script = Script {
+        media_type: Some("text/plain"),
+        body: Box::leak("a".repeat(SMALL_MEMORY_BYTES).into_boxed_str()),
+        framing: Framing::Length(SMALL_MEMORY_BYTES),
+        ending: Ending::Finish,
+    };
+    let target = MockTarget::start(Behaviour::Send(script)).await;
+    let dead_end = DeadEnd::new(Cut::Refused).await;
+    let with_memory = |name: &str, memory_bytes: usize| Settings {
+        memory_bytes,
+        ..named(name)
+    };
+    let (cut_off, other) = (
+        with_memory("g0", first_bytes),
+        with_memory("g1", second_bytes),
+    );
+    start_gateway(&other, &[target.address; TARGETS], &[&cut_off]).await;
+    start_gateway(&cut_off, &[dead_end.address; TARGETS], &[&other]).await;
+    for number in 0..10 {
+        let answer = call(cut_off.caller_address, "/unsafe/", number).await;
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{}", answer.len());
+    }
+    assert!(target.request_count() > 0);
+}
--- a/crates/proof/tests/floods.rs
+++ b/crates/proof/tests/floods.rs
@@ -4,16 +4,19 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use rstest::rstest;
-use sardinemux_proof::gateways::caller::{Caller, Kind, Outcome, Told};
+use sardinemux_proof::gateways::caller::{Caller, Kind, Outcome, Told, DEADLINE_MS};
 use sardinemux_proof::gateways::load::EVENTS;
-use sardinemux_proof::gateways::operator::KEY;
+use sardinemux_proof::gateways::operator::{HOST, KEY};
 use sardinemux_proof::gateways::{check, Fleet, Settings};
 use sardinemux_proof::soak::watch::Watch;
 use sardinemux_standin::replica::answer::Flood;
-use sardinemux_standin::replica::{Faults, Stats};
+use sardinemux_standin::replica::{header, Faults, Stats};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// The memory that the gateway may have, in megabytes.
 const MEMORY_MB: u64 = 64;
@@ -25,6 +28,10 @@
 const SOUND: usize = 4;
 const SOUND_REQUESTS: usize = 40;
 
+/// The callers that do not read, and the size of the buffer in which the rest of an answer waits on their side, in bytes.
+const UNREAD: usize = 200;
+const RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
+
 /// The body of an upload, and the number of uploads at once: more than the memory in all.
 const UPLOAD_BYTES: usize = 65_000;
 const UPLOADS: usize = 600;
@@ -61,6 +68,44 @@
     assert_eq!(breaches, [], "{:?}", watch.peaks(fleet).await);
 }
 
+/// Opens the connection of a caller that sends a request for a stream and reads nothing of the answer.
+async fn open_unread(fleet: &Fleet, number: usize) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    let mut stream = socket.connect(fleet.gateways[0].callers).await.unwrap();
+    let path = Kind::StreamOnce.route();
+    let (id, deadline) = (header::REQUEST_ID, header::DEADLINE_MS);
+    let head = format!(
+        "POST /{path}/ HTTP/1.1\r\nhost: {HOST}\r\napi-key: {KEY}\r\n{id}: unread{number}\r\n\
+         {deadline}: {DEADLINE_MS}\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Events that callers do not read wait in the library's buffers, which together fill the memory of the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_callers_that_do_not_read_do_not_take_the_memory_of_all() {
+    let fleet = start().await;
+    let faults = Faults {
+        flood: Flood::Events,
+        ..Faults::default()
+    };
+    set_faults(&fleet, 0..fleet.settings.engines, faults).await;
+    let watch = Watch::start(&fleet);
+    let mut unread = Vec::new();
+    for number in 0..UNREAD {
+        unread.push(open_unread(&fleet, number).await);
+    }
+    let mut sound = caller(&fleet);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(DEADLINE_MS) {
+        let outcome = sound.call(Kind::Write, 0).await;
+        assert_eq!(outcome.told, Told::Whole, "{outcome:?}");
+    }
+    assert_bounds(&watch, &fleet).await;
+}
+
 /// Answers without end fill the memory of the process, or hold up its other requests, and all of them end with it.
 #[rstest]
 #[case::pieces_of_an_answer(Kind::Write, Flood::Pieces)]
--- a/crates/standin/src/replica/answer.rs
+++ b/crates/standin/src/replica/answer.rs
@@ -41,6 +41,8 @@
     Pieces,
     /// One event.
     Event,
+    /// Large events, each of which ends.
+    Events,
     /// Line ends.
     LineEnds,
 }
@@ -54,6 +56,7 @@
         match self {
             Self::Pieces | Self::None => (4, 4_096),
             Self::Event => (16 << 10, 1),
+            Self::Events => (512 << 10, 1),
             Self::LineEnds => (64 << 10, 1),
         }
     }
@@ -200,12 +203,12 @@
 /// Returns an answer that ends only with the time for which its caller waits.
 pub(super) fn endless_response(flood: Flood, is_stream: bool, work: Work) -> Response<Body> {
     let (size, count) = flood.part();
-    let byte = if flood == Flood::LineEnds {
-        b'\n'
-    } else {
-        b'?'
+    let piece = match flood {
+        Flood::LineEnds => "\n".repeat(size),
+        Flood::Events => format!("data: {}\n\n", "?".repeat(size)),
+        Flood::None | Flood::Pieces | Flood::Event => "?".repeat(size),
     };
-    let piece = Bytes::from(vec![byte; size]);
+    let piece = Bytes::from(piece);
     let pieces = stream! {
         if flood == Flood::Event {
             yield Ok(Frame::data(Bytes::from_static(b"data: ")));
