Reuse an idle connection only once the request before has been sent

Cause: a connection was put among the idle ones with the rest of the body unsent, and the next request waited without a limit until it could be sent.

Change: the pool returns a connection only if it can take a request at once. Connections to targets and to other gateways share the pool.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -210,12 +210,15 @@
 }
 
 impl<K: Copy + Eq + Hash> IdlePool<K> {
-    /// Removes and returns an idle connection that the target still keeps open.
+    /// Removes and returns an idle connection that the target still keeps open, and that can take a request at once. A target
+    /// that answers early may still be reading the request before.
     pub fn take(&mut self, key: K) -> Option<Connection> {
         let now = Instant::now();
         let connections = self.idle.get_mut(&key)?;
         connections.retain(|idle| idle.expires_at > now && !idle.connection.is_closed());
-        connections.pop().map(|idle| idle.connection)
+        let is_ready = |idle: &Idle| idle.connection.sender.is_ready();
+        let index = connections.iter().rposition(is_ready)?;
+        Some(connections.remove(index).connection)
     }
 
     /// Adds a connection whose last answer was complete, unless the target already has `idle_max` idle connections.
