Keep a stream that is passed on at the build that its head states

Cause: a gateway that serves a resumable stream for another one states the build of the target whose head it sends, and until the first event it may go on at a target of any other build. The first gateway recorded the build of the head, and a caller that took the stream up got the rest from it.

Change: such a gateway is bound to the build that it has stated. If no target of it can go on, the stream breaks off before its first event, and the first gateway tries again within the attempts that are left.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -236,6 +236,11 @@
         if !self.inbound.is_resumption() {
             origins::begin(&self.gateway, &self.inbound, &build);
         }
+        self.restrict_to_build(build);
+    }
+
+    /// Lets only targets of a build go on with the stream.
+    pub fn restrict_to_build(&mut self, build: SmolStr) {
         // A target of which the build is not known shares it with no other one.
         self.builds = Some(match build.is_empty() {
             true => Vec::new(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -36,7 +36,9 @@
 
 /// Returns the response to a caller for a streamed answer. Its body ends with an error if the answer breaks off and
 /// cannot be resumed, so that it does not look complete.
-pub fn respond(serving: Serving, answer: Answer) -> Response<Body> {
+///
+/// The head states the build to another gateway, so that all events of the answer must come from it.
+pub fn respond(mut serving: Serving, answer: Answer) -> Response<Body> {
     serving.record_answer(answer.head.status);
     let head = answer.head.clone();
     let mut response = Response::new(Body::default());
@@ -45,6 +47,9 @@
         .extensions_mut()
         .insert(Build(answer.build.clone()));
     let is_resumable = serving.inbound().route.kind == Kind::Stream { is_resumable: true };
+    if is_resumable && serving.inbound().hop.is_some() {
+        serving.restrict_to_build(answer.build.clone());
+    }
     // Streaming routes answer with events unless the head states another type.
     let has_events = answer.is_event_stream() || answer.content_type().is_none();
     *response.body_mut() = match is_resumable || has_events {
--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -16,7 +16,7 @@
 
 use fleet::{catalog_of, Store};
 use harness::mock::{Behaviour, Ending, Framing, MockTarget, Script};
-use harness::{announcement, exchange, looks_complete, wait_until_serving};
+use harness::{announcement, exchange, header, looks_complete, wait_until_serving};
 use rstest::rstest;
 use sardinemux_core::catalog::Definition;
 use sardinemux_core::roster::Announcement;
@@ -359,6 +359,64 @@
     assert!(target.request_count() > 0);
 }
 
+/// A stream that another gateway passes on is bound to the build in the head of its answer, so that the events of a second
+/// target are taken for those of another build, at which the stream then goes on.
+#[tokio::test]
+async fn verify_stream_through_another_gateway_has_the_build_of_its_first_event() {
+    const REQUESTS: usize = 40;
+    let broken = Script {
+        framing: Framing::Chunks,
+        ending: Ending::Reset,
+        ..Script::default()
+    };
+    let before_events = MockTarget::start(Behaviour::Send(broken)).await;
+    let in_events = MockTarget::start(Behaviour::BreakStream).await;
+    let whole = MockTarget::start(Behaviour::Stream).await;
+    let list = |id: &str, address: SocketAddr, build: &str| {
+        let mut announcement = announcement(id, &address.to_string());
+        announcement.target.build = build.into();
+        announcement
+    };
+    let reached = vec![
+        list("t0", before_events.address, "v1"),
+        list("t1", in_events.address, "v2"),
+        list("t2", whole.address, "v1"),
+    ];
+    let dead_end = DeadEnd::new(Cut::Refused).await;
+    let unreached = reached
+        .iter()
+        .map(|target| list(&target.target.id, dead_end.address, &target.target.build));
+    let unreached = unreached.collect();
+    let mut definition = definition();
+    for route in &mut definition.routes {
+        route.attempts_max = 8;
+    }
+    let (cut_off, other) = (named("g0"), named("g1"));
+    start_gateway_of(definition.clone(), &other, reached, &[&cut_off]).await;
+    start_gateway_of(definition, &cut_off, unreached, &[&other]).await;
+    let mut calls = JoinSet::new();
+    for number in 0..REQUESTS {
+        let address = cut_off.caller_address;
+        calls.spawn(async move { call(address, "/resumable/", number).await });
+        time::sleep(CALL_INTERVAL / 3).await;
+    }
+    let answers = calls.join_all().await;
+    assert!(before_events.request_count() > 0);
+    assert!(answers.iter().any(|answer| answer.contains("data: x")));
+    let broken = answers.iter().filter(|answer| answer.contains("data: a"));
+    let broken: Vec<String> = broken
+        .map(|answer| header(answer, "x-id").unwrap())
+        .collect();
+    assert!(!broken.is_empty());
+    for id in broken {
+        let headers = format!("last-event-id: 2\r\nx-resumes: {id}\r\n");
+        let request = harness::request("POST", "/resumable/", &headers, "p");
+        let request = request.replace("x-id: r1", &format!("x-id: {id}-again"));
+        let rest = exchange(cut_off.caller_address, &request).await;
+        assert!(!rest.contains("data: x"), "{id}: {rest}");
+    }
+}
+
 /// An answer through another gateway may take the memory of either gateway.
 #[rstest]
 #[case::first(SMALL_MEMORY_BYTES, LARGE_MEMORY_BYTES)]
