--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -154,9 +154,9 @@
     ///
     /// let budget = Arc::new(Budget::new(1_600));
     /// let mut endless = Share::new(budget.clone(), Class::Answer);
-    /// assert!(endless.try_resize(750));
-    /// assert!(!endless.try_resize(751));
-    /// assert!(Share::new(budget.clone(), Class::Answer).try_resize(375));
+    /// assert!(endless.try_resize(700));
+    /// assert!(!endless.try_resize(701));
+    /// assert!(Share::new(budget.clone(), Class::Answer).try_resize(350));
     /// drop(endless);
     /// assert_eq!(budget.used(), 0);
     /// ```
