Read orders of rollouts, and read and write their statuses

Operators order a rollout in op/rollout/SERVICE and read its status from status/rollout/SERVICE. The adapter had no such keys, so that an order was logged as unreadable and nothing was written. Gateways of an earlier build cannot decode an entry of the new kind; they get it as unreadable, which they skip. Nothing acts on an order yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod readers;
 pub mod reports;
 pub mod retry;
+pub mod rollout;
 pub mod roster;
 pub mod slot_share;
 pub mod stream;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -59,6 +59,8 @@
 struct Appendix {
     /// The era of the positions in the message.
     era: Era,
+    /// Whether the sender of a query reads orders of rollouts. A build that does not cannot decode a batch that holds one.
+    reads_rollouts: bool,
 }
 
 /// The answer to a query.
@@ -114,6 +116,7 @@
     let id = query.id;
     let appendix = Appendix {
         era: since.and_then(|since| since.era),
+        reads_rollouts: true,
     };
     let query = appendix::encode(&query, &appendix).context(EncodeSnafu)?;
     let request = Request::post("/news")
@@ -203,12 +206,16 @@
     let Ok((query, appendix)) = query else {
         return Ok(empty_response(StatusCode::BAD_REQUEST));
     };
-    let answer = Answer {
+    let mut answer = Answer {
         id: query.id,
         update: wait_for_update(&gateway, query, appendix.map(|it| it.era)).await,
     };
+    if !appendix.unwrap_or_default().reads_rollouts {
+        replication::hide_rollouts(&mut answer.update.batch);
+    }
     let appendix = Appendix {
         era: answer.update.batch.position.era,
+        ..Appendix::default()
     };
     let bytes = appendix::encode(&answer, &appendix).context(EncodeSnafu);
     Ok(match bytes {
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -349,6 +349,16 @@
     }
 }
 
+/// Replaces the orders of rollouts in a batch for a gateway of an earlier build, which would otherwise reject the whole batch.
+pub fn hide_rollouts(batch: &mut Batch) {
+    for entry in &mut batch.entries {
+        if matches!(entry.fact, Some(Fact::Rollout(_))) {
+            let reason = "the order of a rollout, which this build does not know";
+            entry.fact = Some(Fact::Unreadable(reason.into()));
+        }
+    }
+}
+
 /// Replaces each catalogue patch in a batch by the catalogue that results from it.
 ///
 /// Returns `false` if a patch does not fit the version in force. The batch is not applied then, so that the entries are
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -9,6 +9,7 @@
 use sardinemux_core::catalog::Definition;
 use sardinemux_core::origin::{Epoch, Origin, Proposal};
 use sardinemux_core::position::{Era, Position};
+use sardinemux_core::rollout::{Order, Status};
 use sardinemux_core::roster::Announcement;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -73,6 +74,8 @@
     Patch(Arc<Patch>),
     /// An availability zone that is evacuated: it gets no new requests.
     Evacuated(SmolStr),
+    /// The order of a rollout. Gateways of earlier builds do not know it, so that it is sent only to those that state that they do.
+    Rollout(Order),
     /// A target.
     Target(Announcement),
     /// A gateway.
@@ -175,6 +178,34 @@
 /// Reads the record of a stream, if there is one.
 pub type FindOrigin = Box<dyn Fn(u64) -> BoxFuture<'static, Result<Option<Origin>>> + Send + Sync>;
 
+/// The status of a pool's rollout, and the position at which it was written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredStatus {
+    /// The status; `None` if the store has none, or one that cannot be decoded.
+    pub status: Option<Status>,
+    /// The position of the entry, with the version zero if there is none.
+    pub position: Position,
+}
+
+/// A status of a rollout, which is written only if the entry has the expected version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatusProposal {
+    /// The name of the pool.
+    pub pool: SmolStr,
+    /// The new status.
+    pub status: Status,
+    /// The position that the entry must have. Its version is zero if there must be none.
+    pub expected: Position,
+}
+
+/// Reads the status of a pool's rollout.
+pub type ReadStatus =
+    Box<dyn Fn(SmolStr) -> BoxFuture<'static, Result<StoredStatus>> + Send + Sync>;
+
+/// Writes the status of a pool's rollout if the entry has the expected version. Returns whether it had.
+pub type WriteStatus =
+    Box<dyn Fn(StatusProposal) -> BoxFuture<'static, Result<bool>> + Send + Sync>;
+
 /// Returns the era of the store, as far as its answers have shown it.
 pub type CurrentEra = Box<dyn Fn() -> Era + Send + Sync>;
 
@@ -199,6 +230,10 @@
     pub record_origins: RecordOrigins,
     /// Reads where a stream began.
     pub find_origin: FindOrigin,
+    /// Reads the status of a pool's rollout.
+    pub read_status: ReadStatus,
+    /// Writes the status of a pool's rollout.
+    pub write_status: WriteStatus,
     /// Returns the last era that the store has stated in any answer.
     pub era: CurrentEra,
 }
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -14,7 +14,7 @@
 use sardinemux_core::position::{Era, Position};
 use sardinemux_gateway::settings::Settings;
 use sardinemux_gateway::source::{
-    self, Batch, Entry, Fact, Held, Member, Source, Topic, WATCH_WAIT,
+    self, Batch, Entry, Fact, Held, Member, Source, StoredStatus, Topic, WATCH_WAIT,
 };
 use smol_str::SmolStr;
 use tokio::time;
@@ -235,6 +235,14 @@
                 let found = finds.origin(stream);
                 async move { Ok(found) }.boxed()
             }),
+            read_status: Box::new(|_| {
+                let none = StoredStatus {
+                    status: None,
+                    position: Position::default(),
+                };
+                async { Ok(none) }.boxed()
+            }),
+            write_status: Box::new(|_| async { Ok(true) }.boxed()),
             era: Box::new(move || eras.era()),
         }
     }
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -18,6 +18,7 @@
 use sardinemux_core::catalog::{Definition, Kind, Limits, Organisation, Pool, Route, Share};
 use sardinemux_core::hash;
 use sardinemux_core::origin::{Epoch, Origin, Proposal};
+use sardinemux_core::position::Position;
 use sardinemux_core::prompt::{Part, Prompt};
 use sardinemux_core::roster::Announcement;
 use sardinemux_core::target::{self, Target};
@@ -25,7 +26,7 @@
 use sardinemux_gateway::prelude::Gateway;
 use sardinemux_gateway::run;
 use sardinemux_gateway::settings::{Bounds, Settings};
-use sardinemux_gateway::source::{Batch, Entry, Fact, Source, Topic};
+use sardinemux_gateway::source::{Batch, Entry, Fact, Source, StoredStatus, Topic};
 use smol_str::SmolStr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -307,6 +308,14 @@
             let found = streams.lock().get(&stream).cloned();
             async move { Ok(found) }.boxed()
         }),
+        read_status: Box::new(|_| {
+            let none = StoredStatus {
+                status: None,
+                position: Position::default(),
+            };
+            async { Ok(none) }.boxed()
+        }),
+        write_status: Box::new(|_| async { Ok(true) }.boxed()),
         era: Box::new(|| None),
     }
 }
