Move traffic between builds by the orders of operators

Gateways choose the build of each request, count failures and times of both builds, and send the counts to the first two gateways in a ranking of the live ones. The first one states the share of the new build, rolls a bad build back and writes the status.

--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -23,6 +23,16 @@
     pub tried: &'a [Key],
     /// The builds of which the target must be; `None` if any will do.
     pub builds: Option<&'a [SmolStr]>,
+    /// The targets of which it must be one; `None` if any will do.
+    pub only: Option<&'a [Key]>,
+}
+
+impl Criteria<'_> {
+    /// Returns whether the request may go to a target, apart from its state.
+    fn admits(&self, key: Key, target: &Target) -> bool {
+        self.builds.is_none_or(|it| it.contains(&target.build))
+            && self.only.is_none_or(|it| it.contains(&key))
+    }
 }
 
 /// Added to the load of a target in another availability zone, for requests without a subject.
@@ -280,6 +290,18 @@
     })
 }
 
+/// Returns the targets of a pool with the requests that this router has in flight on each.
+pub fn running_in_pool<'a>(
+    roster: &'a Roster,
+    pool: &'a str,
+) -> impl Iterator<Item = (&'a Target, u32)> + 'a {
+    let targets = roster.table.iter_pool(pool);
+    targets.filter_map(|(key, target)| {
+        let condition = roster.conditions.get(&key)?;
+        Some((target, condition.running))
+    })
+}
+
 fn sum_with(roster: &Roster, others: impl Fn(Number) -> u32) -> Vec<(Number, u32)> {
     let sums = roster.table.iter().filter_map(|(key, target)| {
         let number = Number::of(&target.id);
@@ -316,7 +338,7 @@
         .iter_pool(criteria.pool)
         .filter(|(key, _)| is_eligible(roster, *key, now_ms) && !criteria.tried.contains(key))
         .filter(|(key, _)| !is_paused(roster, *key, now_ms))
-        .filter(|(_, target)| criteria.builds.is_none_or(|it| it.contains(&target.build)))
+        .filter(|(key, target)| criteria.admits(*key, target))
         .map(|(key, target)| Candidate {
             key,
             load: f64::from(load(roster, key, now_ms)),
@@ -324,7 +346,7 @@
             is_limited: is_limited(roster, key, now_ms),
         })
         .collect();
-    let bound = load_bound(roster, criteria.pool, now_ms);
+    let bound = load_bound(roster, criteria, now_ms);
     let sort_key = |candidate: &Candidate| {
         let is_deferred = is_in_backoff(roster, candidate.key, now_ms)
             || is_outlier(roster, candidate.key, now_ms);
@@ -351,16 +373,16 @@
 ///
 /// The mean is that of all listed targets, as the deployment's bound is judged by it. While many of them get no requests, it falls
 /// below the mean of the eligible ones, which some of these exceed however requests are placed.
-fn load_bound(roster: &Roster, pool: &str, now_ms: u64) -> f64 {
+fn load_bound(roster: &Roster, criteria: Criteria<'_>, now_ms: u64) -> f64 {
     let mut all = Mean::default();
     let mut eligible = Mean::default();
-    for (key, _) in roster.table.iter_pool(pool) {
+    for (key, target) in roster.table.iter_pool(criteria.pool) {
         if is_limited(roster, key, now_ms) {
             continue;
         }
         let load = f64::from(load(roster, key, now_ms));
         all.add(load);
-        if is_eligible(roster, key, now_ms) {
+        if is_eligible(roster, key, now_ms) && criteria.admits(key, target) {
             eligible.add(load);
         }
     }
@@ -418,6 +440,7 @@
         zone: "",
         tried: &[],
         builds: None,
+        only: None,
     };
     roster
         .table
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -75,6 +75,7 @@
                     zone: "z1",
                     tried: &[],
                     builds: None,
+                    only: None,
                 };
                 let key = query::rank_targets(roster, criteria, now_ms)[0];
                 let id = query::target(roster, key).unwrap().id.clone();
--- a/crates/core/tests/pauses.rs
+++ b/crates/core/tests/pauses.rs
@@ -101,6 +101,7 @@
                 zone: "z1",
                 tried: &[],
                 builds: None,
+                only: None,
             };
             let ranked = query::rank_targets(roster, criteria, now_ms);
             let shares = Shares::default();
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -104,6 +104,7 @@
         zone: "z0",
         tried: &[],
         builds: None,
+        only: None,
     }
 }
 
--- a/crates/core/tests/support/placement.rs
+++ b/crates/core/tests/support/placement.rs
@@ -315,6 +315,7 @@
             zone: "z0",
             tried: &[],
             builds: None,
+            only: None,
         };
         let roster = &mut self.rosters[gateway];
         let key = query::rank_targets(roster, criteria, self.now_ms)[0];
--- a/crates/core/tests/support/rates.rs
+++ b/crates/core/tests/support/rates.rs
@@ -184,6 +184,7 @@
             zone: "z",
             tried: &[],
             builds: None,
+            only: None,
         };
         let ranked = query::rank_targets(&gateway.roster, criteria, now_ms);
         let taken = ranked.into_iter().find(|key| {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -26,6 +26,7 @@
 use crate::quarantine;
 use crate::reply::{self, Body, BUFFERED_MAX_BYTES};
 use crate::request::{self, Inbound, Rejection};
+use crate::rollouts::{self, Choice};
 use crate::stream;
 use crate::whole::{self, Collector, Excess, Unread, Whole};
 
@@ -55,6 +56,8 @@
     /// The builds at which the request may run, if it is for a resumable stream: those at which one may begin or, once its
     /// first event has been forwarded, the one that sent it.
     builds: Option<Vec<SmolStr>>,
+    /// The side of a rollout that the request goes to.
+    rollout: Choice,
     /// The other gateways through which the request was sent.
     through: Vec<SmolStr>,
     /// Whether no target can serve the request later either, so that the caller is given no delay after which to return.
@@ -156,6 +159,7 @@
     if let Err(failure) = serving.bind_builds().await {
         return serving.fail(failure);
     }
+    serving.choose_build();
     loop {
         let answer = match serving.dispatch(None).await {
             Ok(answer) => answer,
@@ -190,6 +194,7 @@
             is_trial: false,
             retry_after: None,
             builds: None,
+            rollout: Choice::None,
             through: Vec::new(),
             is_final: false,
         }
@@ -220,7 +225,9 @@
         };
         let is_routed = |share: &Share| share.pool == pool && share.weight > 0;
         let is_served = pool == self.inbound.pool || route.shares.iter().any(is_routed);
-        if !is_served || !origins::is_listed(&self.gateway, &pool, &build) {
+        let may_go_on = origins::is_listed(&self.gateway, &pool, &build)
+            && rollouts::is_allowed(&self.gateway, &pool, &build);
+        if !is_served || !may_go_on {
             self.is_final = true;
             return Err(self.failure(Reason::Origin));
         }
@@ -231,6 +238,14 @@
         Ok(())
     }
 
+    /// Chooses the side of a rollout for a request that does not go on with a stream.
+    fn choose_build(&mut self) {
+        if !self.inbound.is_resumption() {
+            let id = self.inbound.id.as_bytes();
+            self.rollout = rollouts::choose(&self.gateway, &self.inbound.pool, id);
+        }
+    }
+
     /// Binds the stream to the build that has sent its first event, and records that unless the caller takes the stream up.
     pub fn bind_to_build(&mut self, build: SmolStr) {
         if !self.inbound.is_resumption() {
@@ -241,6 +256,7 @@
 
     /// Lets only targets of a build go on with the stream.
     pub fn restrict_to_build(&mut self, build: SmolStr) {
+        self.rollout = Choice::None;
         // A target of which the build is not known shares it with no other one.
         self.builds = Some(match build.is_empty() {
             true => Vec::new(),
@@ -455,6 +471,11 @@
             framing = answer.framing().name(), reason = reason.name();
             "answer broke off"
         );
+        if evidence == Evidence::TransportError {
+            let target = (self.last_target.id.as_str(), answer.build.as_str());
+            let (pool, route) = (&self.inbound.pool, &self.inbound.route.name);
+            rollouts::record(&self.gateway, pool, route, target, rollouts::Event::Failed);
+        }
         answer.in_flight.set_evidence(evidence);
         let key = answer.in_flight.key;
         drop(answer);
--- a/crates/gateway/src/answer/response.rs
+++ b/crates/gateway/src/answer/response.rs
@@ -80,7 +80,7 @@
             level,
             request_id:% = inbound.id_text(), route:% = inbound.route.name, organisation = organisation.unwrap_or("none"),
             pool:% = inbound.pool, target_id:% = self.last_target.id, build:% = self.last_target.build, through:% = self.last_target.gateway, resumes:% = request::header_text(inbound.resumes.as_ref()), status = status.as_u16(), tried = self.tried.len(), ran = self.attempts.possible_runs,
-            candidates = candidates, held_back = skipped, load = load,
+            rollout = self.rollout.name(), candidates = candidates, held_back = skipped, load = load,
             content:% = quarantine::Hex(inbound.content),
             elapsed_ms = elapsed.as_millis() as u64, left_ms = inbound.remaining().as_millis() as u64, version = catalog.version();
             "answered"
--- a/crates/gateway/src/answer/selection.rs
+++ b/crates/gateway/src/answer/selection.rs
@@ -13,6 +13,7 @@
 use crate::hop;
 use crate::prelude::*;
 use crate::quarantine;
+use crate::rollouts::{self, Choice};
 
 /// The largest number of other gateways through which one request is sent.
 const THROUGH_MAX: usize = 3;
@@ -31,6 +32,10 @@
     ///
     /// A [`Failure`] if no further attempt is allowed or possible.
     pub(super) async fn connect(&mut self) -> std::result::Result<Ready, Failure> {
+        // A repeated request tells little about the new build, and its caller has waited once.
+        if self.attempts.has_arrived() && self.rollout == Choice::New {
+            self.change_side();
+        }
         loop {
             if self.inbound.remaining().is_zero() {
                 return Err(self.failure(Reason::Waited));
@@ -48,6 +53,9 @@
                 }
             }
             let Some((in_flight, target)) = self.select_target() else {
+                if self.change_side() {
+                    continue;
+                }
                 if self.may_wait_for_slot() {
                     time::sleep(SLOT_POLL_INTERVAL).await;
                     continue;
@@ -69,6 +77,13 @@
         }
     }
 
+    /// Lets a request whose side of a rollout has no target for it go to the other side. Returns whether it does.
+    fn change_side(&mut self) -> bool {
+        let other = rollouts::other_choice(&self.gateway, &self.inbound.pool, self.rollout);
+        self.rollout = other.unwrap_or(self.rollout);
+        other.is_some()
+    }
+
     /// Returns whether the request may wait for one of this gateway's slots on brittle targets: until half of its latency
     /// objective has passed, so that it can still be met, or refused early.
     fn may_wait_for_slot(&self) -> bool {
@@ -108,8 +123,15 @@
     /// Returns whether a target may get new requests.
     pub(super) fn is_eligible(&self, key: Key) -> bool {
         let now_ms = self.gateway.now_ms();
-        let roster = self.gateway.roster.lock();
-        query::is_eligible(&roster, key, now_ms) && !query::is_paused(&roster, key, now_ms)
+        let target = {
+            let roster = self.gateway.roster.lock();
+            let is_usable =
+                query::is_eligible(&roster, key, now_ms) && !query::is_paused(&roster, key, now_ms);
+            query::target(&roster, key)
+                .filter(|_| is_usable)
+                .map(|target| (target.pool.clone(), target.build.clone()))
+        };
+        target.is_some_and(|(pool, build)| rollouts::is_allowed(&self.gateway, &pool, &build))
     }
 
     /// Returns the time after which the caller may return, if all targets of the pool want no requests now. It is spread, so that
@@ -125,12 +147,15 @@
     /// Returns the eligible targets that have not been tried, the best one first.
     fn rank_targets(&self) -> Vec<Key> {
         let inbound = &self.inbound;
+        let bound = self.builds.as_deref();
+        let restriction = rollouts::restrict(&self.gateway, &inbound.pool, self.rollout, bound);
         let criteria = Criteria {
             pool: &inbound.pool,
             subject: inbound.prompt.prefix_id(),
             zone: &self.gateway.settings.zone,
             tried: &self.tried,
-            builds: self.builds.as_deref(),
+            builds: restriction.builds.as_deref(),
+            only: restriction.targets.as_deref(),
         };
         query::rank_targets(&self.gateway.roster.lock(), criteria, self.gateway.now_ms())
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -25,6 +25,7 @@
 use crate::prelude::*;
 use crate::quarantine::Hex;
 use crate::request::Inbound;
+use crate::rollouts::{self, Event};
 use crate::whole::Whole;
 
 /// The time without an answer over a new connection after which the path to the target may be lost. As a sound target may be
@@ -250,7 +251,24 @@
     inbound.is_sent.store(true, Ordering::Relaxed);
     let gateway = ready.in_flight.gateway.clone();
     let target_id = ready.target.id.clone();
+    let build = ready.target.build.clone();
+    let is_direct = ready.gateway.is_none();
+    let record = |event: Event| {
+        if is_direct {
+            let (pool, route) = (&inbound.pool, &inbound.route.name);
+            rollouts::record(&gateway, pool, route, (&target_id, &build), event);
+        }
+    };
+    record(Event::Sent);
+    let sent_at = Instant::now();
     let outcome = exchange(&gateway, inbound, ready, terms, first_byte_deadline).await;
+    match &outcome {
+        AttemptOutcome::Answer(answer) if !answer.head.status.is_server_error() => {
+            record(Event::Answered(sent_at.elapsed()));
+        }
+        AttemptOutcome::Answer(_) | AttemptOutcome::Unknown { .. } => record(Event::Failed),
+        AttemptOutcome::NotRun { .. } => {}
+    }
     record_outcome(&gateway, inbound, &target_id, &outcome);
     outcome
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod reply;
 pub mod reports;
 pub mod request;
+pub mod rollouts;
 pub mod run;
 pub mod settings;
 pub mod source;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,8 @@
 //! The Prometheus metrics of a gateway: counters, gauges and latency histograms.
 
 use prometheus::{
-    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry,
 };
 use sardinemux_core::catalog::Catalog;
 use snafu::ResultExt;
@@ -57,6 +58,10 @@
     pub attempts: IntCounterVec,
     /// Ends of targets' streams, by framing and outcome.
     pub stream_ends: IntCounterVec,
+    /// The share of the new build in the rollout of a pool, from 0 to 1.
+    pub rollout_share: GaugeVec,
+    /// Calls to the store for the statuses of rollouts, by call and outcome.
+    pub rollout_calls: IntCounterVec,
     /// Calls to the store, by topic and outcome.
     pub store_calls: IntCounterVec,
     /// Requests that other gateways have passed on to this one, by outcome: `answered` or `failed`.
@@ -134,6 +139,18 @@
                     "Ends of the streams of targets",
                     &["framing", "outcome"],
                 )?,
+                rollout_share: GaugeVec::new(
+                    Opts::new(
+                        "gateway_rollout_share",
+                        "The share of the new build in the rollout of a pool",
+                    ),
+                    &["pool"],
+                )?,
+                rollout_calls: counters(
+                    "gateway_rollout_calls_total",
+                    "Calls to the store for the statuses of rollouts",
+                    &["call", "outcome"],
+                )?,
                 store_calls: counters(
                     "gateway_store_calls_total",
                     "Calls to the store",
@@ -214,11 +231,13 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 23] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 25] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
             Box::new(metrics.stream_ends.clone()),
+            Box::new(metrics.rollout_share.clone()),
+            Box::new(metrics.rollout_calls.clone()),
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.hops.clone()),
             Box::new(metrics.resumptions.clone()),
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -14,6 +14,7 @@
 
 use crate::prelude::*;
 use crate::relay::{Change, Log, Update};
+use crate::rollouts;
 use crate::source::{self, Batch, Entry, Fact, Topic};
 
 /// How long an evacuation stays in force that a store which came back from an older copy lacks, in milliseconds: the time in
@@ -44,6 +45,8 @@
     /// The number of suspensions of the process before the last successful call to the store, or to a gateway that
     /// follows it. If there have been more since then, the entries may be out of date.
     pub(crate) refreshed_suspensions: u64,
+    /// The pools whose rollout is ordered, by the key of their entry.
+    pub(crate) ordered: IndexMap<SmolStr, SmolStr>,
     /// The evacuated availability zones, by the key of their entry.
     pub evacuated: IndexMap<SmolStr, Evacuation>,
 }
@@ -270,6 +273,12 @@
                 };
                 evacuated.insert(entry.key, evacuation);
             }
+            Some(Fact::Rollout(order)) => {
+                with_view(gateway, Topic::Operators, |view| {
+                    view.ordered.insert(entry.key, order.pool.clone());
+                });
+                rollouts::note_order(gateway, order);
+            }
             Some(Fact::Unreadable(reason)) => {
                 log::warn!(
                     key:% = entry.key, version = entry.position.version, reason:% = reason;
@@ -285,6 +294,12 @@
             }
             None => {
                 evacuated.shift_remove(&entry.key);
+                let pool = with_view(gateway, Topic::Operators, |view| {
+                    view.ordered.shift_remove(&entry.key)
+                });
+                if let Some(pool) = pool {
+                    rollouts::note_withdrawal(gateway, &pool);
+                }
             }
         }
     }
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -26,6 +26,7 @@
 use crate::prelude::*;
 use crate::quarantine;
 use crate::replication;
+use crate::rollouts;
 use crate::source::{Member, Topic};
 use crate::supplement::{self, Supplement};
 use crate::suspension;
@@ -183,6 +184,10 @@
                 send_supplements(&socket, &supplement::statements(&gateway), &recipients);
                 send_supplements(&socket, &origins::news(&gateway), &recipients);
                 send_supplements(&socket, &hop::news(&gateway), &recipients);
+                send_supplements(&socket, &rollouts::news(&gateway), &recipients);
+                for (address, counts) in rollouts::decider::datagrams(&gateway) {
+                    send_datagram(&socket, &counts, &[address]);
+                }
                 gateway.remove_expired();
                 round += 1;
                 schedule.set_role(&gateway);
@@ -480,6 +485,10 @@
         )) => hop::receive_news(gateway, name, pools),
         Ok((Supplement::Origins(records), _)) => origins::receive_records(gateway, records),
         Ok((Supplement::Sum(sum), _)) => receive_sum(gateway, sum),
+        Ok((Supplement::Rollouts(news), _)) => rollouts::receive_news(gateway, news),
+        Ok((Supplement::Observation(counted), _)) => {
+            rollouts::receive_observation(gateway, *counted);
+        }
         Err(error) => {
             log::warn!(sender:% = sender, error:% = error; "failed to decode a supplement to a report; ignored");
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -10,6 +10,7 @@
 use crate::drain::{Limits, Phase};
 use crate::errors::SignalSnafu;
 use crate::prelude::*;
+use crate::rollouts::decider;
 use crate::settings::Settings;
 use crate::source::{Member, Source, Topic};
 use crate::{caller, follow, hop, internal, origins, peers, quarantine, reports, store_writes};
@@ -59,6 +60,7 @@
     tokio::spawn(hop::probe(gateway.clone()));
     tokio::spawn(origins::follow(gateway.clone(), source.clone()));
     tokio::spawn(origins::record_streams(gateway.clone(), source.clone()));
+    tokio::spawn(decider::run(gateway.clone(), source.clone()));
     tokio::spawn(store_writes::run(gateway.clone(), source.clone()));
     let settings = &gateway.settings;
     tokio::try_join!(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use sardinemux_core::rollout;
 use sardinemux_host::prelude::*;
 use smol_str::SmolStr;
 
@@ -51,6 +52,8 @@
     pub retry_extra: f64,
     /// The largest load of a target, as a multiple of the mean load of its pool.
     pub load_multiple: f64,
+    /// The bounds of rollouts.
+    pub rollout: rollout::Settings,
 }
 
 /// The longest grace period that can be set, in milliseconds.
@@ -66,7 +69,7 @@
 const MEGABYTE: f64 = 1e6;
 
 /// The keys of the settings file.
-pub const KEYS: [Key; 16] = [
+pub const KEYS: [Key; 18] = [
     Key::new(
         "instance",
         "name",
@@ -175,6 +178,20 @@
         Some("2"),
         "The most that a target may carry, as a multiple of its pool's mean load.",
     ),
+    Key::new(
+        "rollout",
+        "exposure_share",
+        Kind::Fraction { most: 1 },
+        Some("0.1"),
+        "The largest share of a pool's requests that a bad build may get during its rollout.",
+    ),
+    Key::new(
+        "rollout",
+        "exposure_slack",
+        Kind::Fraction { most: 1_000_000 },
+        Some("50"),
+        "The requests that a bad build may get beyond that share.",
+    ),
 ];
 
 impl Settings {
@@ -205,6 +222,10 @@
                 retry_ratio: values.fraction("limits", "retry_ratio")?,
                 retry_extra: values.fraction("limits", "retry_extra")?,
                 load_multiple: values.fraction("limits", "load_multiple")?,
+                rollout: rollout::Settings {
+                    exposure_share: values.fraction("rollout", "exposure_share")?,
+                    exposure_slack: values.fraction("rollout", "exposure_slack")?,
+                },
             },
         })
     }
@@ -218,6 +239,7 @@
                 retry_ratio: 0.0,
                 retry_extra: 0.0,
                 load_multiple: 0.0,
+                rollout: rollout::Settings::default(),
             },
             ..self.clone()
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -34,6 +34,7 @@
 use crate::prelude::*;
 use crate::quarantine::{Alarm, Quarantine};
 use crate::replication::View;
+use crate::rollouts::Rollouts;
 use crate::settings::{Bounds, Settings};
 use crate::source::Topic;
 
@@ -78,6 +79,8 @@
     pub quarantine_alarm: Alarm,
     /// Where resumable streams began.
     pub origins: Origins,
+    /// The rollouts of builds.
+    pub rollouts: Rollouts,
     /// The paths of this gateway and others to targets.
     pub reach: Mutex<Reach>,
     /// Idle connections to other gateways, for requests that these send to targets.
@@ -132,6 +135,7 @@
             quarantine: Mutex::default(),
             quarantine_alarm: Alarm::default(),
             origins: Origins::default(),
+            rollouts: Rollouts::default(),
             reach: Mutex::default(),
             idle_hops: Mutex::default(),
             idle_connections: Mutex::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -25,6 +25,7 @@
 use crate::origins;
 use crate::prelude::*;
 use crate::reply::{Body, BodyError};
+use crate::rollouts::{self, Event};
 use crate::whole;
 
 /// The interval at which a chunk that waits for memory tries to get it.
@@ -103,6 +104,8 @@
     target: Recipient,
     framing: &'static str,
     is_event_stream: bool,
+    /// When the head of the answer had arrived.
+    began_at: Instant,
 }
 
 impl Origin {
@@ -114,6 +117,7 @@
             },
             framing: answer.framing().name(),
             is_event_stream: answer.is_event_stream(),
+            began_at: Instant::now(),
         }
     }
 }
@@ -148,6 +152,7 @@
         target,
         framing,
         is_event_stream,
+        began_at,
     } = origin;
     let outcome = cause.map_or("complete", |cause| cause.reason.name());
     serving
@@ -156,6 +161,7 @@
         .stream_ends
         .with_label_values(&[*framing, outcome])
         .inc();
+    record_rollout_event(serving, target, progress.events, *began_at, cause);
     let request_id = serving.inbound().id_text();
     let last_event = progress.last_event.unwrap_or_default();
     let unfinished_bytes = progress.unfinished_bytes;
@@ -176,6 +182,26 @@
     }
 }
 
+/// Counts the end of a stream for the rollout of its pool.
+fn record_rollout_event(
+    serving: &Serving,
+    target: &Recipient,
+    events: u64,
+    began_at: Instant,
+    cause: Option<BodyError>,
+) {
+    let is_direct = target.gateway.is_empty();
+    let event = match (cause, u32::try_from(events)) {
+        _ if !is_direct => return,
+        (Some(_), _) => Event::Failed,
+        (None, Ok(events)) if events > 1 => Event::Paced(began_at.elapsed() / events),
+        (None, _) => return,
+    };
+    let (inbound, gateway) = (serving.inbound(), serving.gateway());
+    let target = (target.id.as_str(), target.build.as_str());
+    rollouts::record(gateway, &inbound.pool, &inbound.route.name, target, event);
+}
+
 /// Forwards an answer that is not a stream of events, chunk by chunk.
 fn forward_chunks(serving: Serving, mut answer: Answer) -> Body {
     let chunks = stream! {
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -12,6 +12,7 @@
 
 use crate::appendix;
 use crate::prelude::*;
+use crate::rollouts::{News, Observation};
 
 /// The first byte of a supplement. MessagePack, in which reports are encoded, never begins with it.
 const MARKER: u8 = 0xc1;
@@ -48,6 +49,10 @@
     Leaving(Vec<leaving::Notice>),
     /// The requests in flight that a collector has summed up. Only gateways that report to collectors get it.
     Sum(Message),
+    /// The latest directives of rollouts.
+    Rollouts(Vec<News>),
+    /// What the sender has counted of a rollout. Only the gateways that decide it get that.
+    Observation(Box<Observation>),
 }
 
 /// The appendix of a supplement with positions.
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -132,6 +132,7 @@
             retry_ratio: 0.2,
             retry_extra: 50.0,
             load_multiple: 2.0,
+            rollout: sardinemux_core::rollout::Settings::default(),
         },
     }
 }
