Keep a new build a canary for nine tenths of its ramp

The new build now gets four hundredths of the traffic for nine tenths of the ramp, at few targets that carry somewhat more load than those of the former build, and all gateways are told at once when it gets all traffic or is rolled back.

--- a/crates/core/src/rollout/counters.rs
+++ b/crates/core/src/rollout/counters.rs
@@ -257,7 +257,9 @@
 
     /// Returns what all gateways have counted in the last `window_ms`, as far as that is known.
     pub fn recent(&self, window_ms: u64, now_ms: u64) -> Sums {
-        let begin_ms = now_ms.saturating_sub(window_ms);
+        let Some(begin_ms) = now_ms.checked_sub(window_ms) else {
+            return self.sums();
+        };
         let mut before = self.history.iter().rev();
         let base = before.find(|(at_ms, _)| *at_ms <= begin_ms);
         let mut sums = self.sums();
--- a/crates/core/src/rollout/plan.rs
+++ b/crates/core/src/rollout/plan.rs
@@ -1,29 +1,34 @@
 //! The share of the new build over the time of a rollout.
 //!
-//! With the ramp `R`, the new build is a canary until `CANARY_PART * R`. Until then it gets at most half of the exposure that a bad build
-//! is allowed. From then on its share doubles each `DOUBLING_PART * R` until it is 1, so that the rest of the ramp is left for the
-//! requests that are in flight at the former build.
+//! With the ramp `R`, the new build is a canary until `CANARY_PART * R`. Until then it gets at most `USED_PART` of the exposure that a bad
+//! build is allowed. From then on its share doubles each `DOUBLING_PART * R` until it is 1. A build that turns bad later than all evidence
+//! could show still gets about the allowed exposure until `R`:
+//!
+//! `USED_PART * exposure_share * CANARY_PART + (1 - CANARY_PART) <= exposure_share * (1 + USED_PART)`, with the default share.
+//!
+//! The rest of the ramp is left for the requests that are in flight at the former build.
 
 use super::Settings;
 
 /// The part of the ramp in which the new build is a canary. Builds that turn bad late, or under load, are found out in this time.
-const CANARY_PART: f64 = 0.5;
+const CANARY_PART: f64 = 0.9;
 
 /// The part of the ramp in which the share doubles after that.
-const DOUBLING_PART: f64 = 0.05;
+const DOUBLING_PART: f64 = 0.005;
 
 /// The part of the allowed exposure that is used.
-const USED_PART: f64 = 0.5;
+const USED_PART: f64 = 0.4;
 
 /// The largest share of a canary, whatever the slack allows.
 const CANARY_SHARE_MAX: f64 = 0.25;
 
-/// The smallest number of answers of the new build without which it stays a canary, as long as the ramp lasts.
-const ANSWERS_MIN: u64 = 20;
-
-/// The smallest number of targets that get requests.
+/// The smallest number of targets that get requests. A verdict needs failures at several targets.
 const TARGETS_MIN: u32 = 3;
 
+/// The load of a canary target, as a multiple of that of a target of the former build. A build may be bad only under more load than usual, which
+/// the traffic may bring later.
+const CANARY_LOAD: f64 = 1.5;
+
 /// What the share depends on.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Progress {
@@ -51,7 +56,7 @@
 /// };
 /// assert!(at(1_000, 5, 300) < 0.1);
 /// assert_eq!(at(3_000, 150, 900), 0.0);
-/// assert_eq!(at(11_000, 400, 3_300), 1.0);
+/// assert_eq!(at(11_200, 150, 3_300), 1.0);
 /// ```
 pub fn share(settings: Settings, progress: Progress) -> f64 {
     let Progress {
@@ -68,7 +73,7 @@
     let expected_all = all as f64 / canary_position.max(f64::EPSILON);
     let canary = USED_PART * settings.exposure_share + slack / expected_all.max(1.0);
     let canary = canary.min(CANARY_SHARE_MAX);
-    if position < CANARY_PART || new < ANSWERS_MIN && position < 1.0 - DOUBLING_PART {
+    if position < CANARY_PART {
         return match (new as f64) < allowed {
             true => canary,
             false => 0.0,
@@ -78,19 +83,19 @@
     (canary * doublings.exp2()).min(1.0)
 }
 
-/// Returns the number of targets of the new build that get requests, so that each has about the load of a target of the former build.
+/// Returns the number of targets of the new build that get requests, so that each has somewhat more load than a target of the former build.
 ///
 /// # Examples
 ///
 /// ```
 /// use sardinemux_core::rollout::plan;
 ///
-/// assert_eq!(plan::targets(0.05, 90, 90), 5);
+/// assert_eq!(plan::targets(0.1, 90, 90), 6);
 /// assert_eq!(plan::targets(0.01, 90, 90), 3);
 /// assert_eq!(plan::targets(1.0, 90, 60), 60);
 /// ```
 pub fn targets(share: f64, former: u32, new: u32) -> u32 {
-    let loaded = (share * f64::from(former)).ceil() as u32;
+    let loaded = (share * f64::from(former) / CANARY_LOAD).ceil() as u32;
     match share >= 1.0 {
         true => new,
         false => loaded.max(TARGETS_MIN).min(new),
--- a/crates/core/src/rollout/verdict.rs
+++ b/crates/core/src/rollout/verdict.rs
@@ -12,9 +12,9 @@
 use super::counters::{Count, Histogram, Key, Ledger, Spread, Sums};
 use super::Side;
 
-/// The windows in which the builds are compared, in milliseconds. The short one finds a build that has just turned bad, the long one
-/// a build that is bad on a route with little traffic.
-const WINDOWS_MS: [u64; 2] = [1_500, 6_000];
+/// The windows in which the builds are compared, in milliseconds. The short one finds a build that has just turned bad, the longer ones
+/// a build that is bad on a route with little traffic. The last one is the whole rollout.
+const WINDOWS_MS: [u64; 3] = [1_500, 6_000, u64::MAX];
 
 /// The smallest z-score of a difference. By chance alone, one in 30,000 comparisons exceeds it, and a rollout makes a few hundred.
 const Z_MIN: f64 = 4.0;
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -347,6 +347,10 @@
         })
         .collect();
     let bound = load_bound(roster, criteria, now_ms);
+    // The few targets that are chosen beforehand get no more than the bound, since others can serve the request.
+    if criteria.only.is_some() {
+        candidates.retain(|candidate| candidate.load < bound);
+    }
     let sort_key = |candidate: &Candidate| {
         let is_deferred = is_in_backoff(roster, candidate.key, now_ms)
             || is_outlier(roster, candidate.key, now_ms);
@@ -382,7 +386,12 @@
         }
         let load = f64::from(load(roster, key, now_ms));
         all.add(load);
-        if is_eligible(roster, key, now_ms) && criteria.admits(key, target) {
+        // Few chosen targets must not set the bound for themselves.
+        let is_counted = match criteria.only {
+            Some(_) => !criteria.admits(key, target),
+            None => criteria.admits(key, target),
+        };
+        if is_eligible(roster, key, now_ms) && is_counted {
             eligible.add(load);
         }
     }
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -211,6 +211,10 @@
                     send_supplements(&socket, &notices, &recipients);
                 }
             }
+            () = gateway.rollouts.wait_for_urgent() => {
+                let everyone = gateway.members.lock().recent_addresses(gateway.now_ms());
+                send_supplements(&socket, &rollouts::news(&gateway), &everyone);
+            }
             () = gateway.origins.wait_for_datagrams() => {
                 for (address, records) in origins::take_datagrams(&gateway) {
                     send_datagram(&socket, &records, &[address]);
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -63,6 +63,8 @@
     start: u32,
     /// Wakes the decider when there is an order or a final directive.
     change: Notify,
+    /// Wakes the task that sends reports when all gateways must learn of a directive at once.
+    urgent: Notify,
 }
 
 impl Default for Rollouts {
@@ -71,10 +73,18 @@
             known: Mutex::default(),
             start: rand::random(),
             change: Notify::new(),
+            urgent: Notify::new(),
         }
     }
 }
 
+impl Rollouts {
+    /// Waits until all gateways must learn of a directive at once.
+    pub async fn wait_for_urgent(&self) {
+        self.urgent.notified().await;
+    }
+}
+
 /// What gateways tell each other of a rollout.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
--- a/crates/gateway/src/rollouts/decider.rs
+++ b/crates/gateway/src/rollouts/decider.rs
@@ -41,7 +41,7 @@
 
 /// The shortest time between the moment at which all requests go to the new build and the end of the rollout, in milliseconds: all gateways
 /// have learned of the share by then.
-const DRAIN_MIN_MS: u64 = 1_000;
+const DRAIN_MIN_MS: u64 = 750;
 
 /// How long a rollout waits beyond its ramp for requests in flight at the former build, in milliseconds.
 const DRAIN_EXTRA_MS: u64 = 2_000;
@@ -67,6 +67,8 @@
     position: Option<Position>,
     /// The status that the store holds, as far as that is known, and the era in which it was read or written.
     stored: Option<(Status, Era)>,
+    /// The state of which all gateways have been told at once.
+    told: Option<State>,
     /// When the store may be called again, in milliseconds.
     store_retry_ms: u64,
 }
@@ -196,6 +198,10 @@
             apply_directive(gateway, pool, &decision.build, next);
         }
     }
+    let is_urgent = next.state.is_final() || next.share >= 1.0;
+    if is_urgent && std::mem::replace(&mut decision.told, Some(next.state)) != Some(next.state) {
+        gateway.rollouts.urgent.notify_one();
+    }
 }
 
 /// Reads the status from the store, and writes that the rollout is active unless it has ended. Returns whether the rollout may go on.
