Let one gateway confirm the final status of a rollout

Directives now state whether the store holds the final state; only the first gateway of the ranking checks it again after a new era of the store.

--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -102,6 +102,8 @@
     pub share: f64,
     /// The number of targets of the new build that get requests.
     pub targets: u32,
+    /// Whether the store is known to hold a final state, so that no other gateway has to write it.
+    pub is_stored: bool,
 }
 
 impl Directive {
@@ -112,15 +114,17 @@
     /// ```
     /// use sardinemux_core::rollout::{Directive, State};
     ///
-    /// let first = Directive { term: 1, elapsed_ms: 250, state: State::Active, share: 0.05, targets: 3 };
+    /// let first = Directive { term: 1, elapsed_ms: 250, state: State::Active, share: 0.05, targets: 3, is_stored: false };
     /// let ended = Directive { state: State::RolledBack, share: 0.0, ..first };
     /// let late = Directive { term: 2, elapsed_ms: 500, ..first };
     /// assert!(ended.replaces(&first));
     /// assert!(!late.replaces(&ended));
+    /// assert!(Directive { is_stored: true, ..ended }.replaces(&ended));
     /// ```
     pub fn replaces(&self, known: &Self) -> bool {
         match (self.state.is_final(), known.state.is_final()) {
-            (_, true) => false,
+            (true, true) => self.is_stored && !known.is_stored,
+            (false, true) => false,
             (true, false) => true,
             (false, false) => (self.term, self.elapsed_ms) > (known.term, known.elapsed_ms),
         }
--- a/crates/gateway/src/rollouts/decider.rs
+++ b/crates/gateway/src/rollouts/decider.rs
@@ -166,7 +166,9 @@
     let known_term = directive.map_or(0, |it| it.term);
     decision.term = decision.term.filter(|term| *term >= known_term);
     let silent_ms = now_ms.saturating_sub(heard_ms);
-    let is_first = rank == 0 || silent_ms >= rank as u64 * TAKEOVER_MS;
+    // The first one also checks what the store holds once it has come back from an older copy.
+    let is_settled = directive.is_some_and(|it| it.state.is_final() && it.is_stored);
+    let is_first = rank == 0 || !is_settled && silent_ms >= rank as u64 * TAKEOVER_MS;
     if decision.term.is_none() && is_first {
         decision.term = Some(known_term + 1);
         decision.began_ms = now_ms;
@@ -176,8 +178,12 @@
         return;
     };
     if let Some(last) = directive.filter(|last| last.state.is_final()) {
-        if rank == 0 || silent_ms >= rank as u64 * TAKEOVER_MS {
-            confirm(gateway, source, pool, decision, last.state).await;
+        if confirm(gateway, source, pool, decision, last.state).await && !last.is_stored {
+            let stored = Directive {
+                is_stored: true,
+                ..last
+            };
+            apply_directive(gateway, pool, &decision.build, stored);
         }
         return;
     }
@@ -191,7 +197,11 @@
         // Nothing may be in flight at the former build when the store holds this, so that it is stated only afterwards.
         State::Complete => {
             if write(gateway, source, pool, decision, State::Complete).await {
-                apply_directive(gateway, pool, &decision.build, next);
+                let stored = Directive {
+                    is_stored: true,
+                    ..next
+                };
+                apply_directive(gateway, pool, &decision.build, stored);
             }
         }
         State::Active | State::RolledBack => {
@@ -233,6 +243,7 @@
                 state: status.state,
                 share: f64::from(u8::from(status.state == State::Complete)),
                 targets: 0,
+                is_stored: true,
             };
             apply_directive(gateway, pool, &decision.build, directive);
             false
@@ -273,6 +284,7 @@
             state: State::Active,
             share: 0.0,
             targets: 0,
+            is_stored: false,
         };
         let evidence = verdict::judge(&rollout.ledger, now_ms);
         if evidence.is_some() || rollout.is_withdrawn {
@@ -345,14 +357,14 @@
     );
 }
 
-/// Makes sure that the store holds the final state of a rollout, also after the store has come back from an older copy.
+/// Makes sure that the store holds the final state of a rollout, also after the store has come back from an older copy. Returns whether it does.
 async fn confirm(
     gateway: &Gateway,
     source: &Source,
     pool: &SmolStr,
     decision: &mut Decision,
     state: State,
-) {
+) -> bool {
     let era = gateway.era.borrow().era;
     let is_confirmed = |decision: &Decision| {
         let stored = decision.stored.as_ref();
@@ -361,11 +373,12 @@
         })
     };
     if is_confirmed(decision) {
-        return;
+        return true;
     }
-    if read(gateway, source, pool, decision).await && !is_confirmed(decision) {
-        write(gateway, source, pool, decision, state).await;
+    if !read(gateway, source, pool, decision).await {
+        return false;
     }
+    is_confirmed(decision) || write(gateway, source, pool, decision, state).await
 }
 
 async fn write(
