Keep final statuses, tell late gateways, and bound the messages of rollouts

A decider that had written "active" read the position anew before it wrote "complete", and so overwrote a final status that another decider had written in between. It now takes over a final status that it finds. A replaced order is rolled back also while its successor has no targets, and such a wait is logged.

A gateway that starts after the end of a rollout got no directive, as others tell of it for 10 s only, and read the status only as a decider. It now reads the status after 2 s without a directive.

Observations are split until each datagram has at most 1,400 bytes, and directives that have hardly changed are sent every 500 ms. Canary targets are taken from the availability zones in turn, so that one sick zone is not taken for a bad build.

--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -184,7 +184,7 @@
                 send_supplements(&socket, &supplement::statements(&gateway), &recipients);
                 send_supplements(&socket, &origins::news(&gateway), &recipients);
                 send_supplements(&socket, &hop::news(&gateway), &recipients);
-                send_supplements(&socket, &rollouts::news(&gateway), &recipients);
+                send_supplements(&socket, &rollouts::take_news(&gateway), &recipients);
                 for (address, counts) in rollouts::decider::datagrams(&gateway) {
                     send_datagram(&socket, &counts, &[address]);
                 }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -26,6 +26,12 @@
 /// asks the store.
 const FINAL_NEWS_MS: u64 = 10_000;
 
+/// The time after which an unchanged directive is sent again, in milliseconds. 32 recipients every 250 ms would get more than 10 KB a second.
+const NEWS_INTERVAL_MS: u64 = 500;
+
+/// The change of the share that is sent without that delay, as a part of the share.
+const SHARE_CHANGE: f64 = 0.1;
+
 /// The largest number of counts in one tally. One takes up to 60 bytes beside its zeros.
 const COUNTS_MAX: usize = 8;
 
@@ -43,6 +49,8 @@
     heard_ms: u64,
     /// The number of suspensions of the process when the directive was received.
     suspensions: u64,
+    /// The directive that was sent last with the reports, and when, in milliseconds.
+    sent: Option<(Directive, u64)>,
     /// Whether the order has been removed.
     is_withdrawn: bool,
     /// The builds whose rollout was replaced or rolled back before. They get no requests.
@@ -166,6 +174,7 @@
         directive: None,
         heard_ms: now_ms,
         suspensions: *gateway.suspensions.borrow(),
+        sent: None,
         is_withdrawn: false,
         rejected: rejected.unwrap_or_default(),
         replaced: Vec::new(),
@@ -215,6 +224,16 @@
         self.directive.map_or(State::Active, |it| it.state)
     }
 
+    /// Returns whether a directive must be sent with the next reports.
+    fn is_due(&self, directive: &Directive, now_ms: u64) -> bool {
+        self.sent.is_none_or(|(sent, at_ms)| {
+            let change = (directive.share - sent.share).abs();
+            now_ms.saturating_sub(at_ms) >= NEWS_INTERVAL_MS
+                || (directive.state, directive.is_stored) != (sent.state, sent.is_stored)
+                || change > SHARE_CHANGE * sent.share
+        })
+    }
+
     /// Returns the share of the new build that this gateway may send now.
     fn share(&self, suspensions: u64, now_ms: u64) -> f64 {
         let Some(directive) = self.directive else {
@@ -342,19 +361,29 @@
     }
 }
 
-/// Returns the targets of a new build that get requests while it is a canary: the first ones in an order that all gateways share.
+/// Returns the targets of a new build that get requests while it is a canary: the first ones in an order that all gateways share. They are taken
+/// from the availability zones in turn, so that a sick zone has no larger part of them than of the former build's targets.
 fn canary_targets(gateway: &Gateway, pool: &str, build: &str, count: u32) -> Vec<target::Key> {
     let now_ms = gateway.now_ms();
     let roster = gateway.roster.lock();
     let eligible = query::eligible(&roster, pool, now_ms).into_iter();
     let found = eligible.filter_map(|key| {
         let target = query::target(&roster, key).filter(|target| target.build == build)?;
-        Some((hash::digest(&[b"canary", target.id.as_bytes()]), key))
+        let position = hash::digest(&[b"canary", target.id.as_bytes()]);
+        Some((position, key, target.zone.clone()))
+    });
+    let mut found: Vec<(u64, target::Key, SmolStr)> = found.collect();
+    found.sort_unstable_by_key(|(position, _, _)| *position);
+    let mut taken: IndexMap<SmolStr, u32> = IndexMap::new();
+    let turns = found.into_iter().map(|(position, key, zone)| {
+        let turn = taken.entry(zone).or_default();
+        *turn += 1;
+        (*turn, position, key)
     });
-    let mut found: Vec<(u64, target::Key)> = found.collect();
-    found.sort_unstable();
-    found.truncate(count as usize);
-    found.into_iter().map(|(_, key)| key).collect()
+    let mut turns: Vec<(u32, u64, target::Key)> = turns.collect();
+    turns.sort_unstable_by_key(|(turn, position, _)| (*turn, *position));
+    turns.truncate(count as usize);
+    turns.into_iter().map(|(_, _, key)| key).collect()
 }
 
 /// Returns whether requests may go to a build of a pool now. One that was rolled back, replaced or withdrawn gets none, also if a stream began
@@ -475,6 +504,28 @@
     found
 }
 
+/// Returns the datagrams that tell others of the latest directives with the reports, and records that they are sent. A directive that has hardly
+/// changed is sent less often.
+pub fn take_news(gateway: &Gateway) -> Vec<Vec<u8>> {
+    if is_idle(gateway) {
+        return Vec::new();
+    }
+    let now_ms = gateway.now_ms();
+    let is_due = {
+        let mut known = gateway.rollouts.known.lock();
+        let due = known.values_mut().filter_map(|rollout| {
+            let directive = rollout.directive.filter(|it| rollout.is_due(it, now_ms))?;
+            rollout.sent = Some((directive, now_ms));
+            Some(())
+        });
+        due.count() > 0
+    };
+    match is_due {
+        true => news(gateway),
+        false => Vec::new(),
+    }
+}
+
 /// Returns the datagrams that tell others of the latest directives.
 pub fn news(gateway: &Gateway) -> Vec<Vec<u8>> {
     if is_idle(gateway) {
--- a/crates/gateway/src/rollouts/decider.rs
+++ b/crates/gateway/src/rollouts/decider.rs
@@ -16,11 +16,16 @@
 use sardinemux_core::{hash, roster::query};
 use tokio::time;
 
-use super::{apply_directive, listed_builds, observations, receive_observation, Rollout};
+use super::{
+    apply_directive, listed_builds, observations, receive_observation, Observation, Rollout,
+};
 use crate::prelude::*;
 use crate::source::{Source, StatusProposal, StoredStatus, Topic};
 use crate::supplement::{self, Supplement};
 
+/// The largest size of a datagram between gateways, in bytes.
+const DATAGRAM_MAX_BYTES: usize = 1_400;
+
 /// The interval at which rollouts are decided.
 const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -52,6 +57,13 @@
 /// The delay before a failed call to the store is repeated, in milliseconds.
 const STORE_RETRY_MS: u64 = 300;
 
+/// How long a gateway that does not decide waits for the first directive before it reads the status itself, in milliseconds. Directives of an
+/// active rollout reach all gateways sooner.
+const LOOK_UP_MS: u64 = 2_000;
+
+/// The time between two such reads, in milliseconds.
+const LOOK_UP_INTERVAL_MS: u64 = 10_000;
+
 /// What this gateway does as a decider of one rollout.
 #[derive(Clone, Debug, Default)]
 struct Decision {
@@ -127,8 +139,7 @@
             let addresses = deciders.iter().filter_map(|name| members.address(name));
             addresses.collect()
         };
-        let bytes = supplement::encode(&Supplement::Observation(Box::new(observation.clone())));
-        if let Some(bytes) = bytes {
+        for bytes in encode_parts(observation.clone()) {
             found.extend(addresses.iter().map(|address| (*address, bytes.clone())));
         }
         if is_decider {
@@ -138,6 +149,28 @@
     found
 }
 
+/// Encodes an observation as datagrams, which are halved until each has the size that may be sent.
+pub fn encode_parts(observation: Observation) -> Vec<Vec<u8>> {
+    let mut left = vec![observation];
+    let mut parts = Vec::new();
+    while let Some(mut whole) = left.pop() {
+        let encoded = supplement::encode(&Supplement::Observation(Box::new(whole.clone())));
+        let Some(bytes) = encoded else {
+            continue;
+        };
+        let count = whole.tally.counts.len();
+        if bytes.len() <= DATAGRAM_MAX_BYTES || count < 2 {
+            parts.push(bytes);
+            continue;
+        }
+        let counts = whole.tally.counts.split_off(count / 2);
+        let mut rest = whole.clone();
+        rest.tally.counts = counts;
+        left.extend([whole, rest]);
+    }
+    parts
+}
+
 async fn decide(gateway: &Gateway, source: &Source, pool: &SmolStr, decision: &mut Decision) {
     let now_ms = gateway.now_ms();
     let names = ranked(gateway, pool);
@@ -175,10 +208,13 @@
         log::info!(pool:% = pool, build:% = decision.build, term = known_term + 1, rank = rank; "deciding a rollout");
     }
     let Some(term) = decision.term else {
+        if directive.is_none() && silent_ms >= LOOK_UP_MS {
+            look_up(gateway, source, pool, decision).await;
+        }
         return;
     };
     if let Some(last) = directive.filter(|last| last.state.is_final()) {
-        if confirm(gateway, source, pool, decision, last.state).await && !last.is_stored {
+        if confirm(gateway, source, pool, decision, last).await && !last.is_stored {
             let stored = Directive {
                 is_stored: true,
                 ..last
@@ -193,23 +229,33 @@
     let Some(next) = next_directive(gateway, pool, decision, term) else {
         return;
     };
-    match next.state {
+    let stated = match next.state {
         // Nothing may be in flight at the former build when the store holds this, so that it is stated only afterwards.
         State::Complete => {
-            if write(gateway, source, pool, decision, State::Complete).await {
-                let stored = Directive {
+            // The other decider may have ended the rollout since the status was read last.
+            decision.position = None;
+            if read(gateway, source, pool, decision).await && adopt(gateway, pool, decision) {
+                return;
+            }
+            let is_written = decision.position.is_some()
+                && write(gateway, source, pool, decision, State::Complete).await;
+            // While the store does not answer, directives of the active rollout go on, so that no other gateway takes over.
+            match is_written {
+                true => Directive {
                     is_stored: true,
                     ..next
-                };
-                apply_directive(gateway, pool, &decision.build, stored);
+                },
+                false => Directive {
+                    state: State::Active,
+                    ..next
+                },
             }
         }
-        State::Active | State::RolledBack => {
-            apply_directive(gateway, pool, &decision.build, next);
-        }
-    }
-    let is_urgent = next.state.is_final() || next.share >= 1.0;
-    if is_urgent && std::mem::replace(&mut decision.told, Some(next.state)) != Some(next.state) {
+        State::Active | State::RolledBack => next,
+    };
+    apply_directive(gateway, pool, &decision.build, stated);
+    let is_urgent = stated.state.is_final() || stated.share >= 1.0;
+    if is_urgent && decision.told.replace(stated.state) != Some(stated.state) {
         gateway.rollouts.urgent.notify_one();
     }
 }
@@ -223,31 +269,26 @@
 ) -> bool {
     let is_begun = |decision: &Decision| {
         let stored = decision.stored.as_ref();
-        stored.is_some_and(|(status, _)| status.build == decision.build)
+        stored.is_some_and(|(status, _)| {
+            status.build == decision.build && status.state == State::Active
+        })
     };
     if is_begun(decision) {
         return true;
     }
-    let has_targets = listed_builds(gateway, pool)
-        .iter()
-        .any(|(build, _)| *build == decision.build);
-    if !has_targets || !read(gateway, source, pool, decision).await {
+    let has_targets = has_targets(gateway, pool, &decision.build);
+    // Without targets, the status is read once: an order that was replaced is rolled back at once.
+    if !has_targets && decision.position.is_some() {
+        return false;
+    }
+    if !read(gateway, source, pool, decision).await {
         return false;
     }
     let former = decision.stored.as_ref().map(|(status, _)| status.clone());
+    if adopt(gateway, pool, decision) {
+        return false;
+    }
     match former {
-        Some(status) if status.build == decision.build && status.state.is_final() => {
-            let directive = Directive {
-                term: decision.term.unwrap_or_default(),
-                elapsed_ms: 0,
-                state: status.state,
-                share: f64::from(u8::from(status.state == State::Complete)),
-                targets: 0,
-                is_stored: true,
-            };
-            apply_directive(gateway, pool, &decision.build, directive);
-            false
-        }
         Some(status) if status.build == decision.build => true,
         // An order that replaces another one ends that rollout first.
         Some(status) if status.state == State::Active => {
@@ -258,10 +299,50 @@
             write_status(gateway, source, pool, decision, ended).await;
             false
         }
+        _ if !has_targets => {
+            log::warn!(pool:% = pool, build:% = decision.build; "a rollout waits: no target of the pool announces the build");
+            false
+        }
         _ => write(gateway, source, pool, decision, State::Active).await,
     }
 }
 
+/// Returns whether targets of a build are listed in a pool.
+fn has_targets(gateway: &Gateway, pool: &str, build: &str) -> bool {
+    let listed = listed_builds(gateway, pool);
+    listed.iter().any(|(it, _)| it == build)
+}
+
+/// Takes over the final status of the store, if a gateway that does not decide has heard nothing of an ordered rollout. A gateway that starts
+/// after the end of a rollout gets no directive from others.
+async fn look_up(gateway: &Gateway, source: &Source, pool: &SmolStr, decision: &mut Decision) {
+    if !has_targets(gateway, pool, &decision.build) || !read(gateway, source, pool, decision).await
+    {
+        return;
+    }
+    decision.store_retry_ms = gateway.now_ms() + LOOK_UP_INTERVAL_MS;
+    adopt(gateway, pool, decision);
+}
+
+/// Puts the final state in force that the store holds of the rollout. Returns whether there is one.
+fn adopt(gateway: &Gateway, pool: &str, decision: &Decision) -> bool {
+    let stored = decision.stored.as_ref().map(|(status, _)| status);
+    let ended = stored.filter(|it| it.build == decision.build && it.state.is_final());
+    let Some(status) = ended else {
+        return false;
+    };
+    let directive = Directive {
+        term: decision.term.unwrap_or_default(),
+        elapsed_ms: 0,
+        state: status.state,
+        share: f64::from(u8::from(status.state == State::Complete)),
+        targets: 0,
+        is_stored: true,
+    };
+    apply_directive(gateway, pool, &decision.build, directive);
+    true
+}
+
 /// Returns the next directive of a rollout that is active; `None` if it is not due.
 fn next_directive(
     gateway: &Gateway,
@@ -363,8 +444,9 @@
     source: &Source,
     pool: &SmolStr,
     decision: &mut Decision,
-    state: State,
+    last: Directive,
 ) -> bool {
+    let state = last.state;
     let era = gateway.era.borrow().era;
     let is_confirmed = |decision: &Decision| {
         let stored = decision.stored.as_ref();
@@ -378,7 +460,14 @@
     if !read(gateway, source, pool, decision).await {
         return false;
     }
-    is_confirmed(decision) || write(gateway, source, pool, decision, state).await
+    if is_confirmed(decision) {
+        return true;
+    }
+    // Another decider may have written the other final state first. Operators act on what the store holds, so that it prevails.
+    if !last.is_stored && adopt(gateway, pool, decision) {
+        return false;
+    }
+    write(gateway, source, pool, decision, state).await
 }
 
 async fn write(
