--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -12,9 +12,10 @@
 use sardinemux_core::catalog::Definition;
 use sardinemux_core::origin::{Origin, Proposal};
 use sardinemux_core::position::{Era, Position};
+use sardinemux_core::rollout::Status;
 use sardinemux_gateway::settings::Settings;
 use sardinemux_gateway::source::{
-    self, Batch, Entry, Fact, Held, Member, Source, StoredStatus, Topic, WATCH_WAIT,
+    self, Batch, Entry, Fact, Held, Member, Source, StatusProposal, StoredStatus, Topic, WATCH_WAIT,
 };
 use smol_str::SmolStr;
 use tokio::time;
@@ -46,6 +47,14 @@
     hang_count: u64,
     /// Whether the next write of the origins of streams gets no answer.
     loses_answer: bool,
+    /// The statuses of rollouts by pool, each with its version.
+    statuses: IndexMap<SmolStr, (Status, u64)>,
+    /// All statuses that were written.
+    written: Vec<Status>,
+    /// The number of calls for statuses.
+    status_calls: usize,
+    /// Whether calls for statuses fail.
+    rejects_statuses: bool,
 }
 
 impl State {
@@ -98,6 +107,49 @@
         self.0.lock().loses_answer = true;
     }
 
+    /// Lets calls for the statuses of rollouts fail, or succeed again.
+    pub fn reject_statuses(&self, is_rejecting: bool) {
+        self.0.lock().rejects_statuses = is_rejecting;
+    }
+
+    /// Returns all statuses of rollouts that were written.
+    pub fn statuses(&self) -> Vec<Status> {
+        self.0.lock().written.clone()
+    }
+
+    /// Returns the number of calls for the statuses of rollouts.
+    pub fn status_calls(&self) -> usize {
+        self.0.lock().status_calls
+    }
+
+    fn read_status(&self, pool: &SmolStr) -> source::Result<StoredStatus> {
+        let mut state = self.0.lock();
+        state.status_calls += 1;
+        if state.rejects_statuses {
+            return Err(source::Error::Refused { status: 429 });
+        }
+        let found = state.statuses.get(pool);
+        let version = found.map_or(0, |(_, version)| *version);
+        Ok(StoredStatus {
+            status: found.map(|(status, _)| status.clone()),
+            position: Position::new(state.era, version),
+        })
+    }
+
+    fn write_status(&self, proposal: StatusProposal) -> source::Result<bool> {
+        let found = self.read_status(&proposal.pool)?;
+        if found.position.version != proposal.expected.version {
+            return Ok(false);
+        }
+        let mut state = self.0.lock();
+        state.version += 1;
+        let version = state.version;
+        state.written.push(proposal.status.clone());
+        let written = (proposal.status, version);
+        state.statuses.insert(proposal.pool, written);
+        Ok(true)
+    }
+
     /// Rejects every list and watch from now on.
     pub fn reject_all(&self) {
         self.0.lock().rejects_all = true;
@@ -193,7 +245,7 @@
         let (lists, watches, enlists) = (self.clone(), self.clone(), self.clone());
         let holds = self.clone();
         let (advances, records, finds) = (self.clone(), self.clone(), self.clone());
-        let eras = self.clone();
+        let (eras, reads, writes) = (self.clone(), self.clone(), self.clone());
         let (lister, watcher) = (name.clone(), name.clone());
         Source {
             list: Box::new(move |topic| {
@@ -235,14 +287,14 @@
                 let found = finds.origin(stream);
                 async move { Ok(found) }.boxed()
             }),
-            read_status: Box::new(|_| {
-                let none = StoredStatus {
-                    status: None,
-                    position: Position::default(),
-                };
-                async { Ok(none) }.boxed()
+            read_status: Box::new(move |pool| {
+                let found = reads.read_status(&pool);
+                async move { found }.boxed()
+            }),
+            write_status: Box::new(move |proposal| {
+                let written = writes.write_status(proposal);
+                async move { written }.boxed()
             }),
-            write_status: Box::new(|_| async { Ok(true) }.boxed()),
             era: Box::new(move || eras.era()),
         }
     }
