Read orders of rollouts that a gateway of an earlier build passes on

A reader of an earlier build holds the entry of an order as one that it cannot decode, and passes that on, so that a fleet whose readers are all of that build never learnt of an order. A gateway that gets an entry whose key the reader does not know now lists the operators' entries once, within a second, and puts the orders in force.

--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -10,12 +10,16 @@
 use sardinemux_core::catalog::Catalog;
 use sardinemux_core::position::Position;
 use sardinemux_core::readers::ReaderState;
+use sardinemux_core::rollout::Order;
 use sardinemux_core::roster::{command, query, Announcement};
 
 use crate::prelude::*;
 use crate::relay::{Change, Log, Update};
 use crate::rollouts;
-use crate::source::{self, Batch, Entry, Fact, Topic};
+use crate::source::{self, Batch, Entry, Fact, Topic, UNKNOWN_KEY};
+
+/// What a gateway of an earlier build gets in place of the order of a rollout. It may pass that on to one of this build.
+const HIDDEN_ROLLOUT: &str = "the order of a rollout, which this build does not know";
 
 /// How long an evacuation stays in force that a store which came back from an older copy lacks, in milliseconds: the time in
 /// which operators write again what the copy lacks.
@@ -273,17 +277,15 @@
                 };
                 evacuated.insert(entry.key, evacuation);
             }
-            Some(Fact::Rollout(order)) => {
-                with_view(gateway, Topic::Operators, |view| {
-                    view.ordered.insert(entry.key, order.pool.clone());
-                });
-                rollouts::note_order(gateway, order);
-            }
+            Some(Fact::Rollout(order)) => apply_order(gateway, entry.key, order),
             Some(Fact::Unreadable(reason)) => {
                 log::warn!(
                     key:% = entry.key, version = entry.position.version, reason:% = reason;
                     "cannot decode an entry of the operators; the previous one stays in force"
                 );
+                if reason == UNKNOWN_KEY || reason == HIDDEN_ROLLOUT {
+                    rollouts::note_unknown(gateway);
+                }
             }
             Some(_) => {}
             // An older copy of the store may lack the evacuation. Operators write it again then.
@@ -306,6 +308,22 @@
     set_evacuated(gateway, evacuated);
 }
 
+fn apply_order(gateway: &Gateway, key: SmolStr, order: Order) {
+    with_view(gateway, Topic::Operators, |view| {
+        view.ordered.insert(key, order.pool.clone());
+    });
+    rollouts::note_order(gateway, order);
+}
+
+/// Puts the orders of rollouts in a list of the store in force. The reader of the other entries, of an earlier build, could not decode them.
+pub fn apply_orders(gateway: &Gateway, batch: Batch) {
+    for entry in batch.entries {
+        if let Some(Fact::Rollout(order)) = entry.fact {
+            apply_order(gateway, entry.key, order);
+        }
+    }
+}
+
 /// Ends the evacuations that a store which came back from an older copy lacks, and that operators have not written again.
 pub fn remove_unconfirmed(gateway: &Gateway) {
     let now_ms = gateway.now_ms();
@@ -368,8 +386,7 @@
 pub fn hide_rollouts(batch: &mut Batch) {
     for entry in &mut batch.entries {
         if matches!(entry.fact, Some(Fact::Rollout(_))) {
-            let reason = "the order of a rollout, which this build does not know";
-            entry.fact = Some(Fact::Unreadable(reason.into()));
+            entry.fact = Some(Fact::Unreadable(HIDDEN_ROLLOUT.into()));
         }
     }
 }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -71,6 +71,8 @@
     start: u32,
     /// Wakes the decider when there is an order or a final directive.
     change: Notify,
+    /// Wakes the task that reads entries that an earlier build could not decode.
+    unknown: Notify,
     /// Wakes the task that sends reports when all gateways must learn of a directive at once.
     urgent: Notify,
 }
@@ -81,6 +83,7 @@
             known: Mutex::default(),
             start: rand::random(),
             change: Notify::new(),
+            unknown: Notify::new(),
             urgent: Notify::new(),
         }
     }
@@ -200,6 +203,11 @@
     gateway.rollouts.change.notify_one();
 }
 
+/// Records that an entry of the operators has a key that the gateway which read it does not know. It may be the order of a rollout.
+pub fn note_unknown(gateway: &Gateway) {
+    gateway.rollouts.unknown.notify_one();
+}
+
 /// Returns whether any rollout is known.
 pub fn is_idle(gateway: &Gateway) -> bool {
     gateway.rollouts.known.lock().is_empty()
--- a/crates/gateway/src/rollouts/decider.rs
+++ b/crates/gateway/src/rollouts/decider.rs
@@ -20,6 +20,7 @@
     apply_directive, listed_builds, observations, receive_observation, Observation, Rollout,
 };
 use crate::prelude::*;
+use crate::replication;
 use crate::source::{Source, StatusProposal, StoredStatus, Topic};
 use crate::supplement::{self, Supplement};
 
@@ -64,6 +65,9 @@
 /// The time between two such reads, in milliseconds.
 const LOOK_UP_INTERVAL_MS: u64 = 10_000;
 
+/// The time over which gateways spread the reads of entries that an earlier build could not decode, in milliseconds.
+const READ_SPREAD_MS: u64 = 1_000;
+
 /// What this gateway does as a decider of one rollout.
 #[derive(Clone, Debug, Default)]
 struct Decision {
@@ -102,6 +106,30 @@
     }
 }
 
+/// Reads the orders of rollouts from the store after a gateway of an earlier build has passed on an entry with a key that it does not know.
+/// Never returns.
+pub async fn read_unknown(gateway: Arc<Gateway>, source: Arc<Source>) {
+    loop {
+        gateway.rollouts.unknown.notified().await;
+        loop {
+            // All gateways of a fleet may get the entry at once.
+            let delay_ms = rand::random_range(0..READ_SPREAD_MS);
+            time::sleep(Duration::from_millis(delay_ms)).await;
+            let listed = (source.list)(Topic::Operators).await;
+            count_call(&gateway, "list", listed.is_ok());
+            match listed {
+                Ok(batch) => {
+                    replication::apply_orders(&gateway, batch);
+                    break;
+                }
+                Err(error) => {
+                    log::warn!(error:% = error; "cannot read the orders of rollouts; retrying");
+                }
+            }
+        }
+    }
+}
+
 /// Calls `action` with the rollout of a pool, under the lock of all rollouts.
 fn with_rollout<T>(
     gateway: &Gateway,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -60,6 +60,7 @@
     tokio::spawn(hop::probe(gateway.clone()));
     tokio::spawn(origins::follow(gateway.clone(), source.clone()));
     tokio::spawn(origins::record_streams(gateway.clone(), source.clone()));
+    tokio::spawn(decider::read_unknown(gateway.clone(), source.clone()));
     tokio::spawn(decider::run(gateway.clone(), source.clone()));
     tokio::spawn(store_writes::run(gateway.clone(), source.clone()));
     let settings = &gateway.settings;
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -198,6 +198,10 @@
     pub expected: Position,
 }
 
+/// The reason for which an adapter cannot decode an entry whose key it does not know. An earlier build states it for entries that a later
+/// one can decode.
+pub const UNKNOWN_KEY: &str = "no such key is known";
+
 /// Reads the status of a pool's rollout.
 pub type ReadStatus =
     Box<dyn Fn(SmolStr) -> BoxFuture<'static, Result<StoredStatus>> + Send + Sync>;
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -284,6 +284,23 @@
     assert_eq!(requests(&former), 50);
 }
 
+/// Guards against a fleet that never learns of an order, as gateways of an earlier build read the store for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn verify_order_that_the_reader_cannot_decode_is_carried_out() {
+    let store = Store::default();
+    store.put(
+        Topic::Operators,
+        "config",
+        Some(catalog_of(harness::definition())),
+    );
+    let _former = add_targets(&store, "v1", Behaviour::Answer).await;
+    let _new = add_targets(&store, "v2", Behaviour::Answer).await;
+    let _fleet = Fleet::start_before(store.clone(), GATEWAYS, 1).await;
+    store.hide_orders_from_watches();
+    order(&store, "v2");
+    wait_for_status(&store, "v2", State::Complete).await;
+}
+
 /// Guards against a rollout that nobody ends once its decider has stopped. Gateways of a fleet rank by their names, so that each is stopped
 /// in one case.
 #[rstest]
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -15,7 +15,8 @@
 use sardinemux_core::rollout::Status;
 use sardinemux_gateway::settings::Settings;
 use sardinemux_gateway::source::{
-    self, Batch, Entry, Fact, Held, Member, Source, StatusProposal, StoredStatus, Topic, WATCH_WAIT,
+    self, Batch, Entry, Fact, Held, Member, Source, StatusProposal, StoredStatus, Topic,
+    UNKNOWN_KEY, WATCH_WAIT,
 };
 use smol_str::SmolStr;
 use tokio::time;
@@ -53,6 +54,8 @@
     written: Vec<Status>,
     /// The number of calls for statuses.
     status_calls: usize,
+    /// Whether watches show orders of rollouts as an earlier build reads them.
+    hides_orders: bool,
     /// Whether calls for statuses fail.
     rejects_statuses: bool,
 }
@@ -112,6 +115,11 @@
         self.0.lock().rejects_statuses = is_rejecting;
     }
 
+    /// Lets watches show orders of rollouts from now on as an earlier build reads them.
+    pub fn hide_orders_from_watches(&self) {
+        self.0.lock().hides_orders = true;
+    }
+
     /// Returns all statuses of rollouts that were written.
     pub fn statuses(&self) -> Vec<Status> {
         self.0.lock().written.clone()
@@ -232,7 +240,14 @@
             if since.era != self.era() {
                 return Err(source::Error::Expired { since });
             }
-            let batch = self.read(name, topic, Some(since))?;
+            let mut batch = self.read(name, topic, Some(since))?;
+            if self.0.lock().hides_orders {
+                for entry in &mut batch.entries {
+                    if matches!(entry.fact, Some(Fact::Rollout(_))) {
+                        entry.fact = Some(Fact::Unreadable(UNKNOWN_KEY.into()));
+                    }
+                }
+            }
             if !batch.entries.is_empty() || time::Instant::now() >= until {
                 return Ok(batch);
             }
