Place requests by the speeds that targets state

Targets state as fourth figure of their load header how long work takes now. It was not read, so that a slow machine got as many requests as a fast one.

The figure is now read, and decays within a second. Gateways tell collectors of samples of unusual targets every 100 ms, and collectors tell their zones and each other. A target from 1.5 on follows the others below the load bound in rendezvous order; above the bound and without a prompt, expected completions are compared. Without statements the order is as before. The speed of targets that state none is learnt from the times of their answers.

Tests have not run on this commit.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod rollout;
 pub mod roster;
 pub mod slot_share;
+pub mod speed;
 pub mod stream;
 pub mod suspension;
 pub mod target;
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -11,6 +11,7 @@
 use smol_str::SmolStr;
 
 use crate::leaving;
+use crate::speed;
 use crate::target::{self, Key, Target};
 use crate::token_bucket::TokenBucket;
 
@@ -121,6 +122,12 @@
     /// The consecutive transport errors.
     pub(crate) transport_errors: u32,
     pub(crate) backoff_until_ms: u64,
+    /// The latest sample of how long work takes on the target.
+    pub(crate) speed: Option<speed::Estimate>,
+    /// Whether the process of the target has stated its speed.
+    pub(crate) states_speed: bool,
+    /// Whether a missing or unusable statement of the speed has been logged.
+    pub(crate) is_speed_reported: bool,
 }
 
 /// A target that is no longer listed. Its process may still run, as entries expire while the list cannot be written, so that its
@@ -224,6 +231,8 @@
     pub(crate) leaving: leaving::Register,
     /// The targets that were removed last, by id, oldest first.
     pub(crate) removed: IndexMap<SmolStr, Removed>,
+    /// When a target last stated its speed to this router or another one, in milliseconds.
+    pub(crate) speed_stated_ms: Option<u64>,
 }
 
 impl Roster {
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -7,8 +7,9 @@
     query, Announcement, BrittleNotice, Brittleness, Condition, Evidence, LimitNotice, Pause,
     RemoteLoad, Removed, Report, Roster, Shares, Statement,
 };
-use crate::collection::Part;
+use crate::collection::{Number, Part};
 use crate::leaving;
+use crate::speed::{self, Estimate, Stated};
 use crate::target::{Key, Target};
 use crate::token_bucket::TokenBucket;
 
@@ -515,6 +516,90 @@
     }
 }
 
+/// Records what a target stated of its speed in an answer. What is missing or unusable counts as usual. Returns whether the target
+/// ought to have stated it and this was not returned before, so that it is logged once for each process.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::roster::{command, query, Roster};
+/// use sardinemux_core::speed::Stated;
+/// use sardinemux_core::target::Key;
+///
+/// let mut roster = Roster::default();
+/// assert!(!command::note_speed(&mut roster, Key(0), Stated::Factor(2.5), 0));
+/// assert_eq!(query::speed(&roster, Key(0), 0), 1.0);
+/// ```
+pub fn note_speed(roster: &mut Roster, key: Key, stated: Stated, now_ms: u64) -> bool {
+    let Some(condition) = roster.conditions.get_mut(&key) else {
+        return false;
+    };
+    let factor = match stated {
+        Stated::Factor(factor) => factor,
+        Stated::Absent if !condition.states_speed => return false,
+        Stated::Absent | Stated::Invalid => 1.0,
+    };
+    let is_sound = matches!(stated, Stated::Factor(_));
+    if is_sound {
+        condition.states_speed = true;
+        roster.speed_stated_ms = Some(now_ms);
+    }
+    put_speed(
+        condition,
+        Estimate::new(factor, speed::Source::Own, 0, now_ms),
+    );
+    !is_sound && !std::mem::replace(&mut condition.is_speed_reported, true)
+}
+
+/// Records the speed that was learnt from the answers of a target which states none.
+pub fn note_learnt_speed(roster: &mut Roster, key: Key, factor: f64, now_ms: u64) {
+    let condition = roster.conditions.get_mut(&key);
+    if let Some(condition) = condition.filter(|it| !it.states_speed) {
+        put_speed(
+            condition,
+            Estimate::new(factor, speed::Source::Learnt, 0, now_ms),
+        );
+    }
+}
+
+fn put_speed(condition: &mut Condition, estimate: Estimate) -> bool {
+    match &mut condition.speed {
+        Some(known) => known.update(estimate),
+        None => {
+            condition.speed = Some(estimate);
+            true
+        }
+    }
+}
+
+/// Takes over samples of speeds that another router sent, where they are later than the known ones. Returns the number of them.
+pub fn merge_speeds(
+    roster: &mut Roster,
+    notices: &[speed::Notice],
+    source: speed::Source,
+    now_ms: u64,
+) -> usize {
+    if notices.is_empty() {
+        return 0;
+    }
+    roster.speed_stated_ms = Some(now_ms);
+    let mut news = 0;
+    let notices: IndexMap<Number, &speed::Notice> =
+        notices.iter().map(|it| (it.target, it)).collect();
+    for (key, target) in roster.table.iter() {
+        let notice = notices
+            .get(&Number::of(&target.id))
+            .filter(|it| it.percent > 0);
+        let Some((notice, condition)) = notice.zip(roster.conditions.get_mut(&key)) else {
+            continue;
+        };
+        let factor = f64::from(notice.percent) / 100.0;
+        let estimate = Estimate::new(factor, source, u64::from(notice.age_ms), now_ms);
+        news += usize::from(put_speed(condition, estimate));
+    }
+    news
+}
+
 /// Records the requests that another router reports to have in flight.
 pub fn note_report(roster: &mut Roster, router: SmolStr, report: Report, now_ms: u64) {
     roster.reported.put(router, report, now_ms);
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -8,6 +8,7 @@
 use crate::hash;
 use crate::leaving;
 use crate::origin::Presence;
+use crate::speed::{self, Source};
 use crate::target::{Key, Target};
 
 /// The criteria by which a target is chosen for a request.
@@ -261,6 +262,53 @@
     condition.running.saturating_add(reported.max(stated))
 }
 
+/// Returns how long work on a target is expected to take now, compared with what is usual: 1 if nothing else is known.
+pub fn speed(roster: &Roster, key: Key, now_ms: u64) -> f64 {
+    let estimate = roster.conditions.get(&key).and_then(|it| it.speed.as_ref());
+    estimate.map_or(1.0, |estimate| estimate.factor(now_ms))
+}
+
+/// How long targets count as stating their speed without a further statement, in milliseconds.
+const SPEED_TTL_MS: u64 = 10_000;
+
+/// Returns whether a target has stated its speed recently, to this router or another one.
+pub fn states_speed(roster: &Roster, now_ms: u64) -> bool {
+    let stated_ms = roster.speed_stated_ms;
+    stated_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < SPEED_TTL_MS)
+}
+
+/// Returns whether a target has stated its speed to this router.
+pub fn target_states_speed(roster: &Roster, key: Key) -> bool {
+    let condition = roster.conditions.get(&key);
+    condition.is_some_and(|condition| condition.states_speed)
+}
+
+/// Returns the samples of speeds from `sources` that this router has learnt since `since_ms`, and of which others should know.
+pub fn speed_notices(
+    roster: &Roster,
+    sources: &[Source],
+    since_ms: u64,
+    now_ms: u64,
+) -> Vec<speed::Notice> {
+    let notices = roster.table.iter().filter_map(|(key, target)| {
+        let estimate = roster.conditions.get(&key)?.speed?;
+        let number = Number::of(&target.id);
+        speed::notice(number, &estimate, sources, since_ms, now_ms)
+    });
+    notices.collect()
+}
+
+/// Returns the number of eligible targets that are slow now.
+pub fn slow_targets(roster: &Roster, now_ms: u64) -> usize {
+    let eligible = roster
+        .table
+        .iter()
+        .filter(|(key, _)| is_eligible(roster, *key, now_ms));
+    eligible
+        .filter(|(key, _)| speed(roster, *key, now_ms) >= speed::SLOW)
+        .count()
+}
+
 /// Returns the number of requests that this router has in flight, by target id, on at most `limit` targets.
 ///
 /// The busiest targets come first, as their load matters most to other routers. Idle targets are left out.
@@ -318,6 +366,9 @@
     load: f64,
     score: f64,
     is_limited: bool,
+    /// The expected factor of the time of work; 1 in a roster without statements of speeds.
+    speed: f64,
+    slots: f64,
 }
 
 /// Returns the targets for a request, best first.
@@ -327,12 +378,18 @@
 /// least loaded first. Without a subject, the least loaded targets come first, with a small penalty for other
 /// availability zones. In both cases, targets that are in backoff or outliers come after all others.
 ///
+/// Where targets state their speeds, slow targets follow the others below the bound, also in rendezvous order: the requests of a
+/// subject whose home is slow go to the next one in its order, which fetches the cache once and keeps it, while the subjects of
+/// the slow target are spread over all others. Loads are then compared as expected completions, `(load + 1) * speed / slots`.
+/// Counts alone decide whether a target is above the bound.
+///
 /// Targets that state a limit count as above the bound, so that a subject does not alternate between such a target and
 /// another one, which costs a transfer of its cache each time. They are left out of the mean.
 ///
 /// The load bound handles many subjects of unequal popularity, one of which may suddenly become hot. Source:
 /// Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018.
 pub fn rank_targets(roster: &Roster, criteria: Criteria<'_>, now_ms: u64) -> Vec<Key> {
+    let is_uneven = states_speed(roster, now_ms);
     let mut candidates: Vec<Candidate> = roster
         .table
         .iter_pool(criteria.pool)
@@ -344,6 +401,12 @@
             load: f64::from(load(roster, key, now_ms)),
             score: score(target, criteria),
             is_limited: is_limited(roster, key, now_ms),
+            speed: if is_uneven {
+                speed(roster, key, now_ms)
+            } else {
+                1.0
+            },
+            slots: f64::from(target.slots.max(1)),
         })
         .collect();
     let bound = load_bound(roster, criteria, now_ms);
@@ -351,21 +414,37 @@
     if criteria.only.is_some() {
         candidates.retain(|candidate| candidate.load < bound);
     }
+    let slots = candidates.iter().map(|candidate| candidate.slots);
+    let mean_slots = slots.sum::<f64>() / candidates.len().max(1) as f64;
+    // The expected completion, in times that one request takes on a usual target of mean size.
+    let completion = |candidate: &Candidate| {
+        let size = if is_uneven {
+            candidate.slots / mean_slots
+        } else {
+            1.0
+        };
+        (candidate.load + 1.0) * candidate.speed / size
+    };
     let sort_key = |candidate: &Candidate| {
         let is_deferred = is_in_backoff(roster, candidate.key, now_ms)
             || is_outlier(roster, candidate.key, now_ms);
         let is_over = candidate.is_limited || candidate.load >= bound;
+        let is_slow = candidate.speed >= speed::SLOW;
         match criteria.subject {
-            Some(_) if !is_over => (is_deferred, is_over, -candidate.score),
-            Some(_) => (is_deferred, is_over, candidate.load),
-            None => (is_deferred, false, candidate.load + candidate.score),
+            Some(_) if !is_over => (is_deferred, is_over, is_slow, -candidate.score),
+            Some(_) => (is_deferred, is_over, false, completion(candidate)),
+            None => {
+                let is_over = is_uneven && is_over;
+                let cost = completion(candidate) + candidate.score;
+                (is_deferred, is_over, false, cost)
+            }
         }
     };
     candidates.sort_by(|left, right| {
         let (left, right) = (sort_key(left), sort_key(right));
-        (left.0, left.1)
-            .cmp(&(right.0, right.1))
-            .then(left.2.total_cmp(&right.2))
+        (left.0, left.1, left.2)
+            .cmp(&(right.0, right.1, right.2))
+            .then(left.3.total_cmp(&right.3))
     });
     candidates
         .into_iter()
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -26,6 +26,7 @@
 use crate::quarantine::Hex;
 use crate::request::Inbound;
 use crate::rollouts::{self, Event};
+use crate::speeds;
 use crate::whole::Whole;
 
 /// The time without an answer over a new connection after which the path to the target may be lost. As a sound target may be
@@ -252,6 +253,7 @@
     let gateway = ready.in_flight.gateway.clone();
     let target_id = ready.target.id.clone();
     let build = ready.target.build.clone();
+    let key = ready.key();
     let is_direct = ready.gateway.is_none();
     let record = |event: Event| {
         if is_direct {
@@ -265,6 +267,10 @@
     match &outcome {
         AttemptOutcome::Answer(answer) if !answer.head.status.is_server_error() => {
             record(Event::Answered(sent_at.elapsed()));
+            if is_direct {
+                let (pool, route) = (&inbound.pool, &inbound.route.name);
+                speeds::learn(&gateway, key, pool, route, sent_at.elapsed());
+            }
         }
         AttemptOutcome::Answer(_) | AttemptOutcome::Unknown { .. } => record(Event::Failed),
         AttemptOutcome::NotRun { .. } => {}
--- a/crates/gateway/src/attempt/statement.rs
+++ b/crates/gateway/src/attempt/statement.rs
@@ -8,10 +8,12 @@
 use rand::Rng;
 use sardinemux_core::leaving;
 use sardinemux_core::roster::{command, query};
+use sardinemux_core::speed::Stated;
 use sardinemux_core::target::Key;
 
 use super::InFlight;
 use crate::prelude::*;
+use crate::speeds;
 
 /// The value with which a target states that it leaves.
 const LEAVING: &[u8] = b"1";
@@ -108,9 +110,13 @@
     let dialect = &gateway.dialect;
     let text = |name: &HeaderName| head.headers.get(name)?.to_str().ok();
     let now_ms = gateway.now_ms();
+    let load_text = text(&dialect.load);
+    let load = load_text.map(dialect.parse_load);
+    let speed = load.map_or(Stated::Absent, |load| load.speed);
+    speeds::record(gateway, key, speed, load_text);
     let mut roster = gateway.roster.lock();
-    if let Some(load) = text(&dialect.load).and_then(dialect.parse_load) {
-        command::note_load(&mut roster, key, load, now_ms);
+    if let Some(running) = load.and_then(|load| load.running) {
+        command::note_load(&mut roster, key, running, now_ms);
     }
     let cold_ms = text(&dialect.cold_ms).and_then(|text| text.trim().parse().ok());
     if let Some(cold_ms) = cold_ms.filter(|cold_ms| *cold_ms > 0) {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,6 +4,16 @@
 use hyper::header::HeaderName;
 use hyper::HeaderMap;
 use sardinemux_core::prompt::Prompt;
+use sardinemux_core::speed::Stated;
+
+/// What a target states in the `load` header.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// The number of requests that run or wait on the target; `None` if that is missing or malformed.
+    pub running: Option<u32>,
+    /// How long work takes there at this moment.
+    pub speed: Stated,
+}
 
 /// The header names, parsers and readiness path of one deployment.
 #[derive(Clone, Debug)]
@@ -46,8 +56,8 @@
     pub reserved: Vec<HeaderName>,
     /// Parses the parts of a prompt from a request's headers.
     pub parse_prompt: fn(&HeaderMap) -> Prompt,
-    /// Parses the value of the `load` header: the number of requests that run or wait on the target.
-    pub parse_load: fn(&str) -> Option<u32>,
+    /// Parses the value of the `load` header.
+    pub parse_load: fn(&str) -> Load,
     /// The path of the readiness check of the load balancer.
     pub ready_path: &'static str,
     /// The path at which a target states its status, which takes no slot.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod run;
 pub mod settings;
 pub mod source;
+pub mod speeds;
 pub mod state;
 pub mod store_writes;
 pub mod stream;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -87,6 +87,10 @@
     pub is_collector: IntGauge,
     /// The parts of sums of requests in flight that were received from collectors and applied.
     pub sums: IntCounter,
+    /// Samples of the speeds of targets, by source: an `answer`, another `gateway`, or an `invalid` statement.
+    pub speed_samples: IntCounterVec,
+    /// The number of eligible targets that are slow now.
+    pub slow_targets: IntGauge,
     /// Entries from the first list of a new era of the store, by topic.
     pub restored_entries: IntCounterVec,
     /// The number of reports received from other gateways and applied.
@@ -198,6 +202,15 @@
                     "gateway_sums_total",
                     "Parts of sums of requests in flight that collectors sent",
                 )?,
+                speed_samples: counters(
+                    "gateway_speed_samples_total",
+                    "Samples of the speeds of targets",
+                    &["source"],
+                )?,
+                slow_targets: IntGauge::new(
+                    "gateway_slow_targets",
+                    "Eligible targets that are slow now",
+                )?,
                 restored_entries: counters(
                     "gateway_restored_entries_total",
                     "Entries from the first list of a new era of the store",
@@ -231,7 +244,7 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 25] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 27] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
@@ -250,6 +263,8 @@
             Box::new(metrics.store_era.clone()),
             Box::new(metrics.is_collector.clone()),
             Box::new(metrics.sums.clone()),
+            Box::new(metrics.speed_samples.clone()),
+            Box::new(metrics.slow_targets.clone()),
             Box::new(metrics.restored_entries.clone()),
             Box::new(metrics.peer_reports.clone()),
             Box::new(metrics.dropped_log_lines.clone()),
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -28,6 +28,7 @@
 use crate::replication;
 use crate::rollouts;
 use crate::source::{Member, Topic};
+use crate::speeds::{self, Audience};
 use crate::supplement::{self, Supplement};
 use crate::suspension;
 
@@ -168,6 +169,8 @@
     let socket = socket.context(ListenSnafu { address })?;
     let mut ticks = time::interval(Duration::from_millis(reports::PERIOD_MS));
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut speed_ticks = time::interval(Duration::from_millis(collection::PERIOD_MS));
+    speed_ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     let mut round: u64 = 0;
     let mut suspensions = *gateway.suspensions.borrow();
@@ -206,6 +209,11 @@
                     send_supplements(&socket, &sums, &recipients);
                 }
             }
+            _ = speed_ticks.tick(), if speeds::is_active(&gateway) => {
+                for (samples, recipients) in speeds::datagrams(&gateway, &audience(&gateway)) {
+                    send_datagram(&socket, &samples, &recipients);
+                }
+            }
             () = gateway.quarantine_alarm.wait() => {
                 for (notices, recipients) in quarantine::take_urgent(&gateway) {
                     send_supplements(&socket, &notices, &recipients);
@@ -374,6 +382,32 @@
     addresses.collect()
 }
 
+/// Returns the gateways to which a collector sends what it has collected.
+fn collected_audience(gateway: &Gateway) -> Audience {
+    let now_ms = gateway.now_ms();
+    let collectors = collectors(gateway);
+    let members = gateway.members.lock();
+    let near = members.collecting(now_ms).map(|member| member.name);
+    let near = near.filter(|name| !collectors.iter().any(|it| it == name));
+    Audience {
+        collectors: Vec::new(),
+        elsewhere: members.collectors_elsewhere(now_ms),
+        near: near.filter_map(|name| members.address(name)).collect(),
+    }
+}
+
+/// Returns the gateways that are told of the speeds of targets.
+fn audience(gateway: &Gateway) -> Audience {
+    let collected = match role(gateway) {
+        Role::Collector => collected_audience(gateway),
+        _ => Audience::default(),
+    };
+    Audience {
+        collectors: collector_addresses(gateway),
+        ..collected
+    }
+}
+
 /// Returns the sums of a collector as datagrams, with their recipients: the sum of its zone for the collectors of other zones, and
 /// the sum over all zones for the other gateways of its own. `round` counts the sums.
 fn sums(gateway: &Gateway, round: u64) -> [(Vec<Vec<u8>>, Vec<SocketAddr>); 2] {
@@ -384,12 +418,9 @@
         let zone_sum = query::zone_sum(&roster, zone);
         (zone_sum, query::fleet_sum(&roster, now_ms))
     };
-    let collectors = collectors(gateway);
-    let members = gateway.members.lock();
-    let near = members.collecting(now_ms).map(|member| member.name);
-    let near = near.filter(|name| !collectors.iter().any(|it| it == name));
-    let near: Vec<SocketAddr> = near.filter_map(|name| members.address(name)).collect();
-    let elsewhere = members.collectors_elsewhere(now_ms);
+    let Audience {
+        elsewhere, near, ..
+    } = collected_audience(gateway);
     let encode = |zone: Option<&SmolStr>, sum: Vec<(Number, u32)>| {
         let parts = collection::split(sum, round).into_iter();
         let messages = parts.map(|part| Message {
@@ -489,6 +520,9 @@
         )) => hop::receive_news(gateway, name, pools),
         Ok((Supplement::Origins(records), _)) => origins::receive_records(gateway, records),
         Ok((Supplement::Sum(sum), _)) => receive_sum(gateway, sum),
+        Ok((Supplement::Speeds { is_sum, notices }, _)) => {
+            speeds::receive(gateway, is_sum, &notices);
+        }
         Ok((Supplement::Rollouts(news), _)) => rollouts::receive_news(gateway, news),
         Ok((Supplement::Observation(counted), _)) => {
             rollouts::receive_observation(gateway, *counted);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,6 +37,7 @@
 use crate::rollouts::Rollouts;
 use crate::settings::{Bounds, Settings};
 use crate::source::Topic;
+use crate::speeds::Speeds;
 
 /// The share of the deployment's retry budget that the gateways use. The rest is a margin: arrivals are counted at the
 /// targets in sliding windows, and the number of gateways changes.
@@ -81,6 +82,8 @@
     pub origins: Origins,
     /// The rollouts of builds.
     pub rollouts: Rollouts,
+    /// What is known of the speeds of targets besides the roster.
+    pub speeds: Speeds,
     /// The paths of this gateway and others to targets.
     pub reach: Mutex<Reach>,
     /// Idle connections to other gateways, for requests that these send to targets.
@@ -136,6 +139,7 @@
             quarantine_alarm: Alarm::default(),
             origins: Origins::default(),
             rollouts: Rollouts::default(),
+            speeds: Speeds::default(),
             reach: Mutex::default(),
             idle_hops: Mutex::default(),
             idle_connections: Mutex::default(),
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -8,6 +8,7 @@
 use sardinemux_core::position::Era;
 use sardinemux_core::quarantine::Notice;
 use sardinemux_core::roster::{query, BrittleNotice, LimitNotice};
+use sardinemux_core::speed;
 use serde::{Deserialize, Serialize};
 
 use crate::appendix;
@@ -49,6 +50,13 @@
     Leaving(Vec<leaving::Notice>),
     /// The requests in flight that a collector has summed up. Only gateways that report to collectors get it.
     Sum(Message),
+    /// Samples of the speeds of targets.
+    Speeds {
+        /// Whether a collector passes on what other gateways have told it.
+        is_sum: bool,
+        /// The samples.
+        notices: Vec<speed::Notice>,
+    },
     /// The latest directives of rollouts.
     Rollouts(Vec<News>),
     /// What the sender has counted of a rollout. Only the gateways that decide it get that.
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -21,8 +21,9 @@
 use sardinemux_core::position::Position;
 use sardinemux_core::prompt::{Part, Prompt};
 use sardinemux_core::roster::Announcement;
+use sardinemux_core::speed::Stated;
 use sardinemux_core::target::{self, Target};
-use sardinemux_gateway::dialect::Dialect;
+use sardinemux_gateway::dialect::{Dialect, Load};
 use sardinemux_gateway::prelude::Gateway;
 use sardinemux_gateway::run;
 use sardinemux_gateway::settings::{Bounds, Settings};
@@ -60,7 +61,10 @@
         cold_ms: name("x-cold"),
         reserved: vec![name("x-organisation"), name("x-expect"), name("x-hold")],
         parse_prompt,
-        parse_load: |_| None,
+        parse_load: |text| Load {
+            running: None,
+            speed: Stated::of_percent(text),
+        },
         ready_path: "/ready",
         status_path: "/status",
     }
