--- a/crates/core/tests/support/placement.rs
+++ b/crates/core/tests/support/placement.rs
@@ -8,9 +8,11 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use sardinemux_core::collection::{self, Candidate, Part};
+use sardinemux_core::hash;
 use sardinemux_core::reports;
 use sardinemux_core::roster::query::{self, Criteria};
 use sardinemux_core::roster::{command, Announcement, Evidence, Report, Roster, Settings, Shares};
+use sardinemux_core::speed::{Notice, Source, Stated};
 use sardinemux_core::target::{self, Key, Target};
 use smol_str::{format_smolstr, SmolStr};
 
@@ -39,6 +41,17 @@
     pub lost: f64,
     /// The share of the gateways whose build neither collects nor reports to collectors, those with wide links first.
     pub former: f64,
+    /// Whether some targets are slow, and whether they state that; `None` if all are as usual.
+    pub uneven: Option<Uneven>,
+}
+
+/// What is known of uneven speeds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Uneven {
+    /// Targets state their speeds.
+    Stated,
+    /// Targets state nothing, so that requests are placed by counts.
+    Hidden,
 }
 
 impl Default for Scenario {
@@ -55,6 +68,7 @@
             standing: Standing::Zone,
             lost: 0.02,
             former: 0.0,
+            uneven: None,
         }
     }
 }
@@ -75,6 +89,12 @@
     pub over_bound: f64,
     /// The share of requests that reached a target which had their prompt.
     pub kept: f64,
+    /// The mean and the 95th percentile of the time to the first byte, in milliseconds; only with uneven speeds.
+    pub first_ms: (f64, f64),
+    /// The mean and the 95th percentile of the time to the end of an answer, in milliseconds; only with uneven speeds.
+    pub end_ms: (f64, f64),
+    /// The requests of the target that got the fewest, as a share of the mean; only with uneven speeds.
+    pub least_used: f64,
 }
 
 /// The users' bound on the load of a target, as a multiple of the mean of its pool.
@@ -92,6 +112,15 @@
 /// The time that a target takes to read a prompt which it does not have, in milliseconds.
 const READ_MS: u64 = 220;
 
+/// The time that a target takes for a prompt which it has, and to fetch one that another target has: a sixth of reading it.
+const CACHED_MS: u64 = 12;
+const FETCH_MS: u64 = 37;
+
+/// How long a target keeps its speed, in milliseconds; the share of slow ones, in percent; and their factor.
+const SPEED_MS: u64 = 600;
+const SLOW_PERCENT: u64 = 15;
+const SLOW_FACTOR: f64 = 2.5;
+
 /// The mean durations of answers, in milliseconds, and their shares of the requests.
 const ANSWERS: [(f64, f64); 3] = [(0.40, 200.0), (0.32, 500.0), (0.28, 2_000.0)];
 
@@ -116,9 +145,16 @@
     Collect {
         gateway: usize,
     },
+    Head {
+        gateway: usize,
+        key: Key,
+    },
     Tell {
         gateway: usize,
     },
+    Pass {
+        gateway: usize,
+    },
     Deliver {
         gateway: usize,
         sender: usize,
@@ -131,11 +167,14 @@
     Report(Report),
     Zone(SmolStr, Part),
     Fleet(Part),
+    Speeds(Source, Vec<Notice>),
 }
 
 struct Fleet {
     scenario: Scenario,
     random: StdRng,
+    /// Draws what callers ask for with uneven speeds, so that runs which place requests differently have the same ones.
+    callers: StdRng,
     now_ms: u64,
     next_id: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -149,6 +188,10 @@
     prompts: IndexSet<(Key, u64)>,
     /// For each request, when it was sent, whether its target had more than the bound, and whether the target had its prompt.
     sent: Vec<(u64, bool, bool)>,
+    /// For each request, the times to its first byte and to its end, in milliseconds.
+    times: Vec<(u64, u64)>,
+    /// The requests that each target got.
+    counts: IndexMap<Key, u32>,
     is_evacuated: bool,
     has_restarted: bool,
 }
@@ -161,6 +204,9 @@
         let at_ms = fleet.random.random_range(0..reports::PERIOD_MS);
         fleet.schedule(at_ms, Event::Round { gateway, round: 0 });
         fleet.schedule(at_ms % collection::PERIOD_MS, Event::Collect { gateway });
+        if scenario.uneven == Some(Uneven::Stated) {
+            fleet.schedule(at_ms % collection::PERIOD_MS, Event::Pass { gateway });
+        }
     }
     while let Some(Reverse((at_ms, id))) = fleet.queue.pop() {
         if at_ms > END_MS {
@@ -206,6 +252,7 @@
         Self {
             scenario,
             random: StdRng::seed_from_u64(seed),
+            callers: StdRng::seed_from_u64(seed),
             now_ms: 0,
             next_id: 0,
             queue: BinaryHeap::new(),
@@ -218,6 +265,8 @@
             loads,
             prompts: IndexSet::new(),
             sent: Vec::new(),
+            times: Vec::new(),
+            counts: IndexMap::new(),
             is_evacuated: false,
             has_restarted: false,
         }
@@ -229,9 +278,16 @@
         self.events.insert(self.next_id, event);
     }
 
+    fn callers(&mut self) -> &mut StdRng {
+        match self.scenario.uneven {
+            Some(_) => &mut self.callers,
+            None => &mut self.random,
+        }
+    }
+
     /// Draws a duration of this mean, in milliseconds.
     fn draw_ms(&mut self, mean_ms: f64) -> u64 {
-        let uniform: f64 = self.random.random_range(1e-9..1.0);
+        let uniform: f64 = self.callers().random_range(1e-9..1.0);
         (-uniform.ln() * mean_ms) as u64
     }
 
@@ -273,7 +329,8 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive => {
-                let gateway = self.random.random_range(0..self.scenario.gateways);
+                let gateways = self.scenario.gateways;
+                let gateway = self.callers().random_range(0..gateways);
                 for _ in 0..CLUMP {
                     self.send(gateway);
                 }
@@ -289,6 +346,11 @@
                 command::finish_request(roster, key, Evidence::Healthy, self.now_ms);
             }
             Event::Collect { gateway } => self.collect(gateway),
+            Event::Pass { gateway } => self.pass_speeds(gateway),
+            Event::Head { gateway, key } => {
+                let stated = Stated::Factor(self.speed(key, self.now_ms));
+                command::note_speed(&mut self.rosters[gateway], key, stated, self.now_ms);
+            }
             Event::Tell { gateway } => self.tell(gateway),
             Event::Round { gateway, round } => self.report(gateway, round),
             Event::Deliver {
@@ -305,9 +367,10 @@
         if self.stands_still(gateway) {
             return;
         }
-        let subject = match self.random.random_bool(self.scenario.hot) {
+        let Scenario { hot, subjects, .. } = self.scenario;
+        let subject = match self.callers().random_bool(hot) {
             true => 0,
-            false => self.random.random_range(1..=self.scenario.subjects),
+            false => self.callers().random_range(1..=subjects),
         };
         let criteria = Criteria {
             pool: POOL,
@@ -332,18 +395,94 @@
         *load += 1;
         let is_read = !self.prompts.insert((key, subject));
         self.sent.push((self.now_ms, is_over, is_read));
-        let drawn: f64 = self.random.random();
+        let drawn: f64 = self.callers().random();
         let mut sum = 0.0;
         let found = ANSWERS.iter().find(|(share, _)| {
             sum += share;
             drawn < sum
         });
         let mean_ms = found.map_or(ANSWERS[0].1, |(_, mean_ms)| *mean_ms);
-        let read_ms = if is_read { 0 } else { READ_MS };
-        let end_ms = self.now_ms + 1 + read_ms + self.draw_ms(mean_ms);
+        let answer_ms = self.draw_ms(mean_ms);
+        if self.scenario.uneven.is_none() {
+            let read_ms = if is_read { 0 } else { READ_MS };
+            let end_ms = self.now_ms + 1 + read_ms + answer_ms;
+            self.schedule(end_ms, Event::Finish { gateway, key });
+            return;
+        }
+        *self.counts.entry(key).or_default() += 1;
+        let read_ms = match is_read {
+            true => CACHED_MS,
+            false if self.prompts.iter().filter(|it| it.1 == subject).count() > 1 => FETCH_MS,
+            false => READ_MS,
+        };
+        let first_ms = self.work_end_ms(key, self.now_ms, read_ms);
+        let end_ms = self.work_end_ms(key, first_ms, answer_ms);
+        self.times
+            .push((first_ms - self.now_ms, end_ms - self.now_ms));
+        if self.scenario.uneven == Some(Uneven::Stated) {
+            self.schedule(first_ms, Event::Head { gateway, key });
+        }
         self.schedule(end_ms, Event::Finish { gateway, key });
     }
 
+    /// Returns the factor of the time of work on a target at a moment.
+    fn speed(&self, key: Key, at_ms: u64) -> f64 {
+        let epoch = at_ms / SPEED_MS;
+        let drawn = hash::digest(&[&epoch.to_le_bytes(), &key.0.to_le_bytes()]);
+        match drawn % 100 < SLOW_PERCENT {
+            true => SLOW_FACTOR,
+            false => 1.0,
+        }
+    }
+
+    /// Returns when work is done that takes `work_ms` at the usual speed.
+    fn work_end_ms(&self, key: Key, begin_ms: u64, work_ms: u64) -> u64 {
+        let mut at_ms = begin_ms;
+        let mut left = work_ms as f64;
+        loop {
+            let speed = self.speed(key, at_ms);
+            let epoch_end_ms = (at_ms / SPEED_MS + 1) * SPEED_MS;
+            let possible = (epoch_end_ms - at_ms) as f64 / speed;
+            if left <= possible {
+                return at_ms + (left * speed).ceil() as u64;
+            }
+            left -= possible;
+            at_ms = epoch_end_ms;
+        }
+    }
+
+    /// Tells the collectors of the samples of a gateway and, if it collects, the others of those that it has collected.
+    fn pass_speeds(&mut self, gateway: usize) {
+        let period_ms = collection::PERIOD_MS;
+        self.schedule(self.now_ms + period_ms, Event::Pass { gateway });
+        if self.stands_still(gateway) {
+            return;
+        }
+        let since_ms = self.now_ms.saturating_sub(period_ms);
+        let roster = &self.rosters[gateway];
+        let select =
+            |sources: &[Source]| query::speed_notices(roster, sources, since_ms, self.now_ms);
+        let own = select(&[Source::Own]);
+        let of_zone = select(&[Source::Own, Source::Zone]);
+        let all = select(&[Source::Own, Source::Zone, Source::Collector]);
+        let collectors = self.collectors(&zone(gateway));
+        let collects = collectors.contains(&gateway);
+        for other in (0..self.scenario.gateways).filter(|it| *it != gateway) {
+            let is_near = other % 3 == gateway % 3;
+            let (source, notices) = match is_near {
+                true if collectors.contains(&other) => (Source::Zone, &own),
+                true if collects => (Source::Collector, &all),
+                false if collects && self.collectors(&zone(other)).contains(&other) => {
+                    (Source::Collector, &of_zone)
+                }
+                _ => continue,
+            };
+            if !notices.is_empty() {
+                self.transmit(gateway, other, Message::Speeds(source, notices.clone()));
+            }
+        }
+    }
+
     fn report(&mut self, gateway: usize, round: u64) {
         let next_ms = self.now_ms + reports::PERIOD_MS;
         self.schedule(
@@ -481,6 +620,9 @@
             Message::Report(report) => command::note_report(roster, name, report, now_ms),
             Message::Zone(zone, part) => command::note_zone_part(roster, name, zone, part, now_ms),
             Message::Fleet(part) => command::note_fleet_part(roster, name, part, now_ms),
+            Message::Speeds(source, notices) => {
+                command::merge_speeds(roster, &notices, source, now_ms);
+            }
         }
     }
 
@@ -502,6 +644,28 @@
         Outcome {
             over_bound,
             kept: kept as f64 / self.sent.len() as f64,
+            first_ms: summarize(self.times.iter().map(|it| it.0)),
+            end_ms: summarize(self.times.iter().map(|it| it.1)),
+            least_used: self.least_used(),
         }
     }
+
+    /// Returns the requests of the target that got the fewest, as a share of the mean.
+    fn least_used(&self) -> f64 {
+        let counts = self.loads.keys().map(|key| self.counts.get(key));
+        let least = counts.map(|it| it.copied().unwrap_or_default()).min();
+        let mean = f64::from(self.counts.values().sum::<u32>()) / self.loads.len() as f64;
+        f64::from(least.unwrap_or_default()) / mean.max(1.0)
+    }
+}
+
+/// Returns the mean and the 95th percentile of some times, in milliseconds.
+fn summarize(times: impl Iterator<Item = u64>) -> (f64, f64) {
+    let mut times: Vec<u64> = times.collect();
+    times.sort_unstable();
+    let Some(high) = times.get(times.len() * 95 / 100) else {
+        return (0.0, 0.0);
+    };
+    let mean = times.iter().sum::<u64>() as f64 / times.len() as f64;
+    (mean, *high as f64)
 }
