Let requests stay in their zone where crossing it costs more

Prompts are placed by hashing over all zones, so that two of three requests cross them. With a cost of crossing in [zones] (default 0: placement as before), a request stays if the price of its bytes for the requests expected in 10 s exceeds that of bringing the prompt's cache into the zone. A share of the requests of a busy zone goes to less loaded ones, by water-filling from the demand of the zone's callers. Shares that followed the late load of the zone itself swung in the simulation with loads 2 s old.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod collection;
 pub mod config;
 pub mod control_traffic;
+pub mod crossing;
 pub mod ending;
 pub mod errors;
 pub mod event;
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -5,6 +5,7 @@
 
 use super::{Announcement, BrittleNotice, Condition, LimitNotice, Roster, Settings};
 use crate::collection::Number;
+use crate::crossing::Pressure;
 use crate::hash;
 use crate::leaving;
 use crate::origin::Presence;
@@ -389,6 +390,38 @@
 /// The load bound handles many subjects of unequal popularity, one of which may suddenly become hot. Source:
 /// Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018.
 pub fn rank_targets(roster: &Roster, criteria: Criteria<'_>, now_ms: u64) -> Vec<Key> {
+    let ranked = rank_candidates(roster, criteria, now_ms).into_iter();
+    ranked.map(|(key, _)| key).collect()
+}
+
+/// Returns the targets for a request as [`rank_targets`] does, except that those of a zone come first among the targets that are
+/// neither busy nor deferred.
+pub fn rank_by_zone(roster: &Roster, criteria: Criteria<'_>, zone: &str, now_ms: u64) -> Vec<Key> {
+    let ranked = rank_candidates(roster, criteria, now_ms);
+    let is_preferred = |(key, is_free): &(Key, bool)| {
+        let target = roster.table.get(*key);
+        *is_free && target.is_some_and(|target| target.zone == zone)
+    };
+    let (first, rest): (Vec<_>, Vec<_>) = ranked.into_iter().partition(is_preferred);
+    first.into_iter().chain(rest).map(|(key, _)| key).collect()
+}
+
+/// Returns the loads of a pool's eligible targets by zone.
+pub fn pressures(roster: &Roster, pool: &str, now_ms: u64) -> IndexMap<SmolStr, Pressure> {
+    let mut found: IndexMap<SmolStr, Pressure> = IndexMap::new();
+    for (key, target) in roster.table.iter_pool(pool) {
+        if !is_eligible(roster, key, now_ms) || is_paused(roster, key, now_ms) {
+            continue;
+        }
+        let zone = found.entry(target.zone.clone()).or_default();
+        zone.load += f64::from(load(roster, key, now_ms));
+        zone.slots += f64::from(target.slots) / speed(roster, key, now_ms);
+    }
+    found
+}
+
+/// Returns the targets for a request, best first, each with whether it is neither busy nor deferred.
+fn rank_candidates(roster: &Roster, criteria: Criteria<'_>, now_ms: u64) -> Vec<(Key, bool)> {
     let is_uneven = states_speed(roster, now_ms);
     let mut candidates: Vec<Candidate> = roster
         .table
@@ -448,7 +481,11 @@
     });
     candidates
         .into_iter()
-        .map(|candidate| candidate.key)
+        .map(|candidate| {
+            let (is_deferred, is_over, ..) = sort_key(&candidate);
+            let is_slow = candidate.speed >= speed::SLOW;
+            (candidate.key, !is_deferred && !is_over && !is_slow)
+        })
         .collect()
 }
 
--- a/crates/core/tests/support/placement.rs
+++ b/crates/core/tests/support/placement.rs
@@ -45,6 +45,8 @@
     pub former: f64,
     /// Whether some targets are slow, and whether they state that; `None` if all are as usual.
     pub uneven: Option<Uneven>,
+    /// Whether requests stay in the zone of their gateway, unless its targets are busy.
+    pub stays: bool,
 }
 
 /// What is known of uneven speeds.
@@ -71,6 +73,7 @@
             lost: 0.02,
             former: 0.0,
             uneven: None,
+            stays: false,
         }
     }
 }
@@ -97,6 +100,8 @@
     pub end_ms: (f64, f64),
     /// The requests of the target that got the fewest, as a share of the mean; only with uneven speeds.
     pub least_used: f64,
+    /// The share of requests that left the zone of their gateway.
+    pub crossed: f64,
 }
 
 /// The users' bound on the load of a target, as a multiple of the mean of its pool.
@@ -194,6 +199,8 @@
     times: Vec<(u64, u64)>,
     /// The requests that each target got.
     counts: IndexMap<Key, u32>,
+    /// The number of requests that left the zone of their gateway.
+    crossed: u32,
     is_evacuated: bool,
     has_restarted: bool,
 }
@@ -269,6 +276,7 @@
             sent: Vec::new(),
             times: Vec::new(),
             counts: IndexMap::new(),
+            crossed: 0,
             is_evacuated: false,
             has_restarted: false,
         }
@@ -374,16 +382,23 @@
             true => 0,
             false => self.callers().random_range(1..=subjects),
         };
+        let own_zone = zone(gateway);
         let criteria = Criteria {
             pool: POOL,
             subject: Some(subject),
-            zone: "z0",
+            zone: &own_zone,
             tried: &[],
             builds: None,
             only: None,
         };
         let roster = &mut self.rosters[gateway];
-        let key = query::rank_targets(roster, criteria, self.now_ms)[0];
+        let ranked = match self.scenario.stays {
+            true => query::rank_by_zone(roster, criteria, &own_zone, self.now_ms),
+            false => query::rank_targets(roster, criteria, self.now_ms),
+        };
+        let key = ranked[0];
+        let is_crossing = query::target(roster, key).is_some_and(|it| it.zone != own_zone);
+        self.crossed += u32::from(is_crossing);
         assert!(command::start_request(
             roster,
             key,
@@ -649,6 +664,7 @@
             first_ms: summarize(self.times.iter().map(|it| it.0)),
             end_ms: summarize(self.times.iter().map(|it| it.1)),
             least_used: self.least_used(),
+            crossed: f64::from(self.crossed) / self.sent.len() as f64,
         }
     }
 
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -6,6 +6,7 @@
 mod takeover;
 
 use std::sync::atomic::Ordering;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use futures_util::future::{BoxFuture, FutureExt};
@@ -58,6 +59,8 @@
     builds: Option<Vec<SmolStr>>,
     /// The side of a rollout that the request goes to.
     rollout: Choice,
+    /// The availability zone whose targets the request prefers, if there is one, once that is decided.
+    preferred_zone: OnceLock<Option<SmolStr>>,
     /// The other gateways through which the request was sent.
     through: Vec<SmolStr>,
     /// Whether no target can serve the request later either, so that the caller is given no delay after which to return.
@@ -197,6 +200,7 @@
             rollout: Choice::None,
             through: Vec::new(),
             is_final: false,
+            preferred_zone: OnceLock::new(),
         }
     }
 
--- a/crates/gateway/src/answer/selection.rs
+++ b/crates/gateway/src/answer/selection.rs
@@ -17,6 +17,7 @@
 use crate::quarantine;
 use crate::rollouts::{self, Choice};
 use crate::speeds;
+use crate::zones;
 
 /// The largest number of other gateways through which one request is sent.
 const THROUGH_MAX: usize = 3;
@@ -167,8 +168,16 @@
         };
         let now_ms = self.gateway.now_ms();
         let need = self.need();
+        // The choice is made once, so that retries count as no further requests with the prompt.
+        let zone = self
+            .preferred_zone
+            .get_or_init(|| zones::choose(&self.gateway, inbound));
+        let zone = zone.as_deref();
         let roster = self.gateway.roster.lock();
-        let mut ranked = query::rank_targets(&roster, criteria, now_ms);
+        let mut ranked = match zone {
+            None => query::rank_targets(&roster, criteria, now_ms),
+            Some(zone) => query::rank_by_zone(&roster, criteria, zone, now_ms),
+        };
         let passed_over = need.map_or(0, |need| room::prefer(&roster, &mut ranked, need, now_ms));
         drop(roster);
         self.gateway.metrics.without_room.inc_by(passed_over as u64);
@@ -205,6 +214,12 @@
         if let Some((in_flight, _)) = &mut started {
             in_flight.hold_tokens(self.inbound.prompt.tokens());
         }
+        if let Some((_, target)) = &started {
+            if target.zone != self.gateway.settings.zone {
+                let bytes = self.inbound.body.len() as u64;
+                self.gateway.metrics.crossing_bytes.inc_by(bytes);
+            }
+        }
         let key = started.as_ref().map(|(in_flight, _)| in_flight.key);
         let load = key.map(|key| query::load(&self.gateway.roster.lock(), key, now_ms));
         self.selection = Selection {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,3 +40,4 @@
 pub mod supplement;
 pub mod suspension;
 pub mod whole;
+pub mod zones;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -89,6 +89,12 @@
     pub sums: IntCounter,
     /// Samples of the speeds of targets, by source: an `answer`, another `gateway`, or an `invalid` statement.
     pub speed_samples: IntCounterVec,
+    /// Choices of zones for requests: `stay`, `cache` or `spill`.
+    pub zone_choices: IntCounterVec,
+    /// The share of requests that leave the zone for its load, by pool.
+    pub spill_share: GaugeVec,
+    /// The bytes of requests that were sent to targets of other zones.
+    pub crossing_bytes: IntCounter,
     /// Targets that were passed over, as they had no room for the tokens of a request.
     pub without_room: IntCounter,
     /// The number of eligible targets that are slow now.
@@ -209,6 +215,22 @@
                     "Samples of the speeds of targets",
                     &["source"],
                 )?,
+                zone_choices: counters(
+                    "gateway_zone_choices_total",
+                    "Choices of zones for requests",
+                    &["choice"],
+                )?,
+                spill_share: GaugeVec::new(
+                    Opts::new(
+                        "gateway_spill_share",
+                        "The share of requests that leave the zone for its load",
+                    ),
+                    &["pool"],
+                )?,
+                crossing_bytes: IntCounter::new(
+                    "gateway_crossing_request_bytes_total",
+                    "Bytes of requests to targets of other zones",
+                )?,
                 without_room: IntCounter::new(
                     "gateway_targets_without_room_total",
                     "Targets that were passed over for want of memory",
@@ -250,7 +272,7 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 28] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 31] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
@@ -270,6 +292,9 @@
             Box::new(metrics.is_collector.clone()),
             Box::new(metrics.sums.clone()),
             Box::new(metrics.speed_samples.clone()),
+            Box::new(metrics.zone_choices.clone()),
+            Box::new(metrics.spill_share.clone()),
+            Box::new(metrics.crossing_bytes.clone()),
             Box::new(metrics.without_room.clone()),
             Box::new(metrics.slow_targets.clone()),
             Box::new(metrics.restored_entries.clone()),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use sardinemux_core::crossing;
 use sardinemux_core::rollout;
 use sardinemux_host::prelude::*;
 use smol_str::SmolStr;
@@ -54,6 +55,8 @@
     pub load_multiple: f64,
     /// The bounds of rollouts.
     pub rollout: rollout::Settings,
+    /// The costs of traffic between zones.
+    pub crossing: crossing::Costs,
 }
 
 /// The longest grace period that can be set, in milliseconds.
@@ -65,11 +68,14 @@
 /// The largest memory that can be set, in megabytes.
 const MEMORY_MAX_MB: u32 = 1_000_000;
 
+/// The largest cost that can be set, in the operator's unit.
+const COST_MAX: u32 = 1_000_000;
+
 /// The bytes of a megabyte.
 const MEGABYTE: f64 = 1e6;
 
 /// The keys of the settings file.
-pub const KEYS: [Key; 18] = [
+pub const KEYS: [Key; 22] = [
     Key::new(
         "instance",
         "name",
@@ -192,6 +198,34 @@
         Some("50"),
         "The requests that a bad build may get beyond that share.",
     ),
+    Key::new(
+        "zones",
+        "crossing_cost_per_gb",
+        Kind::Fraction { most: COST_MAX },
+        Some("0"),
+        "The cost of a gigabyte between zones; zero places requests without regard to it.",
+    ),
+    Key::new(
+        "zones",
+        "read_cost_per_1000_tokens",
+        Kind::Fraction { most: COST_MAX },
+        Some("0"),
+        "The cost of reading 1,000 tokens of a prompt, in the same unit.",
+    ),
+    Key::new(
+        "zones",
+        "fetch_cost_per_gb",
+        Kind::Fraction { most: COST_MAX },
+        Some("0"),
+        "The cost of fetching a gigabyte of cache from another target, in the same unit.",
+    ),
+    Key::new(
+        "zones",
+        "cache_bytes_per_token",
+        Kind::Fraction { most: 1_000_000_000 },
+        Some("0"),
+        "The size of the cache of one token, in bytes.",
+    ),
 ];
 
 impl Settings {
@@ -226,6 +260,12 @@
                     exposure_share: values.fraction("rollout", "exposure_share")?,
                     exposure_slack: values.fraction("rollout", "exposure_slack")?,
                 },
+                crossing: crossing::Costs {
+                    crossing_per_gb: values.fraction("zones", "crossing_cost_per_gb")?,
+                    read_per_1000_tokens: values.fraction("zones", "read_cost_per_1000_tokens")?,
+                    fetch_per_gb: values.fraction("zones", "fetch_cost_per_gb")?,
+                    cache_bytes_per_token: values.fraction("zones", "cache_bytes_per_token")?,
+                },
             },
         })
     }
@@ -240,6 +280,7 @@
                 retry_extra: 0.0,
                 load_multiple: 0.0,
                 rollout: rollout::Settings::default(),
+                crossing: crossing::Costs::default(),
             },
             ..self.clone()
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -38,6 +38,7 @@
 use crate::settings::{Bounds, Settings};
 use crate::source::Topic;
 use crate::speeds::Speeds;
+use crate::zones::Zones;
 
 /// The share of the deployment's retry budget that the gateways use. The rest is a margin: arrivals are counted at the
 /// targets in sliding windows, and the number of gateways changes.
@@ -84,6 +85,8 @@
     pub rollouts: Rollouts,
     /// What is known of the speeds of targets besides the roster.
     pub speeds: Speeds,
+    /// What is known of the requests of the availability zone.
+    pub zones: Zones,
     /// The paths of this gateway and others to targets.
     pub reach: Mutex<Reach>,
     /// Idle connections to other gateways, for requests that these send to targets.
@@ -140,6 +143,7 @@
             origins: Origins::default(),
             rollouts: Rollouts::default(),
             speeds: Speeds::default(),
+            zones: Zones::default(),
             reach: Mutex::default(),
             idle_hops: Mutex::default(),
             idle_connections: Mutex::default(),
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -137,6 +137,7 @@
             retry_extra: 50.0,
             load_multiple: 2.0,
             rollout: sardinemux_core::rollout::Settings::default(),
+            crossing: sardinemux_core::crossing::Costs::default(),
         },
     }
 }
