--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -87,6 +87,18 @@
     pub is_collector: IntGauge,
     /// The parts of sums of requests in flight that were received from collectors and applied.
     pub sums: IntCounter,
+    /// Samples of the speeds of targets, by source: an `answer`, another `gateway`, or an `invalid` statement.
+    pub speed_samples: IntCounterVec,
+    /// Choices of zones for requests: `stay`, `cache` or `spill`.
+    pub zone_choices: IntCounterVec,
+    /// The share of requests that leave the zone for its load, by pool.
+    pub spill_share: GaugeVec,
+    /// The bytes of requests that were sent to targets of other zones.
+    pub crossing_bytes: IntCounter,
+    /// Targets that were passed over, as they had no room for the tokens of a request.
+    pub without_room: IntCounter,
+    /// The number of eligible targets that are slow now.
+    pub slow_targets: IntGauge,
     /// Entries from the first list of a new era of the store, by topic.
     pub restored_entries: IntCounterVec,
     /// The number of reports received from other gateways and applied.
@@ -198,6 +210,35 @@
                     "gateway_sums_total",
                     "Parts of sums of requests in flight that collectors sent",
                 )?,
+                speed_samples: counters(
+                    "gateway_speed_samples_total",
+                    "Samples of the speeds of targets",
+                    &["source"],
+                )?,
+                zone_choices: counters(
+                    "gateway_zone_choices_total",
+                    "Choices of zones for requests",
+                    &["choice"],
+                )?,
+                spill_share: GaugeVec::new(
+                    Opts::new(
+                        "gateway_spill_share",
+                        "The share of requests that leave the zone for its load",
+                    ),
+                    &["pool"],
+                )?,
+                crossing_bytes: IntCounter::new(
+                    "gateway_crossing_request_bytes_total",
+                    "Bytes of requests to targets of other zones",
+                )?,
+                without_room: IntCounter::new(
+                    "gateway_targets_without_room_total",
+                    "Targets that were passed over for want of memory",
+                )?,
+                slow_targets: IntGauge::new(
+                    "gateway_slow_targets",
+                    "Eligible targets that are slow now",
+                )?,
                 restored_entries: counters(
                     "gateway_restored_entries_total",
                     "Entries from the first list of a new era of the store",
@@ -231,7 +272,7 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 25] = [
+        let collectors: Vec<Box<dyn prometheus::core::Collector>> = vec![
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
@@ -250,6 +291,12 @@
             Box::new(metrics.store_era.clone()),
             Box::new(metrics.is_collector.clone()),
             Box::new(metrics.sums.clone()),
+            Box::new(metrics.speed_samples.clone()),
+            Box::new(metrics.zone_choices.clone()),
+            Box::new(metrics.spill_share.clone()),
+            Box::new(metrics.crossing_bytes.clone()),
+            Box::new(metrics.without_room.clone()),
+            Box::new(metrics.slow_targets.clone()),
             Box::new(metrics.restored_entries.clone()),
             Box::new(metrics.peer_reports.clone()),
             Box::new(metrics.dropped_log_lines.clone()),
