Grant permits for plain pools of few slots by one gateway

Gateways that decide alone do not know of the requests that others began in the last 0.1 s, so that requests meet full targets or wait in one queue while another target is idle. One gateway now grants a permit for each request, keeps the queue, and refuses what cannot be served in time. Off by default.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod outcome;
 pub mod ownership;
 pub mod passage;
+pub mod permits;
 pub mod placement;
 pub mod position;
 pub mod prelude;
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -224,6 +224,8 @@
     pub(crate) leaving: leaving::Register,
     /// The targets that were removed last, by id, oldest first.
     pub(crate) removed: IndexMap<SmolStr, Removed>,
+    /// When a target last stated how long work takes on it at present, in milliseconds; `None` if none has.
+    pub(crate) speed_stated_ms: Option<u64>,
 }
 
 impl Roster {
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -604,3 +604,8 @@
         }
     }
 }
+
+/// Records that a target has stated how long work takes on it at present.
+pub fn note_speed_stated(roster: &mut Roster, now_ms: u64) {
+    roster.speed_stated_ms = Some(now_ms);
+}
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -498,3 +498,12 @@
         })
     })
 }
+
+/// How long the statement of a speed counts, in milliseconds: targets that state it do so in each answer.
+const SPEED_STATED_TTL_MS: u64 = 10_000;
+
+/// Returns whether a target of the deployment has recently stated how long work takes on it at present.
+pub fn states_speed(roster: &Roster, now_ms: u64) -> bool {
+    let stated_ms = roster.speed_stated_ms;
+    stated_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < SPEED_STATED_TTL_MS)
+}
--- a/crates/gateway/src/answer/selection.rs
+++ b/crates/gateway/src/answer/selection.rs
@@ -11,6 +11,7 @@
 use super::{Failure, Selection, Serving};
 use crate::attempt::{self, InFlight, Link, Ready};
 use crate::hop;
+use crate::permits;
 use crate::prelude::*;
 use crate::quarantine;
 use crate::rollouts::{self, Choice};
@@ -52,7 +53,11 @@
                     return Ok(ready);
                 }
             }
-            let Some((in_flight, target)) = self.select_target() else {
+            let selected = match self.obtain_permit().await? {
+                Some(selected) => Some(selected),
+                None => self.select_target(),
+            };
+            let Some((in_flight, target)) = selected else {
                 if self.change_side() {
                     continue;
                 }
@@ -160,6 +165,44 @@
         query::rank_targets(&self.gateway.roster.lock(), criteria, self.gateway.now_ms())
     }
 
+    /// Obtains a permit, and counts the request on its target. Returns `None` if this gateway is to select a target itself.
+    ///
+    /// # Errors
+    ///
+    /// A [`Failure`] if the request cannot be served in time.
+    pub(super) async fn obtain_permit(
+        &mut self,
+    ) -> std::result::Result<Option<(InFlight, Target)>, Failure> {
+        if !permits::applies(&self.gateway, &self.inbound.pool) {
+            return Ok(None);
+        }
+        let ranked = self.rank_targets();
+        match permits::obtain(&self.gateway, &self.inbound, &ranked).await {
+            permits::Outcome::Granted(key, permit) => {
+                let started = attempt::start(&self.gateway, key);
+                let load = query::load(&self.gateway.roster.lock(), key, self.gateway.now_ms());
+                self.selection = Selection {
+                    candidates: ranked.len(),
+                    skipped: usize::from(started.is_none()),
+                    load,
+                };
+                Ok(started.map(|(mut in_flight, target)| {
+                    in_flight.set_permit(permit);
+                    (in_flight, target)
+                }))
+            }
+            permits::Outcome::Refused(delay) => {
+                self.record_denial("permit");
+                self.retry_after = Some(delay);
+                if !self.attempts.has_arrived() {
+                    self.reason = Reason::Full;
+                }
+                Err(self.failure(self.reason))
+            }
+            permits::Outcome::Alone => Ok(None),
+        }
+    }
+
     /// Selects the best target that accepts the request now, and counts the request on it.
     pub(super) fn select_target(&mut self) -> Option<(InFlight, Target)> {
         let ranked = self.rank_targets();
--- a/crates/gateway/src/answer/takeover.rs
+++ b/crates/gateway/src/answer/takeover.rs
@@ -138,7 +138,11 @@
                     return Ok(ready);
                 }
             }
-            let Some((in_flight, target)) = self.select_target() else {
+            let selected = match self.obtain_permit().await? {
+                Some(selected) => Some(selected),
+                None => self.select_target(),
+            };
+            let Some((in_flight, target)) = selected else {
                 self.record_denial("no_target");
                 return Err(self.failure(Reason::Silence));
             };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::answer::Recipient;
 use crate::connections::{self, Connection};
 use crate::hop;
+use crate::permits::Permit;
 use crate::prelude::*;
 use crate::quarantine::Hex;
 use crate::request::Inbound;
@@ -127,6 +128,7 @@
                 gateway,
                 key: UNKNOWN_TARGET,
                 evidence: Evidence::Inconclusive,
+                permit: None,
             },
             target,
             link,
@@ -147,9 +149,22 @@
     pub key: Key,
     begin_ms: u64,
     evidence: Evidence,
+    /// The permit of the request, which is returned with it.
+    permit: Option<Permit>,
 }
 
 impl InFlight {
+    /// Sets the permit of the request.
+    pub fn set_permit(&mut self, permit: Permit) {
+        self.permit = Some(permit);
+    }
+
+    fn note_rejected(&mut self) {
+        if let Some(permit) = &mut self.permit {
+            permit.set_rejected();
+        }
+    }
+
     /// Returns the gateway that counts the request.
     pub fn gateway(&self) -> &Arc<Gateway> {
         &self.gateway
@@ -164,8 +179,13 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now_ms = self.gateway.now_ms();
-        let mut roster = self.gateway.roster.lock();
-        command::finish_request(&mut roster, self.key, self.evidence, now_ms);
+        {
+            let mut roster = self.gateway.roster.lock();
+            command::finish_request(&mut roster, self.key, self.evidence, now_ms);
+        }
+        if let (Evidence::Healthy, Some(permit)) = (self.evidence, &mut self.permit) {
+            permit.set_completed(now_ms.saturating_sub(self.begin_ms));
+        }
     }
 }
 
@@ -188,6 +208,7 @@
         key,
         begin_ms: now_ms,
         evidence: Evidence::Inconclusive,
+        permit: None,
     };
     Some((in_flight, target))
 }
@@ -504,6 +525,7 @@
         statement::record_brittleness(gateway, &in_flight, &head);
         let now_ms = gateway.now_ms();
         command::note_rejection(&mut gateway.roster.lock(), in_flight.key, now_ms);
+        in_flight.note_rejected();
         return not_run(Reason::Full, true);
     }
     let is_signed = headers.contains_key(&dialect.signature);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod origins;
 pub mod peers;
+pub mod permits;
 pub mod prelude;
 pub mod quarantine;
 pub mod relay;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -40,6 +40,8 @@
     catalog: u64,
     compares_catalogs: bool,
     role: Role,
+    /// Whether it takes part in permits.
+    takes_permits: bool,
 }
 
 impl Contact {
@@ -149,6 +151,7 @@
                     catalog: 0,
                     compares_catalogs: false,
                     role: Role::None,
+                    takes_permits: false,
                 };
                 self.contacts.insert(name, contact);
             }
@@ -167,6 +170,7 @@
             catalog: report.catalog,
             compares_catalogs: report.compares_catalogs,
             role: report.role,
+            takes_permits: report.takes_permits,
         };
         let former = self.contacts.insert(report.member.name.clone(), contact);
         former.is_none_or(|former| former.last_report_ms.is_none())
@@ -212,6 +216,18 @@
         })
     }
 
+    /// Returns the gateways that have sent a report within the silence timeout and take part in permits.
+    pub fn dispatchers(&self, now_ms: u64) -> impl Iterator<Item = collection::Candidate<'_>> {
+        let contacts = self.contacts.iter().filter(move |(_, contact)| {
+            contact.takes_permits && self.has_recent_report(contact, now_ms)
+        });
+        contacts.map(|(name, contact)| collection::Candidate {
+            name,
+            zone: &contact.zone,
+            link_mbps: contact.link_mbps,
+        })
+    }
+
     /// Returns the addresses of the collectors of other zones that have sent a report within the silence timeout.
     pub fn collectors_elsewhere(&self, now_ms: u64) -> Vec<SocketAddr> {
         let contacts = self.contacts.values().filter(|contact| {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -62,6 +62,10 @@
     pub rollout_share: GaugeVec,
     /// Calls to the store for the statuses of rollouts, by call and outcome.
     pub rollout_calls: IntCounterVec,
+    /// Requests for permits, by pool and outcome: `granted`, `refused`, or `alone` if no dispatcher has decided.
+    pub permits: IntCounterVec,
+    /// The requests that wait at this gateway as the dispatcher of their pool.
+    pub permit_queue: IntGauge,
     /// Calls to the store, by topic and outcome.
     pub store_calls: IntCounterVec,
     /// Requests that other gateways have passed on to this one, by outcome: `answered` or `failed`.
@@ -151,6 +155,15 @@
                     "Calls to the store for the statuses of rollouts",
                     &["call", "outcome"],
                 )?,
+                permits: counters(
+                    "gateway_permits_total",
+                    "Requests for permits",
+                    &["pool", "outcome"],
+                )?,
+                permit_queue: IntGauge::new(
+                    "gateway_permit_queue",
+                    "Requests that wait for a permit of this gateway",
+                )?,
                 store_calls: counters(
                     "gateway_store_calls_total",
                     "Calls to the store",
@@ -231,13 +244,15 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 25] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 27] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
             Box::new(metrics.stream_ends.clone()),
             Box::new(metrics.rollout_share.clone()),
             Box::new(metrics.rollout_calls.clone()),
+            Box::new(metrics.permits.clone()),
+            Box::new(metrics.permit_queue.clone()),
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.hops.clone()),
             Box::new(metrics.resumptions.clone()),
--- /dev/null
+++ b/crates/gateway/src/permits.rs
@@ -0,0 +1,407 @@
+//! Permits: what gateways ask of the dispatcher of a pool, and what a dispatcher answers. It decides in
+//! [`sardinemux_core::permits`].
+
+mod dispatch;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use sardinemux_core::collection::{Candidate, Number};
+use sardinemux_core::hash;
+use sardinemux_core::permits::{self, Decision, Dispatcher, End, Request, Ticket};
+use sardinemux_core::roster::query;
+use sardinemux_core::target::Key;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, Notify};
+use tokio::time::{self, Instant};
+
+use crate::drain::Phase;
+use crate::prelude::*;
+use crate::request::Inbound;
+use crate::settings;
+use crate::supplement::{self, Supplement};
+
+pub use self::dispatch::{receive_requests, run};
+
+/// The time within which a dispatcher answers, before the next one is asked: four times the largest round trip between zones.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// The interval at which a request that waits asks again, so that the loss of its dispatcher or of the grant is noticed.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(150);
+
+/// How long a dispatcher that has not answered is passed over, in milliseconds. Reports show its loss after seconds only.
+const SILENT_MS: u64 = 1_000;
+
+/// The largest number of dispatchers that are asked for one permit.
+const ASKED_MAX: usize = 2;
+
+/// Requests for permits and ends of requests of one gateway, for one pool.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Requests {
+    /// The name of the pool.
+    pub pool: SmolStr,
+    /// The requests.
+    pub requests: Vec<Request>,
+    /// The ends.
+    pub ends: Vec<(Ticket, End)>,
+}
+
+/// The decisions of a dispatcher about requests of the recipient.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Decisions {
+    /// The name of the dispatcher.
+    pub gateway: SmolStr,
+    /// The name of the pool.
+    pub pool: SmolStr,
+    /// The decisions, by the numbers of the requests.
+    pub decisions: Vec<(u64, Decision)>,
+}
+
+/// The requests for permits of this gateway, and its queues as a dispatcher.
+#[derive(Debug)]
+pub struct Permits {
+    next: AtomicU64,
+    /// The requests that wait for a decision, by number.
+    pending: Mutex<IndexMap<u64, mpsc::UnboundedSender<Decision>>>,
+    /// Until when a dispatcher is passed over, in milliseconds, by name.
+    silent: Mutex<IndexMap<SmolStr, u64>>,
+    dispatchers: Mutex<IndexMap<SmolStr, Dispatcher>>,
+    /// Whether this gateway was the first dispatcher of a pool when that was last checked.
+    leads: Mutex<IndexMap<SmolStr, bool>>,
+    outgoing: Mutex<Vec<(SocketAddr, Supplement)>>,
+    wake: Notify,
+    /// Wakes the task of the dispatcher once a request waits.
+    queued: Notify,
+}
+
+impl Default for Permits {
+    fn default() -> Self {
+        Self {
+            next: AtomicU64::new(rand::random()),
+            pending: Mutex::default(),
+            silent: Mutex::default(),
+            dispatchers: Mutex::default(),
+            leads: Mutex::default(),
+            outgoing: Mutex::default(),
+            wake: Notify::new(),
+            queued: Notify::new(),
+        }
+    }
+}
+
+impl Permits {
+    /// Waits until there are datagrams to send.
+    pub async fn wait_for_datagrams(&self) {
+        self.wake.notified().await;
+    }
+
+    fn send(&self, address: SocketAddr, supplement: Supplement) {
+        self.outgoing.lock().push((address, supplement));
+        self.wake.notify_one();
+    }
+}
+
+/// What came of a request for a permit.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The request may be sent to this target.
+    Granted(Key, Permit),
+    /// It cannot be served in time. The caller may return after this time.
+    Refused(Duration),
+    /// No dispatcher has decided, so that this gateway does.
+    Alone,
+}
+
+/// A permit, which is returned when it is dropped. Before it is granted, dropping it withdraws the request for it.
+#[derive(Debug)]
+pub struct Permit {
+    gateway: Arc<Gateway>,
+    pool: SmolStr,
+    dispatcher: SmolStr,
+    number: u64,
+    end: End,
+    is_held: bool,
+}
+
+impl Permit {
+    /// Records that the target completed the request.
+    pub fn set_completed(&mut self, time_ms: u64) {
+        self.end = End::Completed(u32::try_from(time_ms).unwrap_or(u32::MAX));
+    }
+
+    /// Records that the target rejected the request, as it is full.
+    pub fn set_rejected(&mut self) {
+        self.end = End::Rejected;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.gateway
+            .permits
+            .pending
+            .lock()
+            .swap_remove(&self.number);
+        if self.is_held {
+            send_end(
+                &self.gateway,
+                &self.pool,
+                &self.dispatcher,
+                self.number,
+                self.end,
+            );
+        }
+    }
+}
+
+/// Returns whether this gateway takes part in permits.
+pub fn is_on(gateway: &Gateway) -> bool {
+    match gateway.settings.permits {
+        settings::Permits::Off => false,
+        settings::Permits::Auto => {
+            let now_ms = gateway.now_ms();
+            query::states_speed(&gateway.roster.lock(), now_ms)
+        }
+        settings::Permits::On => true,
+    }
+}
+
+/// Returns whether requests of a pool need permits: it is plain, and its slots are few for the number of gateways.
+pub fn applies(gateway: &Gateway, pool: &str) -> bool {
+    if !is_on(gateway) {
+        return false;
+    }
+    let catalog = gateway.catalog();
+    if catalog.pool(pool).is_none_or(|it| it.engine.is_some()) {
+        return false;
+    }
+    let now_ms = gateway.now_ms();
+    let slots: u32 = {
+        let roster = gateway.roster.lock();
+        if query::is_brittle(&roster, pool, now_ms) {
+            return false;
+        }
+        let slots = query::slots(&roster, pool, now_ms).into_iter();
+        slots.map(|(_, slots)| slots).sum()
+    };
+    let gateways = gateway.members.lock().dispatchers(now_ms).count() + 1;
+    permits::is_scarce(slots, gateways)
+}
+
+/// Returns the names of the gateways that may be the dispatcher of a pool, the first one first. This one is none while it stops.
+fn ranked(gateway: &Gateway, pool: &str) -> Vec<SmolStr> {
+    let settings = &gateway.settings;
+    let is_serving = gateway.drain.phase() == Phase::Serving;
+    let me = is_serving.then_some(Candidate {
+        name: &settings.name,
+        zone: &settings.zone,
+        link_mbps: settings.link_mbps,
+    });
+    let members = gateway.members.lock();
+    let found = permits::rank(pool, members.dispatchers(gateway.now_ms()).chain(me));
+    found.into_iter().map(SmolStr::from).collect()
+}
+
+/// Returns the dispatcher of a pool: the first one, without those that have not answered lately or have lost their place.
+fn first(gateway: &Gateway, pool: &str) -> Option<SmolStr> {
+    let now_ms = gateway.now_ms();
+    let mut names = ranked(gateway, pool).into_iter();
+    let mut silent = gateway.permits.silent.lock();
+    silent.retain(|_, until_ms| now_ms < *until_ms);
+    names.find(|name| !silent.contains_key(name))
+}
+
+/// Asks for a permit for a request and waits for it. `usable` are the targets that the request may be sent to.
+pub async fn obtain(gateway: &Arc<Gateway>, inbound: &Inbound, usable: &[Key]) -> Outcome {
+    let outcome = obtain_from_any(gateway, inbound, usable).await;
+    let label = match &outcome {
+        Outcome::Granted(..) => "granted",
+        Outcome::Refused(_) => "refused",
+        Outcome::Alone => "alone",
+    };
+    let counts = &gateway.metrics.permits;
+    counts
+        .with_label_values(&[inbound.pool.as_str(), label])
+        .inc();
+    outcome
+}
+
+async fn obtain_from_any(gateway: &Arc<Gateway>, inbound: &Inbound, usable: &[Key]) -> Outcome {
+    for _ in 0..ASKED_MAX {
+        let Some(dispatcher) = first(gateway, &inbound.pool) else {
+            break;
+        };
+        match obtain_from(gateway, inbound, usable, &dispatcher).await {
+            Some(Decided::Outcome(outcome)) => return outcome,
+            Some(Decided::Moved) => {}
+            None => {
+                log::info!(pool:% = inbound.pool, dispatcher:% = dispatcher; "no answer to a request for a permit");
+            }
+        }
+        let until_ms = gateway.now_ms() + SILENT_MS;
+        gateway.permits.silent.lock().insert(dispatcher, until_ms);
+    }
+    Outcome::Alone
+}
+
+/// What came of a request to one dispatcher.
+enum Decided {
+    Outcome(Outcome),
+    /// The dispatcher has lost its place.
+    Moved,
+}
+
+/// Asks one dispatcher. Returns `None` if it does not answer in time.
+async fn obtain_from(
+    gateway: &Arc<Gateway>,
+    inbound: &Inbound,
+    usable: &[Key],
+    dispatcher: &SmolStr,
+) -> Option<Decided> {
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let number = gateway.permits.next.fetch_add(1, Ordering::Relaxed);
+    gateway.permits.pending.lock().insert(number, sender);
+    let mut permit = Permit {
+        gateway: gateway.clone(),
+        pool: inbound.pool.clone(),
+        dispatcher: dispatcher.clone(),
+        number,
+        end: End::Other,
+        is_held: true,
+    };
+    loop {
+        if inbound.remaining().is_zero() {
+            return Some(Decided::Outcome(Outcome::Refused(ANSWER_TIMEOUT)));
+        }
+        ask(gateway, inbound, usable, dispatcher, number);
+        let mut limit = Instant::now() + ANSWER_TIMEOUT;
+        let mut is_acknowledged = false;
+        while let Ok(decision) = time::timeout_at(limit, receiver.recv()).await {
+            let decision = decision?;
+            permit.is_held = matches!(decision, Decision::Queued | Decision::Granted(_));
+            let outcome = match decision {
+                Decision::Queued => {
+                    is_acknowledged = true;
+                    limit = (Instant::now() + REPEAT_INTERVAL).min(inbound.deadline);
+                    continue;
+                }
+                Decision::Granted(target) => match usable_key(gateway, usable, target) {
+                    Some(key) => Outcome::Granted(key, permit),
+                    None => Outcome::Alone,
+                },
+                Decision::Refused(return_ms) => {
+                    Outcome::Refused(Duration::from_millis(u64::from(return_ms)))
+                }
+                Decision::Declined => Outcome::Alone,
+                Decision::Moved => return Some(Decided::Moved),
+            };
+            return Some(Decided::Outcome(outcome));
+        }
+        if !is_acknowledged {
+            return None;
+        }
+    }
+}
+
+fn usable_key(gateway: &Gateway, usable: &[Key], target: Number) -> Option<Key> {
+    let roster = gateway.roster.lock();
+    let is_target = |key: &Key| query::id(&roster, *key).is_some_and(|id| Number::of(id) == target);
+    usable.iter().copied().find(is_target)
+}
+
+/// Returns the numbers of the eligible targets of a pool that a request may not be sent to.
+fn avoided(gateway: &Gateway, pool: &str, usable: &[Key]) -> Vec<Number> {
+    let now_ms = gateway.now_ms();
+    let roster = gateway.roster.lock();
+    let keys = query::eligible(&roster, pool, now_ms).into_iter();
+    // A target in backoff is not known to the dispatcher to be so before its own requests fail.
+    let avoided =
+        keys.filter(|key| !usable.contains(key) || query::is_in_backoff(&roster, *key, now_ms));
+    avoided
+        .filter_map(|key| query::id(&roster, key).map(|id| Number::of(id)))
+        .collect()
+}
+
+fn ask(gateway: &Gateway, inbound: &Inbound, usable: &[Key], dispatcher: &str, number: u64) {
+    let left_ms = inbound.remaining().as_millis();
+    let request = Request {
+        ticket: ticket(gateway, number),
+        route: hash::digest(&[inbound.route.name.as_bytes()]) as u32,
+        organisation: inbound.organisation.clone().unwrap_or_default(),
+        priority: inbound.priority,
+        zone: gateway.settings.zone.clone(),
+        content: inbound.content,
+        left_ms: u32::try_from(left_ms).unwrap_or(u32::MAX),
+        avoided: avoided(gateway, &inbound.pool, usable),
+    };
+    let requests = Requests {
+        pool: inbound.pool.clone(),
+        requests: vec![request],
+        ends: Vec::new(),
+    };
+    send_requests(gateway, dispatcher, requests);
+}
+
+fn ticket(gateway: &Gateway, number: u64) -> Ticket {
+    Ticket {
+        gateway: gateway.settings.name.clone(),
+        number,
+    }
+}
+
+fn send_end(gateway: &Gateway, pool: &SmolStr, dispatcher: &str, number: u64, end: End) {
+    let requests = Requests {
+        pool: pool.clone(),
+        requests: Vec::new(),
+        ends: vec![(ticket(gateway, number), end)],
+    };
+    send_requests(gateway, dispatcher, requests);
+}
+
+fn send_requests(gateway: &Gateway, dispatcher: &str, requests: Requests) {
+    if gateway.settings.name == dispatcher {
+        receive_requests(gateway, requests);
+        return;
+    }
+    let address = gateway.members.lock().address(dispatcher);
+    if let Some(address) = address {
+        let supplement = Supplement::PermitRequests(requests);
+        gateway.permits.send(address, supplement);
+    }
+}
+
+/// Applies the decisions of a dispatcher. A permit for a request that no longer waits is returned.
+pub fn receive_decisions(gateway: &Gateway, decisions: Decisions) {
+    let Decisions {
+        gateway: dispatcher,
+        pool,
+        decisions,
+    } = decisions;
+    for (number, decision) in decisions {
+        let is_taken = {
+            let pending = gateway.permits.pending.lock();
+            let sender = pending.get(&number);
+            sender.is_some_and(|sender| sender.send(decision).is_ok())
+        };
+        if !is_taken && matches!(decision, Decision::Granted(_)) {
+            send_end(gateway, &pool, &dispatcher, number, End::Other);
+        }
+    }
+}
+
+/// Returns the datagrams that are to be sent.
+pub fn take_datagrams(gateway: &Gateway) -> Vec<(SocketAddr, Vec<u8>)> {
+    let outgoing = std::mem::take(&mut *gateway.permits.outgoing.lock());
+    let datagrams = outgoing
+        .into_iter()
+        .filter_map(|(address, supplement)| Some((address, supplement::encode(&supplement)?)));
+    datagrams.collect()
+}
+
+/// Drops what a dispatcher has granted, after the process stood still. The gateways ask again, and reports show what runs.
+pub fn forget_all(gateway: &Gateway) {
+    gateway.permits.dispatchers.lock().clear();
+}
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -23,6 +23,7 @@
 use crate::hop;
 use crate::members::{Broadcast, Standing};
 use crate::origins;
+use crate::permits;
 use crate::prelude::*;
 use crate::quarantine;
 use crate::replication;
@@ -69,6 +70,9 @@
     /// What it does for the collection of requests in flight. It is in the appendix.
     #[serde(skip)]
     pub role: Role,
+    /// Whether it takes part in permits. It is in the appendix.
+    #[serde(skip)]
+    pub takes_permits: bool,
 }
 
 /// The appendix of a report.
@@ -82,6 +86,7 @@
     catalog: u64,
     compares_catalogs: bool,
     role: Role,
+    takes_permits: bool,
 }
 
 /// Returns the datagram of a report.
@@ -96,6 +101,7 @@
         catalog: report.catalog,
         compares_catalogs: report.compares_catalogs,
         role: report.role,
+        takes_permits: report.takes_permits,
     };
     appendix::encode(report, &appendix)
 }
@@ -111,6 +117,7 @@
     report.catalog = appendix.catalog;
     report.compares_catalogs = appendix.compares_catalogs;
     report.role = appendix.role;
+    report.takes_permits = appendix.takes_permits;
     for (standing, era) in [
         (&mut report.operators, appendix.operators),
         (&mut report.targets, appendix.targets),
@@ -129,6 +136,7 @@
     };
     let catalog = gateway.catalog.read().version();
     let role = role(gateway);
+    let takes_permits = permits::is_on(gateway);
     let views = gateway.views.lock();
     let standing = |topic: Topic| {
         let view = views.get(&topic);
@@ -154,6 +162,7 @@
         catalog,
         compares_catalogs: true,
         role,
+        takes_permits,
     }
 }
 
@@ -220,9 +229,15 @@
                     send_datagram(&socket, &records, &[address]);
                 }
             }
+            () = gateway.permits.wait_for_datagrams() => {
+                for (address, bytes) in permits::take_datagrams(&gateway) {
+                    send_datagram(&socket, &bytes, &[address]);
+                }
+            }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok(_) if has_stood_still(&gateway, &mut suspensions) => {
                     drop_waiting(&socket, &mut buffer);
+                    permits::forget_all(&gateway);
                 }
                 Ok((length, sender)) if supplement::is_supplement(&buffer[..length]) => {
                     receive_supplement(&gateway, &buffer[..length], sender);
@@ -490,6 +505,12 @@
         Ok((Supplement::Origins(records), _)) => origins::receive_records(gateway, records),
         Ok((Supplement::Sum(sum), _)) => receive_sum(gateway, sum),
         Ok((Supplement::Rollouts(news), _)) => rollouts::receive_news(gateway, news),
+        Ok((Supplement::PermitRequests(requests), _)) => {
+            permits::receive_requests(gateway, requests);
+        }
+        Ok((Supplement::PermitDecisions(decisions), _)) => {
+            permits::receive_decisions(gateway, decisions);
+        }
         Ok((Supplement::Observation(counted), _)) => {
             rollouts::receive_observation(gateway, *counted);
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -13,7 +13,9 @@
 use crate::rollouts::decider;
 use crate::settings::Settings;
 use crate::source::{Member, Source, Topic};
-use crate::{caller, follow, hop, internal, origins, peers, quarantine, reports, store_writes};
+use crate::{
+    caller, follow, hop, internal, origins, peers, permits, quarantine, reports, store_writes,
+};
 
 /// The time for which a stopping gateway still accepts requests: the load balancer probes it once per second and stops
 /// sending requests to it after two failed probes.
@@ -61,6 +63,7 @@
     tokio::spawn(origins::follow(gateway.clone(), source.clone()));
     tokio::spawn(origins::record_streams(gateway.clone(), source.clone()));
     tokio::spawn(decider::run(gateway.clone(), source.clone()));
+    tokio::spawn(permits::run(gateway.clone()));
     tokio::spawn(store_writes::run(gateway.clone(), source.clone()));
     let settings = &gateway.settings;
     tokio::try_join!(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -37,10 +37,34 @@
     /// It is of use where many gateways start long before callers arrive: few of them then read the store. When all
     /// gateways have lost their state at once, callers wait for it.
     pub discovery_ms: u64,
+    /// Whether a dispatcher grants permits for pools of few slots.
+    pub permits: Permits,
     /// The bounds of the deployment, which may change while the process runs.
     pub bounds: Bounds,
 }
 
+/// When a dispatcher grants permits for pools of few slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Permits {
+    /// Never.
+    #[default]
+    Off,
+    /// While targets of the deployment state their speed.
+    Auto,
+    /// Always.
+    On,
+}
+
+impl Permits {
+    fn parse(text: &str) -> Self {
+        match text {
+            "on" => Self::On,
+            "auto" => Self::Auto,
+            _ => Self::Off,
+        }
+    }
+}
+
 /// The bounds of a deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -69,7 +93,7 @@
 const MEGABYTE: f64 = 1e6;
 
 /// The keys of the settings file.
-pub const KEYS: [Key; 18] = [
+pub const KEYS: [Key; 20] = [
     Key::new(
         "instance",
         "name",
@@ -192,6 +216,20 @@
         Some("50"),
         "The requests that a bad build may get beyond that share.",
     ),
+    Key::new(
+        "admission",
+        "permits",
+        Kind::Choice(&["off", "auto", "on"]),
+        Some("off"),
+        "Whether one gateway grants permits for pools of few slots; auto: while targets state their speed.",
+    ),
+    Key::new(
+        "admission",
+        "contracts",
+        Kind::Words,
+        Some(""),
+        "What the platform states of the deployment's load; the platform's program reads it.",
+    ),
 ];
 
 impl Settings {
@@ -217,6 +255,7 @@
             memory_bytes: (values.fraction("instance", "memory_mb")? * MEGABYTE) as usize,
             store_address: values.address("store", "address")?,
             discovery_ms: values.number("store", "listen")?,
+            permits: Permits::parse(&values.text("admission", "permits")?),
             bounds: Bounds {
                 grace_ms: values.number("limits", "grace")?,
                 retry_ratio: values.fraction("limits", "retry_ratio")?,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -31,6 +31,7 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::origins::Origins;
+use crate::permits::Permits;
 use crate::prelude::*;
 use crate::quarantine::{Alarm, Quarantine};
 use crate::replication::View;
@@ -81,6 +82,8 @@
     pub origins: Origins,
     /// The rollouts of builds.
     pub rollouts: Rollouts,
+    /// Requests for permits, and the queues of the pools of which this gateway is the dispatcher.
+    pub permits: Permits,
     /// The paths of this gateway and others to targets.
     pub reach: Mutex<Reach>,
     /// Idle connections to other gateways, for requests that these send to targets.
@@ -136,6 +139,7 @@
             quarantine_alarm: Alarm::default(),
             origins: Origins::default(),
             rollouts: Rollouts::default(),
+            permits: Permits::default(),
             reach: Mutex::default(),
             idle_hops: Mutex::default(),
             idle_connections: Mutex::default(),
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::appendix;
+use crate::permits;
 use crate::prelude::*;
 use crate::rollouts::{News, Observation};
 
@@ -53,6 +54,10 @@
     Rollouts(Vec<News>),
     /// What the sender has counted of a rollout. Only the gateways that decide it get that.
     Observation(Box<Observation>),
+    /// Requests for permits and their ends, for the dispatcher of a pool.
+    PermitRequests(permits::Requests),
+    /// Decisions of a dispatcher about requests of the recipient.
+    PermitDecisions(permits::Decisions),
 }
 
 /// The appendix of a supplement with positions.
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -127,6 +127,7 @@
         memory_bytes: 256_000_000,
         discovery_ms: 0,
         store_address: address(4),
+        permits: sardinemux_gateway::settings::Permits::Off,
         bounds: Bounds {
             grace_ms: 8_000,
             retry_ratio: 0.2,
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -47,6 +47,8 @@
         /// The largest allowed number.
         most: u32,
     },
+    /// Words, separated by commas; may be empty.
+    Words,
     /// One of a list of words.
     Choice(&'static [&'static str]),
 }
@@ -137,6 +139,7 @@
                 format!("a size in B, KiB or MiB, from {least}B to {most}B")
             }
             Self::Fraction { most } => format!("a number from 0 to {most}"),
+            Self::Words => "words, separated by commas".to_owned(),
             Self::Choice(words) => format!("one of {}", words.join(", ")),
         }
     }
@@ -169,6 +172,7 @@
             Self::Fraction { most } => {
                 parse_fraction(text).is_some_and(|number| number <= f64::from(most))
             }
+            Self::Words => !text.contains(['\n', '\r']),
             Self::Choice(words) => words.contains(&text),
         }
     }
