--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -197,7 +197,15 @@
         running + foreign
     }
 
-    /// Returns the targets with room for a request, and the cost of each: `(load + 1) * speed / slots`.
+    /// Returns the number of requests for which there is room now.
+    fn free(&self, places: &[Place]) -> u32 {
+        let usable = places.iter().filter(|place| place.is_usable);
+        usable
+            .map(|place| self.capacity(place).saturating_sub(self.load(place)))
+            .sum()
+    }
+
+    /// Returns the target with room where a request is served first, by `(load + 1) * speed / slots`.
     fn choose(&self, request: &Request, places: &[Place], now_ms: u64) -> Option<Number> {
         let open = places.iter().filter(|place| {
             let known = self.granted.get(&place.number);
@@ -219,7 +227,7 @@
         best.map(|place| place.number)
     }
 
-    /// Returns the requests a second that the targets complete while they have no room, by Little's law:
+    /// Returns the requests a millisecond that the targets complete while they have no room, by Little's law:
     /// `sum(capacity) / time`.
     fn drain_per_ms(&self, places: &[Place]) -> f64 {
         let usable = places.iter().filter(|place| place.is_usable);
--- a/crates/core/src/permits/command.rs
+++ b/crates/core/src/permits/command.rs
@@ -97,22 +97,31 @@
 /// Grants what there is room for, and refuses the waiting requests that cannot be served in time.
 pub fn expire(dispatcher: &mut Dispatcher, places: &[Place], now_ms: u64) -> Vec<Notice> {
     release_overdue(dispatcher, now_ms);
-    let mut notices = serve(dispatcher, places, now_ms);
+    let mut notices = refuse_late(dispatcher, places, now_ms);
+    notices.extend(serve(dispatcher, places, now_ms));
+    notices
+}
+
+/// Refuses the waiting requests that cannot be served in time, also if there is room: they may run for nothing otherwise.
+fn refuse_late(dispatcher: &mut Dispatcher, places: &[Place], now_ms: u64) -> Vec<Notice> {
+    let mut notices = Vec::new();
     if dispatcher.line.is_empty() {
         return notices;
     }
+    let mut free: f64 = dispatcher.free(places).into();
     let per_ms = dispatcher.drain_per_ms(places);
     let mut ahead = 0.0;
     let mut late: Vec<(Ticket, u64)> = Vec::new();
     for waiting in dispatcher.line.forecast() {
-        let wait_ms = match per_ms > 0.0 {
+        let wait_ms = match per_ms > 0.0 && free < 1.0 {
             true => ahead / per_ms,
             false => 0.0,
         };
-        let route = Some(waiting.request.route);
-        let end_ms = now_ms as f64 + wait_ms + dispatcher.pace.time_ms(route);
+        let time_ms = dispatcher.pace.long_ms(waiting.request.route);
+        let end_ms = now_ms as f64 + wait_ms + time_ms;
         match end_ms > waiting.deadline_ms as f64 {
             true => late.push((waiting.request.ticket.clone(), waiting.request.content)),
+            false if free >= 1.0 => free -= 1.0,
             false => ahead += 1.0,
         }
     }
--- a/crates/core/src/permits/pace.rs
+++ b/crates/core/src/permits/pace.rs
@@ -21,6 +21,8 @@
 pub(super) struct Pace {
     all_ms: Option<f64>,
     routes_ms: IndexMap<u32, f64>,
+    /// The mean deviation from the time of the route, in milliseconds.
+    deviation_ms: f64,
     /// The time on each target in relation to that of the route, and when it was measured, in milliseconds.
     speeds: IndexMap<Number, (f64, u64)>,
 }
@@ -33,6 +35,7 @@
         let ratio = (time_ms / usual_ms).clamp(0.1, 10.0);
         let speed = known + SPEED_WEIGHT * (ratio - known);
         self.speeds.insert(target, (speed, now_ms));
+        self.deviation_ms += WEIGHT * ((time_ms - usual_ms).abs() - self.deviation_ms);
         let route_ms = self.routes_ms.entry(route).or_insert(time_ms);
         *route_ms += WEIGHT * (time_ms - *route_ms);
         let all_ms = self.all_ms.get_or_insert(time_ms);
@@ -45,6 +48,11 @@
         known.or(self.all_ms).unwrap_or(INITIAL_MS)
     }
 
+    /// Returns the time within which most requests of a route end: `time + 2 * deviation`, some 19 of 20.
+    pub fn long_ms(&self, route: u32) -> f64 {
+        self.time_ms(Some(route)) + 2.0 * self.deviation_ms
+    }
+
     /// Returns how long requests take on a target in relation to the others: 1 as usual, 2 twice as long.
     pub fn speed(&self, target: Number, now_ms: u64) -> f64 {
         self.speeds.get(&target).map_or(1.0, |(speed, at_ms)| {
--- a/crates/gateway/tests/former.rs
+++ b/crates/gateway/tests/former.rs
@@ -113,9 +113,11 @@
         catalog: 44,
         compares_catalogs: true,
         role: Role::Collector,
+        takes_permits: true,
     };
     let bytes = reports::encode(&report).unwrap();
     let read = reports::decode(&bytes).unwrap();
+    assert!(read.takes_permits);
     assert_eq!(read.operators, report.operators);
     assert_eq!(read.targets, report.targets);
     assert_eq!((read.catalog, read.role), (44, Role::Collector));
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -7,8 +7,10 @@
 
 use indexmap::IndexMap;
 use sardinemux_core::collection::Role;
+use sardinemux_core::permits::Decision;
 use sardinemux_core::quarantine::Notice;
 use sardinemux_gateway::members::Standing;
+use sardinemux_gateway::permits::{Decisions, Requests};
 use sardinemux_gateway::reports::{self, Report};
 use sardinemux_gateway::source::Member;
 use sardinemux_gateway::supplement::{self, Supplement};
@@ -76,6 +78,7 @@
             catalog: 0,
             compares_catalogs: false,
             role: self.role.unwrap_or_default(),
+            takes_permits: self.role.is_some(),
         };
         let bytes = match self.role {
             Some(_) => reports::encode(&report).unwrap(),
@@ -90,6 +93,17 @@
         self.socket.send_to(&bytes, self.gateway).await.unwrap();
     }
 
+    /// Answers requests for permits that they wait.
+    pub async fn acknowledge(&self, received: &Requests) {
+        let numbers = received.requests.iter().map(|it| it.ticket.number);
+        self.send(&Supplement::PermitDecisions(Decisions {
+            gateway: self.name.into(),
+            pool: received.pool.clone(),
+            decisions: numbers.map(|number| (number, Decision::Queued)).collect(),
+        }))
+        .await;
+    }
+
     /// Returns the next datagram of the gateway that is a supplement, or a report (`None`).
     pub async fn next(&self) -> Option<Supplement> {
         let mut buffer = [0; DATAGRAM_MAX_BYTES];
