--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -131,8 +131,8 @@
     full_until_ms: u64,
 }
 
-/// The interval over which the peak of the grants is kept, in milliseconds: the greatest age of reports by collectors and sums.
-const PEAK_MS: u64 = 400;
+/// The interval over which the peak of the grants is kept, in milliseconds: the usual greatest age of reports and sums.
+const PEAK_MS: u64 = 250;
 
 impl Granted {
     fn roll(&mut self, now_ms: u64) {
--- a/crates/core/src/permits/command.rs
+++ b/crates/core/src/permits/command.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Decision, Dispatcher, End, Granted, Notice, Permit, Place, Request, Ticket, OVERDUE_MULTIPLE,
-    OVERDUE_SLACK_MS,
+    OVERDUE_SLACK_MS, TRIP_MS,
 };
 use crate::collection::Number;
 
@@ -118,7 +118,7 @@
             false => 0.0,
         };
         let time_ms = dispatcher.pace.long_ms(waiting.request.route);
-        let end_ms = now_ms as f64 + wait_ms + time_ms;
+        let end_ms = now_ms as f64 + wait_ms + time_ms + TRIP_MS as f64;
         match end_ms > waiting.deadline_ms as f64 {
             true => late.push((waiting.request.ticket.clone(), waiting.request.content)),
             false if free >= 1.0 => free -= 1.0,
--- a/crates/core/tests/support/scarce.rs
+++ b/crates/core/tests/support/scarce.rs
@@ -22,6 +22,8 @@
 const REPEAT_MS: u64 = 150;
 /// How long a dispatcher that has not answered is passed over, in milliseconds.
 const SILENT_MS: u64 = 1_000;
+/// The number of requests in a row without an answer after which that is so.
+const SILENT_MISSES: u32 = 2;
 
 /// A deployment and its load.
 #[derive(Clone, Debug)]
@@ -62,6 +64,8 @@
     pub refused: u32,
     /// Requests that were answered after their time-out.
     pub overrun: u32,
+    /// When each of these began and ended, and how long it was at its target, in milliseconds.
+    pub overruns_ms: Vec<(u64, u64, u64)>,
     /// Requests that waited for a permit until their time-out.
     pub held: u32,
     /// Requests without any answer.
@@ -135,6 +139,7 @@
     own: Vec<[usize; TARGETS]>,
     dispatchers: [Dispatcher; 2],
     silent_ms: Vec<u64>,
+    misses: Vec<u32>,
     score: Score,
 }
 
@@ -155,6 +160,7 @@
             own: vec![[0; TARGETS]; gateways],
             dispatchers: Default::default(),
             silent_ms: vec![0; gateways],
+            misses: vec![0; gateways],
             score: Score::default(),
         };
         simulation.push(0, Event::Arrive);
@@ -344,6 +350,9 @@
     fn answer(&mut self, call: usize, dispatcher: usize, kind: u8, value: u32, now_ms: u64) {
         let it = &mut self.calls[call];
         let is_awaited = !it.is_done && it.dispatcher == dispatcher && it.asked > 0;
+        if dispatcher == 0 && is_awaited {
+            self.misses[it.gateway] = 0;
+        }
         match kind {
             0 if !is_awaited => {
                 self.datagram(now_ms, Event::EndHeard(call, dispatcher, 2, 0));
@@ -387,7 +396,10 @@
             return;
         }
         if dispatcher == 0 {
-            self.silent_ms[gateway] = now_ms + SILENT_MS;
+            self.misses[gateway] += 1;
+            if self.misses[gateway] >= SILENT_MISSES {
+                self.silent_ms[gateway] = now_ms + SILENT_MS;
+            }
             self.ask(call, 1, now_ms);
         } else {
             it.asked = 0;
@@ -478,6 +490,9 @@
             self.score.late += 1;
         } else {
             self.score.overrun += 1;
+            self.score
+                .overruns_ms
+                .push((it.begin_ms, now_ms, now_ms - it.granted_ms));
         }
         self.give_back(call, 0, time_ms, now_ms);
     }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -2,6 +2,7 @@
 //! [`sardinemux_core::permits`].
 
 mod dispatch;
+mod ranking;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -9,7 +10,7 @@
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
-use sardinemux_core::collection::{Candidate, Number};
+use sardinemux_core::collection::Number;
 use sardinemux_core::hash;
 use sardinemux_core::permits::{self, Decision, Dispatcher, End, Request, Ticket};
 use sardinemux_core::roster::query;
@@ -18,13 +19,13 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{self, Instant};
 
-use crate::drain::Phase;
 use crate::prelude::*;
 use crate::request::Inbound;
 use crate::settings;
 use crate::supplement::{self, Supplement};
 
 pub use self::dispatch::{receive_requests, run};
+use self::ranking::{first, with_ranking, Ranking, Silence, SILENT_MISSES};
 
 /// The time within which a dispatcher answers, before the next one is asked: four times the largest round trip between zones.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
@@ -32,9 +33,6 @@
 /// The interval at which a request that waits asks again, so that the loss of its dispatcher or of the grant is noticed.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(150);
 
-/// How long a dispatcher that has not answered is passed over, in milliseconds. Reports show its loss after seconds only.
-const SILENT_MS: u64 = 1_000;
-
 /// The largest number of dispatchers that are asked for one permit.
 const ASKED_MAX: usize = 2;
 
@@ -66,8 +64,9 @@
     next: AtomicU64,
     /// The requests that wait for a decision, by number.
     pending: Mutex<IndexMap<u64, mpsc::UnboundedSender<Decision>>>,
-    /// Until when a dispatcher is passed over, in milliseconds, by name.
-    silent: Mutex<IndexMap<SmolStr, u64>>,
+    rankings: Mutex<IndexMap<SmolStr, Ranking>>,
+    /// The dispatchers that have not answered lately, by name.
+    silent: Mutex<IndexMap<SmolStr, Silence>>,
     dispatchers: Mutex<IndexMap<SmolStr, Dispatcher>>,
     /// Whether this gateway was the first dispatcher of a pool when that was last checked.
     leads: Mutex<IndexMap<SmolStr, bool>>,
@@ -82,6 +81,7 @@
         Self {
             next: AtomicU64::new(rand::random()),
             pending: Mutex::default(),
+            rankings: Mutex::default(),
             silent: Mutex::default(),
             dispatchers: Mutex::default(),
             leads: Mutex::default(),
@@ -187,31 +187,9 @@
         let slots = query::slots(&roster, pool, now_ms).into_iter();
         slots.map(|(_, slots)| slots).sum()
     };
-    let gateways = gateway.members.lock().dispatchers(now_ms).count() + 1;
-    permits::is_scarce(slots, gateways)
-}
-
-/// Returns the names of the gateways that may be the dispatcher of a pool, the first one first. This one is none while it stops.
-fn ranked(gateway: &Gateway, pool: &str) -> Vec<SmolStr> {
-    let settings = &gateway.settings;
-    let is_serving = gateway.drain.phase() == Phase::Serving;
-    let me = is_serving.then_some(Candidate {
-        name: &settings.name,
-        zone: &settings.zone,
-        link_mbps: settings.link_mbps,
-    });
-    let members = gateway.members.lock();
-    let found = permits::rank(pool, members.dispatchers(gateway.now_ms()).chain(me));
-    found.into_iter().map(SmolStr::from).collect()
-}
-
-/// Returns the dispatcher of a pool: the first one, without those that have not answered lately or have lost their place.
-fn first(gateway: &Gateway, pool: &str) -> Option<SmolStr> {
-    let now_ms = gateway.now_ms();
-    let mut names = ranked(gateway, pool).into_iter();
-    let mut silent = gateway.permits.silent.lock();
-    silent.retain(|_, until_ms| now_ms < *until_ms);
-    names.find(|name| !silent.contains_key(name))
+    with_ranking(gateway, pool, |ranking| {
+        permits::is_scarce(slots, ranking.gateways)
+    })
 }
 
 /// Asks for a permit for a request and waits for it. `usable` are the targets that the request may be sent to.
@@ -230,19 +208,37 @@
 }
 
 async fn obtain_from_any(gateway: &Arc<Gateway>, inbound: &Inbound, usable: &[Key]) -> Outcome {
-    for _ in 0..ASKED_MAX {
-        let Some(dispatcher) = first(gateway, &inbound.pool) else {
+    let mut asked: Vec<SmolStr> = Vec::new();
+    while asked.len() < ASKED_MAX {
+        let Some(dispatcher) = first(gateway, &inbound.pool, &asked) else {
             break;
         };
-        match obtain_from(gateway, inbound, usable, &dispatcher).await {
+        let decided = obtain_from(gateway, inbound, usable, &dispatcher).await;
+        {
+            let now_ms = gateway.now_ms();
+            let mut silent = gateway.permits.silent.lock();
+            match &decided {
+                Some(Decided::Outcome(_)) => {
+                    silent.swap_remove(&dispatcher);
+                }
+                Some(Decided::Moved) => {
+                    let silence = silent.entry(dispatcher.clone()).or_default();
+                    silence.note(SILENT_MISSES, now_ms);
+                }
+                None => silent
+                    .entry(dispatcher.clone())
+                    .or_default()
+                    .note(1, now_ms),
+            }
+        }
+        match decided {
             Some(Decided::Outcome(outcome)) => return outcome,
             Some(Decided::Moved) => {}
             None => {
                 log::info!(pool:% = inbound.pool, dispatcher:% = dispatcher; "no answer to a request for a permit");
             }
         }
-        let until_ms = gateway.now_ms() + SILENT_MS;
-        gateway.permits.silent.lock().insert(dispatcher, until_ms);
+        asked.push(dispatcher);
     }
     Outcome::Alone
 }
--- a/crates/gateway/src/permits/dispatch.rs
+++ b/crates/gateway/src/permits/dispatch.rs
@@ -8,7 +8,8 @@
 use sardinemux_core::roster::query;
 use tokio::time;
 
-use super::{ranked, receive_decisions, Decisions, Requests};
+use super::ranking::ranked;
+use super::{receive_decisions, Decisions, Requests};
 use crate::drain::Phase;
 use crate::prelude::*;
 use crate::supplement::Supplement;
