--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -68,25 +68,33 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
     /// The target completed it in this time, in milliseconds.
+    #[serde(rename = "C")]
     Completed(u32),
     /// The target rejected it, as it is full.
+    #[serde(rename = "F")]
     Rejected,
     /// It failed, was given up, or its permit was not used.
+    #[serde(rename = "O")]
     Other,
 }
 
-/// What becomes of a request.
+/// What becomes of a request. The names are short in datagrams, of which a dispatcher sends one for each request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decision {
     /// It may be sent to a target.
+    #[serde(rename = "G")]
     Granted(Number),
     /// It waits.
+    #[serde(rename = "Q")]
     Queued,
     /// It cannot be served in time. The caller may return after this time, in milliseconds.
+    #[serde(rename = "R")]
     Refused(u32),
     /// The dispatcher knows of no target for it, so that its gateway decides.
+    #[serde(rename = "D")]
     Declined,
     /// The dispatcher stops or another one has its place, so that the gateway asks again.
+    #[serde(rename = "M")]
     Moved,
 }
 
--- a/crates/gateway/src/answer/selection.rs
+++ b/crates/gateway/src/answer/selection.rs
@@ -177,7 +177,12 @@
             return Ok(None);
         }
         let ranked = self.rank_targets();
-        match permits::obtain(&self.gateway, &self.inbound, &ranked).await {
+        let outcome = permits::obtain(&self.gateway, &self.inbound, &ranked).await;
+        // The request may have waited into the last part of the grace period.
+        if !self.gateway.drain.may_send() {
+            return Err(self.failure(Reason::NotReady));
+        }
+        match outcome {
             permits::Outcome::Granted(key, permit) => {
                 let started = attempt::start(&self.gateway, key);
                 let load = query::load(&self.gateway.roster.lock(), key, self.gateway.now_ms());
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -47,16 +47,9 @@
     pub ends: Vec<(Ticket, End)>,
 }
 
-/// The decisions of a dispatcher about requests of the recipient.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Decisions {
-    /// The name of the dispatcher.
-    pub gateway: SmolStr,
-    /// The name of the pool.
-    pub pool: SmolStr,
-    /// The decisions, by the numbers of the requests.
-    pub decisions: Vec<(u64, Decision)>,
-}
+/// The decisions of a dispatcher about requests of the recipient, by the numbers of the requests. A dispatcher sends one for each request
+/// of its pool, so that it names neither itself nor the pool.
+pub type Decisions = Vec<(u64, Decision)>;
 
 /// The requests for permits of this gateway, and its queues as a dispatcher.
 #[derive(Debug)]
@@ -369,21 +362,13 @@
     }
 }
 
-/// Applies the decisions of a dispatcher. A permit for a request that no longer waits is returned.
-pub fn receive_decisions(gateway: &Gateway, decisions: Decisions) {
-    let Decisions {
-        gateway: dispatcher,
-        pool,
-        decisions,
-    } = decisions;
+/// Applies the decisions of a dispatcher. Those about requests that no longer wait are ignored: the dispatcher was told of their end.
+pub fn receive_decisions(gateway: &Gateway, decisions: &Decisions) {
+    let pending = gateway.permits.pending.lock();
     for (number, decision) in decisions {
-        let is_taken = {
-            let pending = gateway.permits.pending.lock();
-            let sender = pending.get(&number);
-            sender.is_some_and(|sender| sender.send(decision).is_ok())
-        };
-        if !is_taken && matches!(decision, Decision::Granted(_)) {
-            send_end(gateway, &pool, &dispatcher, number, End::Other);
+        if let Some(sender) = pending.get(number) {
+            // The request may have been given up in this moment.
+            let _ = sender.send(*decision);
         }
     }
 }
--- a/crates/gateway/src/permits/dispatch.rs
+++ b/crates/gateway/src/permits/dispatch.rs
@@ -20,7 +20,7 @@
 /// The number of ticks after which a dispatcher looks for gateways that have lapsed.
 const TICKS_PER_CHECK: u64 = 20;
 
-/// The largest number of decisions in a datagram. One takes up to 25 bytes.
+/// The largest number of decisions in a datagram. One takes up to 18 bytes.
 const DECISIONS_MAX: usize = 40;
 
 /// Returns the targets of a pool as this gateway sees them.
@@ -80,32 +80,28 @@
     if waiting > 0 {
         gateway.permits.queued.notify_one();
     }
-    notify(gateway, &pool, notices);
+    notify(gateway, notices);
 }
 
 /// Sends decisions to the gateways of the requests.
-fn notify(gateway: &Gateway, pool: &SmolStr, notices: Vec<Notice>) {
-    let mut by_gateway: IndexMap<SmolStr, Vec<_>> = IndexMap::new();
+fn notify(gateway: &Gateway, notices: Vec<Notice>) {
+    let mut by_gateway: IndexMap<SmolStr, Decisions> = IndexMap::new();
     for (ticket, decision) in notices {
         let decisions = by_gateway.entry(ticket.gateway).or_default();
         decisions.push((ticket.number, decision));
     }
     for (recipient, all) in by_gateway {
+        if recipient == gateway.settings.name {
+            receive_decisions(gateway, &all);
+            continue;
+        }
+        let address = gateway.members.lock().address(&recipient);
+        let Some(address) = address else {
+            continue;
+        };
         for decisions in all.chunks(DECISIONS_MAX) {
-            let decisions = Decisions {
-                gateway: gateway.settings.name.clone(),
-                pool: pool.clone(),
-                decisions: decisions.to_vec(),
-            };
-            if recipient == gateway.settings.name {
-                receive_decisions(gateway, decisions);
-                continue;
-            }
-            let address = gateway.members.lock().address(&recipient);
-            if let Some(address) = address {
-                let supplement = Supplement::PermitDecisions(decisions);
-                gateway.permits.send(address, supplement);
-            }
+            let supplement = Supplement::PermitDecisions(decisions.to_vec());
+            gateway.permits.send(address, supplement);
         }
     }
 }
@@ -153,7 +149,7 @@
         }
         (notices, dispatcher.waiting())
     };
-    notify(gateway, pool, notices);
+    notify(gateway, notices);
     waiting
 }
 
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -509,7 +509,7 @@
             permits::receive_requests(gateway, requests);
         }
         Ok((Supplement::PermitDecisions(decisions), _)) => {
-            permits::receive_decisions(gateway, decisions);
+            permits::receive_decisions(gateway, &decisions);
         }
         Ok((Supplement::Observation(counted), _)) => {
             rollouts::receive_observation(gateway, *counted);
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -55,8 +55,10 @@
     /// What the sender has counted of a rollout. Only the gateways that decide it get that.
     Observation(Box<Observation>),
     /// Requests for permits and their ends, for the dispatcher of a pool.
+    #[serde(rename = "P")]
     PermitRequests(permits::Requests),
     /// Decisions of a dispatcher about requests of the recipient.
+    #[serde(rename = "D")]
     PermitDecisions(permits::Decisions),
 }
 
--- a/crates/gateway/tests/permits.rs
+++ b/crates/gateway/tests/permits.rs
@@ -17,11 +17,14 @@
 use harness::{announcement, exchange, looks_complete, source, wait_until_serving};
 use peer::Peer;
 use rstest::rstest;
-use sardinemux_core::collection::Role;
+use sardinemux_core::collection::{Number, Role};
+use sardinemux_core::permits::Decision;
+use sardinemux_core::roster::{command, query};
+use sardinemux_gateway::permits;
 use sardinemux_gateway::prelude::Gateway;
 use sardinemux_gateway::settings::{Permits, Settings};
 use sardinemux_gateway::source::{Fact, Topic};
-use sardinemux_gateway::supplement::Supplement;
+use sardinemux_gateway::supplement::{self, Supplement};
 use tokio::time;
 
 /// The time within which gateways get to know each other, and requests are answered.
@@ -214,3 +217,29 @@
     let outcomes = ["granted", "refused", "alone"];
     assert_eq!(outcomes.map(|it| count(&gateway, it)), [0, 0, 0]);
 }
+
+/// The decisions that a dispatcher sends for some 200 requests a second take more than their part of 10 KB a second.
+#[test]
+fn verify_datagram_of_a_grant_is_small() {
+    let grant = vec![(u64::MAX, Decision::Granted(Number(u32::MAX)))];
+    let bytes = supplement::encode(&Supplement::PermitDecisions(grant)).unwrap();
+    assert!(bytes.len() <= 25, "{}", bytes.len());
+}
+
+/// Permits that are automatic stay off although targets state their speed, or stay on after they have ceased to.
+#[tokio::test]
+async fn verify_automatic_permits_follow_the_statements_of_targets() {
+    let settings = Settings {
+        permits: Permits::Auto,
+        ..settings("g1")
+    };
+    let gateway = Gateway::new(settings, harness::dialect()).unwrap();
+    assert!(!permits::is_on(&gateway));
+    let now_ms = gateway.now_ms();
+    command::note_speed_stated(&mut gateway.roster.lock(), now_ms);
+    assert!(permits::is_on(&gateway));
+    assert!(!query::states_speed(
+        &gateway.roster.lock(),
+        now_ms + 60_000
+    ));
+}
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -10,7 +10,7 @@
 use sardinemux_core::permits::Decision;
 use sardinemux_core::quarantine::Notice;
 use sardinemux_gateway::members::Standing;
-use sardinemux_gateway::permits::{Decisions, Requests};
+use sardinemux_gateway::permits::Requests;
 use sardinemux_gateway::reports::{self, Report};
 use sardinemux_gateway::source::Member;
 use sardinemux_gateway::supplement::{self, Supplement};
@@ -96,12 +96,9 @@
     /// Answers requests for permits that they wait.
     pub async fn acknowledge(&self, received: &Requests) {
         let numbers = received.requests.iter().map(|it| it.ticket.number);
-        self.send(&Supplement::PermitDecisions(Decisions {
-            gateway: self.name.into(),
-            pool: received.pool.clone(),
-            decisions: numbers.map(|number| (number, Decision::Queued)).collect(),
-        }))
-        .await;
+        let decisions = numbers.map(|number| (number, Decision::Queued));
+        let supplement = Supplement::PermitDecisions(decisions.collect());
+        self.send(&supplement).await;
     }
 
     /// Returns the next datagram of the gateway that is a supplement, or a report (`None`).
--- a/crates/host/tests/settings.rs
+++ b/crates/host/tests/settings.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use sardinemux_host::settings::{Key, Kind, Values};
 
-const KEYS: [Key; 6] = [
+const KEYS: [Key; 7] = [
     Key {
         section: "a",
         name: "address",
@@ -54,6 +54,13 @@
         default: Some(""),
         about: "",
     },
+    Key {
+        section: "b",
+        name: "words",
+        kind: Kind::Words,
+        default: Some(""),
+        about: "",
+    },
 ];
 
 fn parse(text: &str) -> Result<Values, String> {
@@ -63,7 +70,7 @@
 
 #[rstest]
 #[case::section("[a]\naddress = 127.0.0.1:1\n[c]\nx = 1", &["[c]", "a, b"])]
-#[case::key("[a]\naddress = 127.0.0.1:1\n[b]\nnumber = 1", &["number", "count, word, list"])]
+#[case::key("[a]\naddress = 127.0.0.1:1\n[b]\nnumber = 1", &["number", "count, word, list, words"])]
 #[case::missing("[b]\ncount = 1", &["[a] address is missing", "ip:port"])]
 #[case::no_number("[a]\naddress = 127.0.0.1:1\n[b]\ncount = many", &["count = many", "from 1 to 9"])]
 #[case::too_large("[a]\naddress = 127.0.0.1:1\n[b]\ncount = 10", &["count = 10", "from 1 to 9"])]
@@ -97,3 +104,15 @@
     );
     assert!(values.number("a", "unlisted").is_err());
 }
+
+/// A list that a template renders as empty is an error, or words are lost.
+#[rstest]
+#[case::none("", "")]
+#[case::empty("words =", "")]
+#[case::several("words = one, two", "one, two")]
+fn verify_words_may_be_empty(#[case] line: &str, #[case] expected: &str) {
+    let values = parse(&format!("[a]\naddress = 127.0.0.1:1\n[b]\n{line}"));
+    let values = values.expect("words of any number are valid");
+    let words = values.text("b", "words").expect("the key is listed");
+    assert_eq!(words, expected);
+}
