Wait for decisions that lie unread, and test the order of returning callers

A gateway with an eighth of a core stands still for longer than the time-out of a permit, and then found the time-out over before it had read the decision. It now reads for 3 ms more. Tests show that a caller that returns after a refusal comes first, and that a slow target gets fewer requests for a second.

--- a/crates/core/tests/permits.rs
+++ b/crates/core/tests/permits.rs
@@ -124,6 +124,59 @@
     assert_eq!(order, [5, 3, 4, 2]);
 }
 
+/// A caller that was refused is refused again and again, as new requests come before it.
+#[test]
+fn verify_returning_caller_comes_first() {
+    let mut dispatcher = Dispatcher::default();
+    let places = [place(1, 1)];
+    for number in [0, 1] {
+        command::request(&mut dispatcher, request(number, 1, 5, 5_000), &places, 0);
+    }
+    let notices = command::request(&mut dispatcher, request(2, 1, 5, 1), &places, 0);
+    assert!(matches!(notices[0].1, Decision::Refused(_)), "{notices:?}");
+    command::request(&mut dispatcher, request(3, 1, 5, 3_000), &places, 100);
+    let returning = Request {
+        content: 2,
+        ..request(4, 1, 5, 5_000)
+    };
+    command::request(&mut dispatcher, returning, &places, 100);
+    let ticket = request(0, 0, 0, 0).ticket;
+    let notices = command::finish(&mut dispatcher, &ticket, End::Other, &places, 101);
+    assert_eq!(notices[0].0.number, 4);
+}
+
+/// A target on which requests take four times as long gets as many as the other one, and is told to be as before for ever.
+#[test]
+fn verify_slow_target_gets_fewer_requests_for_a_second() {
+    let mut dispatcher = Dispatcher::default();
+    let places = [place(1, 20), place(2, 20)];
+    let share = |dispatcher: &mut Dispatcher, first: u64, now_ms: u64| {
+        for number in first..first + 10 {
+            command::request(dispatcher, request(number, 1, 5, 5_000), &places, now_ms);
+        }
+        places.each_ref().map(|it| dispatcher.granted(it.number))
+    };
+    let end = |dispatcher: &mut Dispatcher, first: u64, now_ms: u64| {
+        for number in first..first + 10 {
+            let it = request(number, 1, 5, 5_000);
+            let notices = command::request(dispatcher, it.clone(), &places, now_ms);
+            let is_slow = notices[0].1 == Decision::Granted(Number(1));
+            let end = End::Completed(if is_slow { 100 } else { 25 });
+            command::finish(dispatcher, &it.ticket, end, &places, now_ms);
+        }
+    };
+    assert_eq!(share(&mut dispatcher, 0, 0), [5, 5]);
+    end(&mut dispatcher, 0, 100);
+    let [slow, fast] = share(&mut dispatcher, 100, 100);
+    assert!(slow < fast, "{slow} {fast}");
+    for number in 100..110 {
+        let ticket = request(number, 0, 0, 0).ticket;
+        command::finish(&mut dispatcher, &ticket, End::Other, &places, 100);
+    }
+    let [slow, fast] = share(&mut dispatcher, 200, 3_000);
+    assert_eq!((slow, fast), (5, 5));
+}
+
 /// Requests that gateways send without permits, or by those of another dispatcher, meet full targets with those of this one.
 #[test]
 fn verify_foreign_requests_take_room() {
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -30,6 +30,9 @@
 /// The time within which a dispatcher answers, before the next one is asked: four times the largest round trip between zones.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// The time for which a decision is waited for after its time-out: after a lack of CPU time, it may lie unread in the socket.
+const UNREAD_GRACE: Duration = Duration::from_millis(3);
+
 /// The interval at which a request that waits asks again, so that the loss of its dispatcher or of the grant is noticed.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -268,8 +271,7 @@
         ask(gateway, inbound, usable, dispatcher, number);
         let mut limit = Instant::now() + ANSWER_TIMEOUT;
         let mut is_acknowledged = false;
-        while let Ok(decision) = time::timeout_at(limit, receiver.recv()).await {
-            let decision = decision?;
+        while let Some(decision) = next_decision(&mut receiver, limit).await {
             permit.is_held = matches!(decision, Decision::Queued | Decision::Granted(_));
             let outcome = match decision {
                 Decision::Queued => {
@@ -295,6 +297,18 @@
     }
 }
 
+/// Returns the next decision, or `None` if there is none until the limit.
+async fn next_decision(
+    receiver: &mut mpsc::UnboundedReceiver<Decision>,
+    limit: Instant,
+) -> Option<Decision> {
+    if let Ok(decision) = time::timeout_at(limit, receiver.recv()).await {
+        return decision;
+    }
+    let unread = time::timeout(UNREAD_GRACE, receiver.recv()).await;
+    unread.ok().flatten()
+}
+
 fn usable_key(gateway: &Gateway, usable: &[Key], target: Number) -> Option<Key> {
     let roster = gateway.roster.lock();
     let is_target = |key: &Key| query::id(&roster, *key).is_some_and(|id| Number::of(id) == target);
