--- a/crates/core/src/permits/line.rs
+++ b/crates/core/src/permits/line.rs
@@ -1,7 +1,8 @@
-//! The requests that wait for a permit: by priority, then by fair shares of organisations, and those with less time left first.
+//! The requests that wait for a permit: by priority, then by fair shares of organisations, then callers that return after a refusal
+//! before others, and those with less time left first.
 //!
-//! Requests that can no longer meet their latency objective come after all that can, and callers that return after a refusal are the
-//! first of them. Under more load than the targets complete, most requests would otherwise be served just after their objective.
+//! Other requests that can no longer meet their latency objective come after all that can. Under more load than the targets complete, most
+//! requests would otherwise be served just after their objective.
 
 use indexmap::IndexMap;
 use smol_str::SmolStr;
@@ -100,11 +101,6 @@
             place,
             request,
         };
-        // Its caller has waited for as long as the refusal asked for, beyond its objective.
-        if waiting.has_returned {
-            self.late.insert(waiting.request.ticket.clone(), waiting);
-            return;
-        }
         let item = Item {
             ticket: place,
             tokens: 1,
@@ -126,7 +122,10 @@
     /// Puts the requests that cannot meet their objective behind the others. `need_ms` returns how long a request takes from now on.
     pub(super) fn demote(&mut self, need_ms: impl Fn(&Request) -> u64, now_ms: u64) {
         let waiting = self.waiting.values();
-        let late = waiting.filter(|it| now_ms + need_ms(&it.request) > it.objective_ms);
+        let late = waiting.filter(|it| {
+            // Whoever was refused once is not to be refused again.
+            !it.has_returned && now_ms + need_ms(&it.request) > it.objective_ms
+        });
         let late: Vec<Ticket> = late.map(|it| it.request.ticket.clone()).collect();
         for ticket in late {
             if let Some(waiting) = self.remove(&ticket) {
