--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::answer::Recipient;
 use crate::connections::{self, Connection};
 use crate::hop;
+use crate::permits::Permit;
 use crate::prelude::*;
 use crate::quarantine::Hex;
 use crate::request::Inbound;
@@ -129,6 +130,7 @@
                 key: UNKNOWN_TARGET,
                 evidence: Evidence::Inconclusive,
                 tokens: 0,
+                permit: None,
             },
             target,
             link,
@@ -151,9 +153,22 @@
     evidence: Evidence,
     /// The tokens that are counted on the target.
     tokens: u64,
+    /// The permit of the request, which is returned with it.
+    permit: Option<Permit>,
 }
 
 impl InFlight {
+    /// Sets the permit of the request.
+    pub fn set_permit(&mut self, permit: Permit) {
+        self.permit = Some(permit);
+    }
+
+    fn note_rejected(&mut self) {
+        if let Some(permit) = &mut self.permit {
+            permit.set_rejected();
+        }
+    }
+
     /// Returns the gateway that counts the request.
     pub fn gateway(&self) -> &Arc<Gateway> {
         &self.gateway
@@ -174,9 +189,14 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let now_ms = self.gateway.now_ms();
-        let mut roster = self.gateway.roster.lock();
-        room::release(&mut roster, self.key, self.tokens);
-        command::finish_request(&mut roster, self.key, self.evidence, now_ms);
+        {
+            let mut roster = self.gateway.roster.lock();
+            room::release(&mut roster, self.key, self.tokens);
+            command::finish_request(&mut roster, self.key, self.evidence, now_ms);
+        }
+        if let (Evidence::Healthy, Some(permit)) = (self.evidence, &mut self.permit) {
+            permit.set_completed(now_ms.saturating_sub(self.begin_ms));
+        }
     }
 }
 
@@ -200,6 +220,7 @@
         begin_ms: now_ms,
         evidence: Evidence::Inconclusive,
         tokens: 0,
+        permit: None,
     };
     Some((in_flight, target))
 }
@@ -521,6 +542,7 @@
         statement::record_brittleness(gateway, &in_flight, &head);
         let now_ms = gateway.now_ms();
         command::note_rejection(&mut gateway.roster.lock(), in_flight.key, now_ms);
+        in_flight.note_rejected();
         return not_run(Reason::Full, true);
     }
     let is_signed = headers.contains_key(&dialect.signature);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,10 +38,34 @@
     /// It is of use where many gateways start long before callers arrive: few of them then read the store. When all
     /// gateways have lost their state at once, callers wait for it.
     pub discovery_ms: u64,
+    /// Whether a dispatcher grants permits for pools of few slots.
+    pub permits: Permits,
     /// The bounds of the deployment, which may change while the process runs.
     pub bounds: Bounds,
 }
 
+/// When a dispatcher grants permits for pools of few slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Permits {
+    /// Never.
+    #[default]
+    Off,
+    /// While targets of the deployment state their speed.
+    Auto,
+    /// Always.
+    On,
+}
+
+impl Permits {
+    fn parse(text: &str) -> Self {
+        match text {
+            "on" => Self::On,
+            "auto" => Self::Auto,
+            _ => Self::Off,
+        }
+    }
+}
+
 /// The bounds of a deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -76,6 +100,7 @@
 
 /// The keys of the settings file.
 pub const KEYS: [Key; 22] = [
+pub const KEYS: [Key; 20] = [
     Key::new(
         "instance",
         "name",
@@ -225,6 +250,18 @@
         Kind::Fraction { most: 1_000_000_000 },
         Some("0"),
         "The size of the cache of one token, in bytes.",
+        "admission",
+        "permits",
+        Kind::Choice(&["off", "auto", "on"]),
+        Some("off"),
+        "Whether one gateway grants permits for pools of few slots; auto: while targets state their speed.",
+    ),
+    Key::new(
+        "admission",
+        "contracts",
+        Kind::Words,
+        Some(""),
+        "What the platform states of the deployment's load; the platform's program reads it.",
     ),
 ];
 
@@ -251,6 +288,7 @@
             memory_bytes: (values.fraction("instance", "memory_mb")? * MEGABYTE) as usize,
             store_address: values.address("store", "address")?,
             discovery_ms: values.number("store", "listen")?,
+            permits: Permits::parse(&values.text("admission", "permits")?),
             bounds: Bounds {
                 grace_ms: values.number("limits", "grace")?,
                 retry_ratio: values.fraction("limits", "retry_ratio")?,
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::appendix;
+use crate::permits;
 use crate::prelude::*;
 use crate::rollouts::{News, Observation};
 
@@ -61,6 +62,12 @@
     Rollouts(Vec<News>),
     /// What the sender has counted of a rollout. Only the gateways that decide it get that.
     Observation(Box<Observation>),
+    /// Requests for permits and their ends, for the dispatcher of a pool.
+    #[serde(rename = "P")]
+    PermitRequests(permits::Requests),
+    /// Decisions of a dispatcher about requests of the recipient.
+    #[serde(rename = "D")]
+    PermitDecisions(permits::Decisions),
 }
 
 /// The appendix of a supplement with positions.
