Expect the panics of the fleet in the tests of permits

Clippy warned of an expect in the support of several gateways, which the attribute of this file did not name.

--- a/crates/gateway/tests/permits.rs
+++ b/crates/gateway/tests/permits.rs
@@ -1,6 +1,10 @@
 //! Tests of gateways that obtain permits for the targets of a pool of few slots.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+#![expect(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    reason = "a test fails by panicking"
+)]
 
 #[path = "support/fleet.rs"]
 mod fleet;
