--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -99,8 +99,7 @@
 const MEGABYTE: f64 = 1e6;
 
 /// The keys of the settings file.
-pub const KEYS: [Key; 22] = [
-pub const KEYS: [Key; 20] = [
+pub const KEYS: [Key; 24] = [
     Key::new(
         "instance",
         "name",
@@ -250,6 +249,8 @@
         Kind::Fraction { most: 1_000_000_000 },
         Some("0"),
         "The size of the cache of one token, in bytes.",
+    ),
+    Key::new(
         "admission",
         "permits",
         Kind::Choice(&["off", "auto", "on"]),
