Check a desired state before it is sent

Operators had no way to see before a write that a route can never match, that a limit has no effect, or what a new version changes. The command check of sardinemux-ctl reports that, by the decoder and the look-ups of the gateways, and compares the state with a file or with the store.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -3,6 +3,7 @@
 //! A [`Definition`] is the catalogue as operators write it and as gateways exchange it; a [`Catalog`] adds the indexes
 //! for the look-ups.
 
+pub mod check;
 pub mod patch;
 
 use std::sync::Arc;
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -130,11 +130,13 @@
         .about("Steers the fleet through its administration API")
         .subcommand_required(true)
         .arg(
-            option("admin", "The address of the administration API, as ip:port")
-                .required(true)
-                .global(false),
+            option(
+                "admin",
+                "The address of the administration API, as ip:port; needed by all commands but check",
+            )
+            .global(false),
         )
-        .arg(option("token", "The operator's token").required(true))
+        .arg(option("token", "The operator's token; needed by all commands but check"))
         .arg(flag("json", "Print JSON").global(true))
         .arg(flag("dry-run", "Check only, and change nothing").global(true))
         .arg(option("id", "The id of the change, to submit it again").global(true))
@@ -157,6 +159,12 @@
             Command::new("apply")
                 .about("Submit a JSON list of changes, which take effect together")
                 .arg(positional("file", "The file")),
+            Command::new("check")
+                .about("Check a desired state before it is sent, and compare it with the one in force")
+                .arg(positional("file", "The desired state, as JSON"))
+                .arg(option("against", "A file with the desired state in force").conflicts_with("store"))
+                .arg(option("store", "The address of the store with the desired state in force"))
+                .arg(option("retry-extra", "The largest balance of the retry budget")),
             Command::new("change")
                 .about("Say what became of a change")
                 .arg(positional("id-of-change", "The id"))
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -14,6 +14,7 @@
 use snafu::{OptionExt, ResultExt};
 
 use crate::api::Api;
+use crate::check;
 use crate::errors::{Error, InvalidArgumentSnafu, MalformedSnafu, Result, UnreadableFileSnafu};
 use crate::show;
 
@@ -40,6 +41,16 @@
     matches.get_one::<String>(name).cloned().unwrap_or_default()
 }
 
+/// Returns the value of an argument that the command needs.
+fn require(matches: &ArgMatches, name: &'static str, allowed: &str) -> Result<String> {
+    let value = matches.get_one::<String>(name).cloned();
+    value.context(InvalidArgumentSnafu {
+        name,
+        value: "",
+        allowed,
+    })
+}
+
 /// Parses the value of an argument; `allowed` describes the valid values in the error.
 fn parse_number<T: std::str::FromStr>(
     matches: &ArgMatches,
@@ -92,10 +103,14 @@
 ///
 /// The error that ends the command; [`Error::exit_status`] returns its exit status.
 pub async fn run(matches: &ArgMatches) -> Result<()> {
-    let api = Api::new(&argument(matches, "admin"), &argument(matches, "token"))?;
     let Some((name, inner)) = matches.subcommand() else {
         return Ok(());
     };
+    if name == "check" {
+        return check::run(inner).await;
+    }
+    let admin = require(matches, "admin", "the address of the administration API")?;
+    let api = Api::new(&admin, &require(matches, "token", "the operator's token")?)?;
     match name {
         "apply" => return submit_changes(&api, inner, read_changes(inner)?).await,
         "change" => return query_verdict(&api, inner).await,
--- a/crates/ctl/src/errors.rs
+++ b/crates/ctl/src/errors.rs
@@ -33,6 +33,24 @@
         /// The cause.
         source: serde_json::Error,
     },
+    /// A desired state has errors.
+    #[snafu(display("the desired state has {count} errors"))]
+    Findings {
+        /// The number of errors.
+        count: usize,
+    },
+    /// The platform's store cannot be read.
+    #[snafu(display("cannot read the store: {source}"))]
+    Store {
+        /// The cause.
+        source: sardinemux_gateway::source::Error,
+    },
+    /// The platform's store holds no desired state that can be decoded.
+    #[snafu(display("the store at {address} holds no desired state that can be decoded"))]
+    MissingState {
+        /// The address of the store.
+        address: std::net::SocketAddr,
+    },
     /// An argument has a value that is not allowed.
     #[snafu(display("invalid value {value:?} of the argument {name}; allowed: {allowed}"))]
     InvalidArgument {
@@ -86,7 +104,7 @@
 impl Error {
     /// Returns the exit status: 2 for an invalid argument, an unreadable file, or a file or response that cannot be
     /// decoded; 3 for an error of the API or changes that were not accepted; 4 for a result that is not known yet; 5
-    /// for routers that do not apply the version in time; 1 for the rest.
+    /// for routers that do not apply the version in time; 1 for the rest, a desired state with errors among them.
     pub fn exit_status(&self) -> u8 {
         match self {
             Self::InvalidArgument { .. } | Self::UnreadableFile { .. } | Self::Malformed { .. } => {
@@ -95,7 +113,11 @@
             Self::Refused { .. } | Self::NotAccepted { .. } => 3,
             Self::Unknown { .. } => 4,
             Self::Lagging { .. } => 5,
-            Self::Runtime { .. } | Self::Transport { .. } => 1,
+            Self::Runtime { .. }
+            | Self::Transport { .. }
+            | Self::Store { .. }
+            | Self::MissingState { .. }
+            | Self::Findings { .. } => 1,
         }
     }
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,6 +1,7 @@
 //! The program `sardinemux-ctl`, the operators' command-line client of the administration API.
 
 mod api;
+mod check;
 mod cli;
 mod command;
 mod errors;
