Let targets have requests ahead for as long as a grant takes under load

With two requests ahead of the slots, slots were idle while gateways with an eighth of a core passed on ends and grants.

--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -24,6 +24,10 @@
 /// grant, and the request itself, between zones that are up to 1.4 ms apart, and the work of gateways with an eighth of a core.
 pub const TRIP_MS: u64 = 10;
 
+/// The time for which a target has requests in its own queue, in milliseconds, so that no slot is idle while the end of one request and the
+/// grant of the next are on their way. Gateways with an eighth of a core take some tens of milliseconds for both under load.
+pub const AHEAD_MS: u64 = 40;
+
 /// The multiple of the mean time of requests after which a permit whose end was not heard no longer takes room. The reports of the
 /// gateways show what still runs by then.
 const OVERDUE_MULTIPLE: f64 = 6.0;
@@ -187,10 +191,10 @@
     }
 
     /// Returns the number of requests that a target may have: its slots, and as many queue places as it finishes within
-    /// [`TRIP_MS`], so that no slot waits for a grant: `slots + ceil(slots * TRIP_MS / time)`, at most twice the slots.
+    /// [`AHEAD_MS`], so that no slot waits for a grant: `slots + ceil(slots * AHEAD_MS / time)`, at most twice the slots.
     pub fn capacity(&self, place: &Place) -> u32 {
         let slots = place.slots.max(1);
-        let ahead = f64::from(slots) * TRIP_MS as f64 / self.pace.time_ms(None).max(1.0);
+        let ahead = f64::from(slots) * AHEAD_MS as f64 / self.pace.time_ms(None).max(1.0);
         slots + (ahead.ceil() as u32).clamp(1, slots)
     }
 
