Test what clients that respect no limits do to real processes

Clients outside the limits can take all memory or descriptors of a process, and no test showed it. Processes of a trial can be started with a lower limit of open descriptors, and their descriptors are read.

--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -63,6 +63,8 @@
     pub list_lag_ms: u64,
     /// Further lines of the routers' settings, as (section, key, value).
     pub router_settings: Vec<(&'static str, &'static str, String)>,
+    /// The descriptors that a router or an administration program may have open; `None` for as many as this process.
+    pub open_files: Option<u64>,
     /// Further arguments of the engines.
     pub engine_arguments: Vec<String>,
     /// Further arguments of the services.
@@ -86,6 +88,7 @@
             has_proxy: false,
             list_lag_ms: 1_000,
             router_settings: Vec::new(),
+            open_files: None,
             engine_arguments: vec!["--warm".to_owned()],
             service_arguments: Vec::new(),
         }
--- a/crates/proof/src/fleet/processes.rs
+++ b/crates/proof/src/fleet/processes.rs
@@ -22,6 +22,19 @@
         Ok(())
     }
 
+    /// Starts one of the project's servers, with the limit of open descriptors that the settings give.
+    fn start_limited(&self, name: &str, program: &str, arguments: Vec<String>) -> Result<()> {
+        let open_files = self.settings.open_files;
+        let process = Process::start_limited(name, program, &arguments, &self.folder, open_files)?;
+        self.processes.lock().insert(name.to_owned(), process);
+        Ok(())
+    }
+
+    /// Returns the id of a process; `None` if it does not run.
+    pub fn process_id(&self, name: &str) -> Option<u32> {
+        self.processes.lock().get_mut(name)?.id()
+    }
+
     pub(super) fn start_standin(
         &self,
         name: &str,
@@ -124,7 +137,7 @@
         ];
         let file = self.settings_file(&name, &lines)?;
         let arguments = vec!["--settings".to_owned(), file];
-        self.start_process(&name, "sardinemux-admin", arguments)
+        self.start_limited(&name, "sardinemux-admin", arguments)
     }
 
     /// Starts a router.
@@ -154,7 +167,7 @@
         lines.extend(self.settings.router_settings.iter().cloned());
         let file = self.settings_file(&place.id, &lines)?;
         let arguments = vec!["--settings".to_owned(), file];
-        self.start_process(&place.id, "sardinemux-router", arguments)
+        self.start_limited(&place.id, "sardinemux-router", arguments)
     }
 
     pub(super) fn signal(&self, name: &str, send: impl Fn(&Process) -> Result<()>) -> Result<()> {
--- a/crates/proof/src/gateways.rs
+++ b/crates/proof/src/gateways.rs
@@ -222,7 +222,11 @@
         let former = self.settings.former_program.as_deref();
         let former = former.filter(|_| self.former.lock().contains(&index));
         let program = former.unwrap_or("sardinemux-front");
-        self.start_process(&self.gateways[index].name, program, arguments)
+        let name = &self.gateways[index].name;
+        let open_files = self.settings.open_files;
+        let process = Process::start_limited(name, program, &arguments, &self.folder, open_files)?;
+        self.processes.lock().insert(name.clone(), process);
+        Ok(())
     }
 
     /// Changes the build that a gateway runs from its next start on, where there is an earlier one.
@@ -273,6 +277,11 @@
         self.processes.lock().get(name)?.usage()
     }
 
+    /// Returns the id of a process; `None` if it does not run.
+    pub fn process_id(&self, name: &str) -> Option<u32> {
+        self.processes.lock().get_mut(name)?.id()
+    }
+
     /// Returns the value of a metric without labels; `None` if the gateway does not answer in time or does not have it.
     pub async fn metric(&self, address: SocketAddr, name: &str) -> Option<f64> {
         let url = format!("http://{address}/metrics");
--- a/crates/proof/src/gateways/layout.rs
+++ b/crates/proof/src/gateways/layout.rs
@@ -55,6 +55,10 @@
     pub has_fatal_requests: bool,
     /// The memory that a gateway may have, in megabytes.
     pub memory_mb: u64,
+    /// The descriptors that a gateway may have open; `None` for as many as this process.
+    pub open_files: Option<u64>,
+    /// The largest body of a request, in bytes.
+    pub body_max_bytes: u64,
     /// The gateway's program of an earlier build, which all gateways run at first. Each start after a graceful stop or a kill changes
     /// the build.
     pub former_program: Option<String>,
@@ -76,6 +80,8 @@
             brittle: 0,
             has_fatal_requests: false,
             memory_mb: 256,
+            open_files: None,
+            body_max_bytes: 65_536,
             former_program: None,
         }
     }
--- a/crates/proof/src/gateways/operator.rs
+++ b/crates/proof/src/gateways/operator.rs
@@ -141,7 +141,8 @@
         let state = json!({
             "Version": self.next_version(), "Routes": routes,
             "Services": services,
-            "Limits": {"MaxHeaderBytes": 16_384, "MaxBodyBytes": 65_536, "HeaderTimeoutMs": 3_000,
+            "Limits": {"MaxHeaderBytes": 16_384, "MaxBodyBytes": self.settings.body_max_bytes,
+                "HeaderTimeoutMs": 3_000,
                 "IdleTimeoutMs": 15_000},
             "Tenants": [{"Name": ORGANISATION, "ApiKeys": keys}],
         });
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod chart;
 pub mod client;
+pub mod crowd;
 pub mod errors;
 pub mod fleet;
 pub mod gateways;
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -1,15 +1,18 @@
 //! Processes that a trial has started, and the signals that it sends them.
 
 use std::fs::File;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use nix::sys::resource::{getrlimit, setrlimit, Resource};
 use nix::sys::signal::{self, Signal};
 use nix::unistd::Pid;
 use snafu::ResultExt;
 
 use crate::errors::{Error, IoSnafu, Result, SignalSnafu, StartSnafu};
+use parking_lot::Mutex;
 
 /// How long a process that was asked to end may take.
 const END: Duration = Duration::from_secs(60);
@@ -46,6 +49,35 @@
     })
 }
 
+/// Held while the limit of open descriptors of this process is lowered for a child.
+static LIMIT_LOWERED: Mutex<()> = Mutex::new(());
+
+/// Starts a child that may have this many descriptors open. A child takes over the limit of its parent, so that this process has
+/// the same limit for a moment; descriptors that are open stay open.
+fn spawn_limited(command: &mut Command, open_files: u64) -> io::Result<Child> {
+    let _lowered = LIMIT_LOWERED.lock();
+    let (soft, hard) = getrlimit(Resource::RLIMIT_NOFILE)?;
+    setrlimit(Resource::RLIMIT_NOFILE, open_files.min(soft), hard)?;
+    let child = command.spawn();
+    setrlimit(Resource::RLIMIT_NOFILE, soft, hard)?;
+    child
+}
+
+/// Returns the number of descriptors that a process has open, if it runs.
+///
+/// # Examples
+///
+/// ```
+/// let open = sardinemux_proof::process::open_descriptors(std::process::id());
+/// assert!(open.is_some_and(|open| open > 2));
+/// ```
+pub fn open_descriptors(pid: u32) -> Option<usize> {
+    procfs::process::Process::new(pid as i32)
+        .ok()?
+        .fd_count()
+        .ok()
+}
+
 /// A process that ends with its owner.
 #[derive(Debug)]
 pub struct Process {
@@ -71,6 +103,22 @@
     ///
     /// `Error::Start` if the binary is missing, `Error::Io` if the log cannot be written.
     pub fn start(name: &str, program: &str, arguments: &[String], logs: &Path) -> Result<Self> {
+        Self::start_limited(name, program, arguments, logs, None)
+    }
+
+    /// Starts one of the project's binaries as [`start`](Self::start) does. It may have `open_files` descriptors open, or as many as
+    /// this process.
+    ///
+    /// # Errors
+    ///
+    /// As for [`start`](Self::start).
+    pub fn start_limited(
+        name: &str,
+        program: &str,
+        arguments: &[String],
+        logs: &Path,
+        open_files: Option<u64>,
+    ) -> Result<Self> {
         let log = logs.join(format!("{name}.log"));
         let what = log.display().to_string();
         let log = File::options()
@@ -79,15 +127,19 @@
             .open(&log)
             .context(IoSnafu { what })?;
         let path = binaries().join(program);
-        let child = Command::new(&path)
+        let mut command = Command::new(&path);
+        command
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(log.try_clone().context(IoSnafu { what: name })?)
-            .stderr(log)
-            .spawn()
-            .context(StartSnafu {
-                program: path.display().to_string(),
-            })?;
+            .stderr(log);
+        let child = match open_files {
+            Some(open_files) => spawn_limited(&mut command, open_files),
+            None => command.spawn(),
+        };
+        let child = child.context(StartSnafu {
+            program: path.display().to_string(),
+        })?;
         let name = name.to_owned();
         Ok(Self { name, child })
     }
@@ -99,6 +151,11 @@
         })
     }
 
+    /// Returns the process id, if it runs.
+    pub fn id(&mut self) -> Option<u32> {
+        (!self.has_ended()).then(|| self.child.id())
+    }
+
     /// Returns what the process has used, if it runs.
     pub fn usage(&self) -> Option<Usage> {
         usage_of(self.child.id())
