Let clients without progress give way to others at a gateway

A gateway bounded neither its connections nor what its peers', readiness and metrics ports hold, so that idle connections took all descriptors; a body that stopped kept its memory until its time-out, and sound requests were refused meanwhile. Connections are now bounded by port from the limit of open descriptors; one that has sent nothing, a head or body without progress, and then an idle one gives way. A body without progress gives its memory back before a request is refused.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fence;
 pub mod hash;
 pub mod idempotency;
+pub mod intake;
 pub mod lease;
 pub mod leaving;
 pub mod load;
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -5,6 +5,7 @@
 mod traffic;
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
@@ -14,7 +15,8 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, Version};
 use hyper_util::rt::TokioIo;
-use sardinemux_core::memory::{Class, Share};
+use sardinemux_core::intake::Port;
+use sardinemux_core::memory::Class;
 use sardinemux_host::body::DISCARDED_MAX_BYTES;
 use snafu::ResultExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -28,6 +30,7 @@
 use crate::drain::Phase;
 use crate::errors::ListenSnafu;
 use crate::framing::{self, Inspector, Unsent};
+use crate::intake::{self, Connection, Entry, Idle};
 use crate::prelude::*;
 use crate::reply::{self, Body};
 use crate::request::{self, Rejection};
@@ -39,7 +42,7 @@
 const LAST_ACCEPT_DURATION: Duration = Duration::from_millis(25);
 
 /// What a caller's connection without a request takes, in bytes: its tasks and its first buffers.
-const CONNECTION_BYTES: usize = 32 << 10;
+pub(crate) const CONNECTION_BYTES: usize = 32 << 10;
 
 /// Accepts connections of callers until the gateway begins to close its connections. A request on a later connection
 /// might be cut off at the end of the grace period; a caller whose connection is not accepted has sent nothing and can
@@ -60,9 +63,7 @@
             _ = phases.wait_for(|phase| *phase == Phase::Closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(gateway.clone(), stream));
-            }
+            Ok((stream, client)) => accept(&gateway, stream, client).await,
             Err(error) => {
                 log::warn!(error:% = error; "cannot accept a caller's connection; retrying after a short delay");
                 time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -70,20 +71,27 @@
         }
     }
     let until = Instant::now() + LAST_ACCEPT_DURATION;
-    while let Ok(Ok((stream, _))) = time::timeout_at(until, listener.accept()).await {
-        tokio::spawn(serve_connection(gateway.clone(), stream));
+    while let Ok(Ok((stream, client))) = time::timeout_at(until, listener.accept()).await {
+        accept(&gateway, stream, client).await;
     }
     Ok(())
 }
 
+/// Serves a connection in a task of its own, if there is room for it.
+async fn accept(gateway: &Arc<Gateway>, stream: TcpStream, client: SocketAddr) {
+    if let Some(entry) = intake::admit(gateway, Port::Callers, client.ip()).await {
+        tokio::spawn(serve_connection(gateway.clone(), stream, entry));
+    }
+}
+
 /// Serves the requests on one connection, until either side closes it.
-async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream) {
+async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, entry: Entry) {
     if let Err(error) = connections::set_options(&stream) {
         log::debug!(error:% = error; "cannot set the socket options of a caller's connection; closing it");
         return;
     }
-    let mut share = Share::new(gateway.memory.clone(), Class::Connection);
-    if !share.try_resize(CONNECTION_BYTES) {
+    let share = intake::try_take(&gateway, Class::Connection, CONNECTION_BYTES).await;
+    if share.is_none() {
         gateway.metrics.count_memory_refusal("connection");
         log::warn!("no memory is left for a caller's connection; closing it");
         return;
@@ -101,13 +109,19 @@
         limits.head_bytes.saturating_add(limits.body_bytes),
     );
     let stream = framing::Stream::new(stream, inspector.clone(), unsent.clone());
-    let stream = traffic::Stream::new(stream, traffic.clone());
+    let stream = traffic::Stream::new(
+        stream,
+        traffic.clone(),
+        gateway.clone(),
+        entry.connection.clone(),
+    );
     let service = service_fn(|request| {
         let exchange = Exchange {
             gateway: gateway.clone(),
             inspector: inspector.clone(),
             unsent: unsent.clone(),
             watcher: watcher.clone(),
+            connection: entry.connection.clone(),
             idle_limit,
         };
         handle_request(exchange, request)
@@ -134,6 +148,12 @@
                 traffic.record_departure();
                 return;
             }
+            is_at_once = entry.connection.wait_for_closing() => {
+                if is_at_once {
+                    return;
+                }
+                connection.as_mut().graceful_shutdown();
+            }
             () = closing.as_mut(), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
@@ -192,6 +212,7 @@
     inspector: Inspector,
     unsent: Unsent,
     watcher: Watcher,
+    connection: Arc<Connection>,
     /// The idle limit at the begin of the connection.
     idle_limit: Duration,
 }
@@ -206,15 +227,18 @@
         inspector,
         unsent,
         watcher,
+        connection,
         idle_limit,
     } = exchange;
+    let idle = Idle::after_request(gateway.clone(), connection.clone());
     let running = gateway.drain.guard();
     let served = watcher.begin();
     let id = request.headers().get(&gateway.dialect.request_id).cloned();
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let wants_close = wants_close(request.headers());
     let accepts_chunks = request.version() > Version::HTTP_10;
-    let (parts, mut body) = request.into_parts();
+    let (mut parts, mut body) = request.into_parts();
+    parts.extensions.insert(connection);
     let has_body = !body.is_end_stream();
     let awaits_continue = parts.headers.contains_key(header::EXPECT);
     let unanswered = Unanswered::new(id.clone());
@@ -263,7 +287,7 @@
         state_idle_limit(&gateway, idle_limit, &mut response);
     }
     let running = unsent.keep(running);
-    Ok(response.map(|body| reply::keep_until_sent(body, running)))
+    Ok(response.map(|body| reply::keep_until_sent(body, (running, idle))))
 }
 
 /// Returns whether the caller closes its connection after this request.
--- a/crates/gateway/src/caller/traffic.rs
+++ b/crates/gateway/src/caller/traffic.rs
@@ -2,7 +2,6 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use parking_lot::Mutex;
@@ -10,6 +9,8 @@
 use tokio::time::Instant;
 
 use crate::framing;
+use crate::intake::Connection;
+use crate::prelude::*;
 
 #[derive(Debug)]
 struct State {
@@ -87,12 +88,24 @@
 pub struct Stream {
     inner: framing::Stream,
     traffic: Traffic,
+    gateway: Arc<Gateway>,
+    connection: Arc<Connection>,
 }
 
 impl Stream {
     /// Wraps a connection.
-    pub fn new(inner: framing::Stream, traffic: Traffic) -> Self {
-        Self { inner, traffic }
+    pub fn new(
+        inner: framing::Stream,
+        traffic: Traffic,
+        gateway: Arc<Gateway>,
+        connection: Arc<Connection>,
+    ) -> Self {
+        Self {
+            inner,
+            traffic,
+            gateway,
+            connection,
+        }
     }
 }
 
@@ -105,7 +118,10 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
         match &polled {
-            Poll::Ready(Ok(())) => self.traffic.note_read(buffer.filled().len() - before),
+            Poll::Ready(Ok(())) => {
+                self.traffic.note_read(buffer.filled().len() - before);
+                self.connection.note_read(self.gateway.now_ms());
+            }
             Poll::Ready(Err(_)) => self.traffic.note_reset(),
             Poll::Pending => {}
         }
--- a/crates/gateway/src/internal.rs
+++ b/crates/gateway/src/internal.rs
@@ -14,12 +14,15 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus::{Encoder, TextEncoder};
+use sardinemux_core::intake::Port;
+use sardinemux_core::memory::Class;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 
-use crate::caller::ACCEPT_RETRY_DELAY;
+use crate::caller::{ACCEPT_RETRY_DELAY, CONNECTION_BYTES};
 use crate::errors::ListenSnafu;
 use crate::framing::HEAD_MAX_BYTES;
+use crate::intake::{self, Idle, Kept};
 use crate::prelude::*;
 
 /// What another gateway adds to the head of a request that it passes on, in bytes.
@@ -33,18 +36,23 @@
 /// # Errors
 ///
 /// `Error::Listen` if the address cannot be bound.
-pub async fn listen<F, R, B>(gateway: Arc<Gateway>, address: SocketAddr, handler: F) -> Result<()>
+pub async fn listen<F, R, B>(
+    gateway: Arc<Gateway>,
+    port: Port,
+    address: SocketAddr,
+    handler: F,
+) -> Result<()>
 where
     F: Fn(Arc<Gateway>, Request<Incoming>) -> R + Clone + Send + 'static,
     R: Future<Output = std::result::Result<Response<B>, Infallible>> + Send + 'static,
-    B: HttpBody<Data = Bytes> + Send + 'static,
+    B: HttpBody<Data = Bytes> + Send + Unpin + 'static,
     B::Error: std::error::Error + Send + Sync,
 {
     let listener = TcpListener::bind(address).await;
     let listener = listener.context(ListenSnafu { address })?;
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, client) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!(
                     address:% = address, error:% = error;
@@ -54,17 +62,43 @@
                 continue;
             }
         };
+        let Some(entry) = intake::admit(&gateway, port, client.ip()).await else {
+            continue;
+        };
         let gateway = gateway.clone();
         let handler = handler.clone();
         let head_max = gateway.catalog().limits().head_bytes + HOP_HEAD_BYTES;
         tokio::spawn(async move {
-            let service = service_fn(move |request| handler(gateway.clone(), request));
+            let share = intake::try_take(&gateway, Class::Connection, CONNECTION_BYTES).await;
+            if share.is_none() {
+                gateway.metrics.count_memory_refusal("connection");
+                log::warn!(port:? = port; "no memory is left for a connection to an internal server; closing it");
+                return;
+            }
+            let connected = entry.connection.clone();
+            let service = service_fn(move |mut request: Request<Incoming>| {
+                request.extensions_mut().insert(connected.clone());
+                let idle = Idle::after_request(gateway.clone(), connected.clone());
+                let answer = handler(gateway.clone(), request);
+                async move { Ok::<_, Infallible>(answer.await?.map(|body| Kept::new(body, idle))) }
+            });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(IDLE_TIMEOUT)
                 .max_buf_size(head_max.max(HEAD_MAX_BYTES))
                 .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
+            tokio::pin!(connection);
+            let ended = tokio::select! {
+                ended = connection.as_mut() => ended,
+                is_at_once = entry.connection.wait_for_closing() => {
+                    if is_at_once {
+                        return;
+                    }
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(error) = ended {
                 log::debug!(error:% = error; "a connection to an internal server ended with an error");
             }
         });
@@ -108,6 +142,16 @@
         .longest_busy_s
         .set(longest_busy.as_secs_f64());
     gateway.metrics.held_bytes.set(gateway.memory.used() as i64);
+    for (port, label) in [
+        (Port::Callers, "callers"),
+        (Port::Peers, "peers"),
+        (Port::Ready, "ready"),
+        (Port::Metrics, "metrics"),
+    ] {
+        let open = gateway.intake.open(port) as i64;
+        let gauge = gateway.metrics.connections.with_label_values(&[label]);
+        gauge.set(open);
+    }
     let mut bytes = Vec::new();
     let families = gateway.metrics.registry.gather();
     if let Err(error) = TextEncoder::new().encode(&families, &mut bytes) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod follow;
 pub mod framing;
 pub mod hop;
+pub mod intake;
 pub mod internal;
 pub mod members;
 pub mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,8 @@
 //! The Prometheus metrics of a gateway: counters, gauges and latency histograms.
 
 use prometheus::{
-    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry,
 };
 use sardinemux_core::catalog::Catalog;
 use snafu::ResultExt;
@@ -94,6 +95,10 @@
     pub held_bytes: IntGauge,
     /// What was refused or broken off for want of memory: a `connection`, a `head`, a `request`, an `answer` or an `event`.
     pub memory_refusals: IntCounterVec,
+    /// Connections and bodies of clients that gave way or were refused, by action: `gives way`, `refused` or `body`.
+    pub clients_closed: IntCounterVec,
+    /// The open connections of clients, by port.
+    pub connections: IntGaugeVec,
     /// The number of bytes that all connections of callers together have read ahead beyond what each may have.
     pub read_ahead_bytes: IntGauge,
 }
@@ -207,6 +212,15 @@
                     "What was refused or broken off for want of memory",
                     &["subject"],
                 )?,
+                clients_closed: counters(
+                    "gateway_clients_closed_total",
+                    "Connections and bodies of clients that gave way or were refused",
+                    &["action"],
+                )?,
+                connections: IntGaugeVec::new(
+                    Opts::new("gateway_connections", "Open connections of clients"),
+                    &["port"],
+                )?,
                 read_ahead_bytes: IntGauge::new(
                     "gateway_read_ahead_shared_bytes",
                     "Bytes read ahead of callers' connections from the budget that these share",
@@ -214,7 +228,7 @@
             })
         };
         let metrics = build().context(MetricSnafu)?;
-        let collectors: [Box<dyn prometheus::core::Collector>; 23] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 25] = [
             Box::new(metrics.answers.clone()),
             Box::new(metrics.first_byte_s.clone()),
             Box::new(metrics.attempts.clone()),
@@ -238,6 +252,8 @@
             Box::new(metrics.held_bytes.clone()),
             Box::new(metrics.memory_refusals.clone()),
             Box::new(metrics.read_ahead_bytes.clone()),
+            Box::new(metrics.clients_closed.clone()),
+            Box::new(metrics.connections.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).context(MetricSnafu)?;
@@ -245,6 +261,11 @@
         Ok(metrics)
     }
 
+    /// Counts a connection or a body that gives way or is refused.
+    pub fn count_client_closed(&self, action: &str) {
+        self.clients_closed.with_label_values(&[action]).inc();
+    }
+
     /// Counts something that is refused or broken off for want of memory.
     pub fn count_memory_refusal(&self, subject: &str) {
         self.memory_refusals.with_label_values(&[subject]).inc();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -39,6 +39,9 @@
 /// The largest accepted body of a query, in bytes.
 const QUERY_MAX_BYTES: usize = 4_096;
 
+/// How long the body of a query may take to arrive.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A query for the changes of a topic.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct Query {
@@ -193,11 +196,9 @@
         return Ok(hop::serve(gateway, request).await);
     }
     let is_known = request.method() == Method::POST && request.uri().path() == "/news";
-    let body = Limited::new(request.into_body(), QUERY_MAX_BYTES)
-        .collect()
-        .await;
-    let query = match body {
-        Ok(body) if is_known => appendix::decode::<Query, Appendix>(&body.to_bytes()),
+    let body = Limited::new(request.into_body(), QUERY_MAX_BYTES).collect();
+    let query = match time::timeout(QUERY_TIMEOUT, body).await {
+        Ok(Ok(body)) if is_known => appendix::decode::<Query, Appendix>(&body.to_bytes()),
         _ => return Ok(empty_response(StatusCode::NOT_FOUND)),
     };
     let Ok((query, appendix)) = query else {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -18,9 +19,10 @@
 
 use crate::caller::presence::Presence;
 use crate::drain::Phase;
+use crate::intake::{self, Connection};
 use crate::prelude::*;
 use crate::suspension;
-use crate::whole::{self, Collector, Excess, Unread, Whole};
+use crate::whole::{Collector, Excess, Whole};
 
 /// The headers that apply to a single connection and are not forwarded. Source: RFC 9110, section 7.6.1.
 static HOP_BY_HOP: [HeaderName; 8] = [
@@ -35,7 +37,7 @@
 ];
 
 /// What a request takes while it is served, in bytes: its state, the connection to its target, and the first
-/// [`ANSWER_BYTES`](whole::ANSWER_BYTES) of its answer.
+/// [`ANSWER_BYTES`](crate::whole::ANSWER_BYTES) of its answer.
 const REQUEST_BYTES: usize = 32 << 10;
 
 /// What another gateway states of a request that it passes on. Such a request is not passed on again.
@@ -185,7 +187,8 @@
 ) -> std::result::Result<Inbound, Rejection> {
     let received_at = Instant::now();
     check_phase(gateway)?;
-    let memory = take_memory(gateway)?;
+    let connection = parts.extensions.get::<Arc<Connection>>().cloned();
+    let memory = take_memory(gateway).await?;
     suspension::wait_for_refresh(gateway).await;
     if !gateway.can_serve() {
         return Err(Rejection::NotReady);
@@ -217,7 +220,12 @@
     let headers = forwarded_headers(gateway, parts.headers);
     let limits = catalog.limits();
     let body_deadline = deadline.min(received_at + Duration::from_millis(limits.read_ms));
-    let body = read_body(gateway, body, limits.body_bytes, body_deadline).await?;
+    let reading = read_body(gateway, connection.as_deref(), body, limits.body_bytes);
+    let body = time::timeout_at(body_deadline, reading).await;
+    if let Some(connection) = &connection {
+        connection.note_serving(gateway.now_ms());
+    }
+    let body = body.map_err(|_| Rejection::BodyTimeout)??;
     check_phase(gateway)?;
     let caller = organisation.as_deref().unwrap_or_default();
     let part_ids: Vec<u64> = prompt.parts.iter().map(|part| part.id).collect();
@@ -249,15 +257,12 @@
 }
 
 /// Takes the memory for a request.
-fn take_memory(gateway: &Gateway) -> std::result::Result<Share, Rejection> {
-    let mut share = Share::new(gateway.memory.clone(), Class::Request);
-    match share.try_resize(REQUEST_BYTES) {
-        true => Ok(share),
-        false => {
-            gateway.metrics.count_memory_refusal("request");
-            Err(Rejection::NoRoom)
-        }
-    }
+async fn take_memory(gateway: &Gateway) -> std::result::Result<Share, Rejection> {
+    let share = intake::try_take(gateway, Class::Request, REQUEST_BYTES).await;
+    share.ok_or_else(|| {
+        gateway.metrics.count_memory_refusal("request");
+        Rejection::NoRoom
+    })
 }
 
 /// Rejects a request that arrives while the gateway closes its connections.
@@ -370,28 +375,57 @@
     }
 }
 
-/// Reads a body of at most `limit` bytes. One whose stated length the memory does not hold is refused before it is read.
+/// Reads a body of at most `limit` bytes. One whose stated length the memory does not hold is refused before it is read. Bodies without
+/// progress give way to it, and it gives way to others while it makes none.
 async fn read_body(
     gateway: &Gateway,
+    connection: Option<&Connection>,
     body: &mut Incoming,
     limit: usize,
-    body_deadline: Instant,
 ) -> std::result::Result<Whole, Rejection> {
     let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let collected = match stated <= limit && !gateway.memory.has_room(Class::Body, stated) {
-        true => Err(Unread::Excess(Excess::Memory)),
-        false => {
-            let collector = Collector::of_request(gateway.memory.clone(), limit);
-            let collected = time::timeout_at(body_deadline, whole::collect(body, collector));
-            collected.await.map_err(|_| Rejection::BodyTimeout)?
+    let has_room = || gateway.memory.has_room(Class::Body, stated);
+    if stated > limit {
+        return Err(Rejection::TooLarge);
+    }
+    if !intake::try_with_room(gateway, stated, has_room).await {
+        return Err(no_room(gateway));
+    }
+    if let Some(connection) = connection {
+        connection.note_body(gateway.now_ms());
+    }
+    let mut collector = Collector::of_request(gateway.memory.clone(), limit);
+    collector.expect(stated);
+    loop {
+        let frame = match connection {
+            Some(connection) => tokio::select! {
+                frame = body.frame() => frame,
+                () = connection.wait_for_giving_room() => return Err(no_room(gateway)),
+            },
+            None => body.frame().await,
+        };
+        let Some(frame) = frame else {
+            return Ok(collector.finish());
+        };
+        let frame = frame.map_err(|_| Rejection::Malformed)?;
+        let mut data = frame.data_ref().map_or(&[][..], |data| &data[..]);
+        let mut pushed = Ok(());
+        let bytes = data.len() + collector.len();
+        let grow = || {
+            pushed = collector.push_part(&mut data);
+            pushed != Err(Excess::Memory)
+        };
+        if !intake::try_with_room(gateway, bytes, grow).await {
+            return Err(no_room(gateway));
         }
-    };
-    collected.map_err(|unread| match unread {
-        Unread::Excess(Excess::Limit) => Rejection::TooLarge,
-        Unread::Excess(Excess::Memory) => {
-            gateway.metrics.count_memory_refusal("request");
-            Rejection::NoRoom
+        pushed.map_err(|_| Rejection::TooLarge)?;
+        if let Some(connection) = connection {
+            connection.note_progress(collector.len(), gateway.now_ms());
         }
-        Unread::Broken(_) => Rejection::Malformed,
-    })
+    }
+}
+
+fn no_room(gateway: &Gateway) -> Rejection {
+    gateway.metrics.count_memory_refusal("request");
+    Rejection::NoRoom
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sardinemux_core::intake::Port;
 use sardinemux_host::logs;
 use snafu::ResultExt;
 use tokio::signal::unix::{signal, SignalKind};
@@ -65,16 +66,19 @@
         caller::listen(gateway.clone()),
         internal::listen(
             gateway.clone(),
+            Port::Ready,
             settings.ready_address,
             internal::serve_readiness
         ),
         internal::listen(
             gateway.clone(),
+            Port::Metrics,
             settings.metrics_address,
             internal::serve_metrics
         ),
         internal::listen(
             gateway.clone(),
+            Port::Peers,
             settings.peer_address,
             peers::handle_request
         ),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,10 +36,34 @@
     /// It is of use where many gateways start long before callers arrive: few of them then read the store. When all
     /// gateways have lost their state at once, callers wait for it.
     pub discovery_ms: u64,
+    /// The limits of clients.
+    pub clients: Clients,
     /// The bounds of the deployment, which may change while the process runs.
     pub bounds: Bounds,
 }
 
+/// The limits of clients, which none reaches by default that sends sound requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Clients {
+    /// The connections of all callers; 0 for two fifths of the descriptors that the process may have open.
+    pub connections: usize,
+    /// The connections of one address of callers; 0 for no limit, as all callers may come from few addresses.
+    pub connections_per_address: usize,
+    /// The time without progress after which a head or body gives way to others, in milliseconds.
+    pub stall_ms: u64,
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        Self {
+            connections: 0,
+            connections_per_address: 0,
+            // A lost segment is sent again within this time.
+            stall_ms: 1_000,
+        }
+    }
+}
+
 /// The bounds of a deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -62,11 +86,17 @@
 /// The largest memory that can be set, in megabytes.
 const MEMORY_MAX_MB: u32 = 1_000_000;
 
+/// The largest limit of clients that can be set.
+const CLIENTS_MAX: u32 = 1_000_000;
+
+/// The longest time without progress that can be set, in milliseconds.
+const STALL_MAX_MS: u64 = 60_000;
+
 /// The bytes of a megabyte.
 const MEGABYTE: f64 = 1e6;
 
 /// The keys of the settings file.
-pub const KEYS: [Key; 16] = [
+pub const KEYS: [Key; 19] = [
     Key::new(
         "instance",
         "name",
@@ -139,6 +169,27 @@
         Some("256"),
         "The memory that the process may have, in megabytes.",
     ),
+    Key::new(
+        "clients",
+        "connections",
+        Kind::Fraction { most: CLIENTS_MAX },
+        Some("0"),
+        "The connections of all callers; 0 for two fifths of the descriptors.",
+    ),
+    Key::new(
+        "clients",
+        "connections_per_address",
+        Kind::Fraction { most: CLIENTS_MAX },
+        Some("0"),
+        "The connections of callers of one address; 0 for no limit.",
+    ),
+    Key::new(
+        "clients",
+        "stall",
+        Kind::time(1, STALL_MAX_MS),
+        Some("1s"),
+        "How long a head or body may make no progress before it gives way to others.",
+    ),
     Key::new("store", "address", Kind::Address, None, "The store."),
     Key::new(
         "store",
@@ -200,6 +251,12 @@
             memory_bytes: (values.fraction("instance", "memory_mb")? * MEGABYTE) as usize,
             store_address: values.address("store", "address")?,
             discovery_ms: values.number("store", "listen")?,
+            clients: Clients {
+                connections: values.fraction("clients", "connections")? as usize,
+                connections_per_address: values.fraction("clients", "connections_per_address")?
+                    as usize,
+                stall_ms: values.number("clients", "stall")?,
+            },
             bounds: Bounds {
                 grace_ms: values.number("limits", "grace")?,
                 retry_ratio: values.fraction("limits", "retry_ratio")?,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -28,6 +28,7 @@
 use crate::connections::{self, IdlePool};
 use crate::dialect::Dialect;
 use crate::drain::{Drain, Phase};
+use crate::intake::Intake;
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::origins::Origins;
@@ -98,6 +99,8 @@
     pub read_ahead: Arc<read_ahead::Budget>,
     /// The memory that everything which is held for callers, targets and other gateways shares.
     pub memory: Arc<memory::Budget>,
+    /// The connections of all clients.
+    pub intake: Intake,
     /// The longest time for which the process has worked without a pause.
     pub busy: Mutex<Meter>,
     /// The running requests and the phase of a stop.
@@ -142,6 +145,7 @@
             seeds: RwLock::new(settings.seeds.clone()),
             read_ahead: Arc::default(),
             memory: Arc::new(memory::Budget::of_process(settings.memory_bytes)),
+            intake: Intake::new(settings.clients),
             busy: Mutex::default(),
             drain: Arc::default(),
             metrics: Metrics::new()?,
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -175,6 +175,30 @@
     /// assert_eq!(answer.finish().len(), 3);
     /// ```
     pub fn push(&mut self, mut data: &[u8]) -> Result<(), Excess> {
+        self.push_part(&mut data)
+    }
+
+    /// Returns the number of bytes so far.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Returns whether there are no bytes yet.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Notes the stated number of bytes, so that no larger segment is taken.
+    pub fn expect(&mut self, stated: usize) {
+        self.stated = stated;
+    }
+
+    /// Appends a part of the body, of which `data` keeps what has not been appended.
+    ///
+    /// # Errors
+    ///
+    /// As for [`push`](Self::push).
+    pub fn push_part(&mut self, data: &mut &[u8]) -> Result<(), Excess> {
         if data.len() > self.limit - self.length {
             return Err(Excess::Limit);
         }
@@ -184,7 +208,7 @@
             let (now, later) = data.split_at(data.len().min(room));
             segment.extend_from_slice(now);
             self.length += now.len();
-            data = later;
+            *data = later;
         }
         Ok(())
     }
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -24,7 +24,7 @@
 use sardinemux_gateway::dialect::Dialect;
 use sardinemux_gateway::prelude::Gateway;
 use sardinemux_gateway::run;
-use sardinemux_gateway::settings::{Bounds, Settings};
+use sardinemux_gateway::settings::{Bounds, Clients, Settings};
 use sardinemux_gateway::source::{Batch, Entry, Fact, Source, Topic};
 use smol_str::SmolStr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -124,6 +124,7 @@
         source_address: None,
         link_mbps: 1_000,
         memory_bytes: 256_000_000,
+        clients: Clients::default(),
         discovery_ms: 0,
         store_address: address(4),
         bounds: Bounds {
