Read ahead only behind a request that has arrived, and count the whole buffer

While a body arrived, the watcher of a caller's connection read up to a whole body ahead of the library, and a buffer that was drained kept its capacity without being counted: chunks far over the limit took 80 MB of 64. Reading ahead now begins once the request has been read, and the buffer is counted with its capacity and is replaced by a smaller one as it drains. The budget of holders is two thirds of the memory again, as the excess came from this buffer.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -16,12 +16,8 @@
 /// The number of bytes that a holder may have as long as the budget lasts, unless it is an answer.
 pub const SMALL_BYTES: usize = 64 << 10;
 
-/// What the program itself takes, in bytes, with its catalogue and its list of targets. It does not shrink with the memory: a process
-/// of 64 MB took 72 to 78 MB when holders had two thirds of the whole.
-const PROGRAM_BYTES: usize = 20_000_000;
-
-/// The part of the rest of a process's memory that holders may have, as a fraction. What is left is for the buffers of its connections
-/// and what the allocator cannot reuse.
+/// The part of a process's memory that holders may have, as a fraction. The rest is for the state of the process, the
+/// buffers of its connections and what the allocator cannot reuse.
 const HELD_SHARE: (usize, usize) = (2, 3);
 
 /// What a holder is. Each class leaves a part of the budget to those before it.
@@ -78,13 +74,11 @@
     /// ```
     /// use sardinemux_core::memory::Budget;
     ///
-    /// assert_eq!(Budget::of_process(260_000_000).limit(), 160_000_000);
+    /// assert_eq!(Budget::of_process(960).limit(), 640);
     /// ```
     pub fn of_process(memory_bytes: usize) -> Self {
         let (part, whole) = HELD_SHARE;
-        // A process with little memory is not left without any for its holders.
-        let rest = memory_bytes.saturating_sub(PROGRAM_BYTES);
-        Self::new(rest.max(memory_bytes / 2) / whole * part)
+        Self::new(memory_bytes / whole * part)
     }
 
     /// Returns the number of bytes in use.
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -232,7 +232,6 @@
     } = exchange;
     let idle = Idle::after_request(gateway.clone(), connection.clone());
     let running = gateway.drain.guard();
-    let served = watcher.begin();
     let id = request.headers().get(&gateway.dialect.request_id).cloned();
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let wants_close = wants_close(request.headers());
@@ -252,6 +251,8 @@
     };
     let mut response = match read {
         Ok(mut inbound) => {
+            // A body that still arrives is read by the library alone: read ahead, it would be held twice.
+            let served = watcher.begin();
             // After a rejection the connection is closed, and the rest of the body is no head.
             inspector.reset();
             inbound.presence = watcher.presence();
@@ -259,8 +260,6 @@
             response.map(|body| reply::keep_until_sent(body, served))
         }
         Err(rejection) => {
-            // The rest of the request is discarded, whether or not its caller reads the response.
-            drop(served);
             log::info!(
                 request_id:% = request::header_text(id.as_ref()), reason:% = rejection, has_body = has_body,
                 version = gateway.catalog.read().version();
--- a/crates/gateway/src/caller/presence.rs
+++ b/crates/gateway/src/caller/presence.rs
@@ -34,6 +34,8 @@
 struct State {
     stream: TcpStream,
     ahead: BytesMut,
+    /// The largest capacity of the buffer, which draining it does not give back.
+    allocated: usize,
     share: Share,
     /// The memory of the buffer, whose capacity grows in powers of two.
     memory: memory::Share,
@@ -68,6 +70,7 @@
                 break;
             }
             self.ahead.reserve(READ_BYTES);
+            self.allocated = self.allocated.max(self.ahead.capacity());
             let mut buffer = (&mut self.ahead).limit(READ_BYTES);
             match self.stream.try_read_buf(&mut buffer) {
                 Ok(0) => self.end = Some(Ok(())),
@@ -88,8 +91,13 @@
     /// Gives back what the buffer does not need.
     fn shrink(&mut self) {
         let bytes = self.ahead.len();
+        if self.allocated > 4 * bytes + 2 * READ_BYTES || bytes == 0 {
+            self.ahead = BytesMut::from(&self.ahead[..]);
+            self.allocated = self.ahead.capacity();
+        }
         self.share.shrink(bytes);
-        self.memory.try_resize((2 * bytes).min(self.memory.size()));
+        let needed = self.allocated.max(2 * bytes);
+        self.memory.try_resize(needed.min(self.memory.size()));
     }
 
     /// Returns whether the caller's close has arrived, behind bytes that have not been read.
@@ -115,6 +123,7 @@
     let state = Arc::new(Mutex::new(State {
         stream,
         ahead: BytesMut::new(),
+        allocated: 0,
         share: Share::new(budget, largest),
         memory: memory::Share::new(memory, memory::Class::Body),
         end: None,
@@ -202,9 +211,6 @@
             buffer.put_slice(&state.ahead[..count]);
             state.ahead.advance(count);
             state.shrink();
-            if state.ahead.is_empty() {
-                state.ahead = BytesMut::new();
-            }
             return Poll::Ready(Ok(()));
         }
         match &state.end {
