--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -26,7 +26,7 @@
 use sardinemux_gateway::dialect::{Dialect, Load};
 use sardinemux_gateway::prelude::Gateway;
 use sardinemux_gateway::run;
-use sardinemux_gateway::settings::{Bounds, Settings};
+use sardinemux_gateway::settings::{Bounds, Clients, Settings};
 use sardinemux_gateway::source::{Batch, Entry, Fact, Source, StoredStatus, Topic};
 use smol_str::SmolStr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -129,6 +129,7 @@
         source_address: None,
         link_mbps: 1_000,
         memory_bytes: 256_000_000,
+        clients: Clients::default(),
         discovery_ms: 0,
         store_address: address(4),
         permits: sardinemux_gateway::settings::Permits::Off,
