Let what is read ahead leave a quarter of the memory to requests

240 connections with requests without end behind one that is served took the memory up to what bodies leave, and each served one more request at once, so that 20 requests of an ordinary caller in a row were refused (hostile, pipelined). Read-ahead has a class of its own now, which leaves a quarter of the budget and has no exemption.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -6,7 +6,7 @@
 //! `n <= max(free, exempt)` and the budget is not exceeded,
 //!
 //! so that the largest holders are the first that may not grow: `k` holders that grow without end get a share of
-//! `1 / (k + 1)` of the budget each. Answers are never exempt, since endless ones that begin anew would together take the last
+//! `1 / (k + 1)` of the budget each. Answers and what is read ahead are never exempt, since endless ones that begin anew would together take the last
 //! bytes, and requests would be refused. Source: Choudhury and Hahne, "Dynamic queue length thresholds for shared-memory packet
 //! switches", IEEE/ACM Transactions on Networking, 1998, with the factor 1.
 
@@ -31,11 +31,14 @@
     Body,
     /// An answer or a part of one.
     Answer,
+    /// What is read ahead behind a request that is being served. Requests are served without it, only their callers' leaving is noticed
+    /// later, so that it leaves most room: each of its connections needs some for its next request.
+    ReadAhead,
 }
 
 impl Class {
     /// The parts of the budget that each class leaves to others, as divisors of the budget.
-    const LEFT_DIVISORS: [Option<usize>; 4] = [None, Some(32), Some(16), Some(8)];
+    const LEFT_DIVISORS: [Option<usize>; 5] = [None, Some(32), Some(16), Some(8), Some(4)];
 
     /// Returns how much of a budget of `limit` bytes is left to others.
     fn left(self, limit: usize) -> usize {
@@ -45,7 +48,7 @@
     /// Returns the number of bytes that a holder may have whatever others have.
     fn exempt(self) -> usize {
         match self {
-            Self::Answer => 0,
+            Self::Answer | Self::ReadAhead => 0,
             Self::Connection | Self::Request | Self::Body => SMALL_BYTES,
         }
     }
--- a/crates/gateway/src/caller/presence.rs
+++ b/crates/gateway/src/caller/presence.rs
@@ -125,7 +125,7 @@
         ahead: BytesMut::new(),
         allocated: 0,
         share: Share::new(budget, largest),
-        memory: memory::Share::new(memory, memory::Class::Body),
+        memory: memory::Share::new(memory, memory::Class::ReadAhead),
         end: None,
         served: 0,
     }));
