Name the parts of the dispatcher by the terms of the field

Line, Pace and Place said little to a newcomer: they are the backlog of waiting requests, the timing of requests by route and target, and the destinations among which the dispatcher chooses. The behaviour is the same.

--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -4,9 +4,9 @@
 //! that wait. Without it, no gateway knows of the requests that others have begun in the last 0.1 s, so that requests meet full
 //! targets, or wait in the queue of one while another is idle.
 
+pub mod backlog;
 pub mod command;
-pub mod line;
-mod pace;
+mod timing;
 
 use std::cmp::Reverse;
 
@@ -17,8 +17,8 @@
 use crate::collection::{Candidate, Number};
 use crate::hash;
 
-use self::line::Line;
-use self::pace::Pace;
+use self::backlog::Backlog;
+use self::timing::Timing;
 
 /// The time from the end of a request until the next one arrives at the target, in milliseconds: the datagrams of the end and of the
 /// grant, and the request itself, between zones that are up to 1.4 ms apart, and the work of gateways with an eighth of a core.
@@ -99,7 +99,7 @@
     /// The dispatcher knows of no target for it, so that its gateway decides.
     #[serde(rename = "D")]
     Declined,
-    /// The dispatcher stops or another one has its place, so that the gateway asks again.
+    /// The dispatcher stops or another one has replaced it, so that the gateway asks again.
     #[serde(rename = "M")]
     Moved,
 }
@@ -109,7 +109,7 @@
 
 /// A target as the dispatcher sees it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Place {
+pub struct Destination {
     /// The number of the target.
     pub number: Number,
     /// Its availability zone.
@@ -164,8 +164,8 @@
 pub struct Dispatcher {
     permits: IndexMap<Ticket, Permit>,
     granted: IndexMap<Number, Granted>,
-    line: Line,
-    pace: Pace,
+    backlog: Backlog,
+    timing: Timing,
     /// When the caller that was refused last may return, in milliseconds.
     return_ms: u64,
 }
@@ -173,7 +173,7 @@
 impl Dispatcher {
     /// Returns the number of requests that wait.
     pub fn waiting(&self) -> usize {
-        self.line.len()
+        self.backlog.len()
     }
 
     /// Returns the number of permits that have been granted for a target and not returned.
@@ -184,69 +184,81 @@
     /// Returns the names of the gateways that hold permits or wait.
     pub fn gateways(&self) -> Vec<SmolStr> {
         let holders = self.permits.keys().map(|ticket| &ticket.gateway);
-        let mut names: Vec<SmolStr> = holders.chain(self.line.gateways()).cloned().collect();
+        let mut names: Vec<SmolStr> = holders.chain(self.backlog.gateways()).cloned().collect();
         names.sort();
         names.dedup();
         names
     }
 
-    /// Returns the number of requests that a target may have: its slots, and as many queue places as it finishes within
+    /// Returns the number of requests that a target may have: its slots, and as many places of its queue as it finishes within
     /// [`AHEAD_MS`], so that no slot waits for a grant: `slots + ceil(slots * AHEAD_MS / time)`, at most twice the slots.
-    pub fn capacity(&self, place: &Place) -> u32 {
-        let slots = place.slots.max(1);
-        let ahead = f64::from(slots) * AHEAD_MS as f64 / self.pace.time_ms(None).max(1.0);
+    pub fn capacity(&self, destination: &Destination) -> u32 {
+        let slots = destination.slots.max(1);
+        let ahead = f64::from(slots) * AHEAD_MS as f64 / self.timing.time_ms(None).max(1.0);
         slots + (ahead.ceil() as u32).clamp(1, slots)
     }
 
     /// Returns the requests on a target: those with permits, and those that reports show beyond the permits.
-    fn load(&self, place: &Place) -> u32 {
-        let known = self.granted.get(&place.number).copied();
+    fn load(&self, destination: &Destination) -> u32 {
+        let known = self.granted.get(&destination.number).copied();
         let Granted {
             running,
             peak,
             former_peak,
             ..
         } = known.unwrap_or_default();
-        let foreign = place.reported.saturating_sub(peak.max(former_peak));
+        let foreign = destination.reported.saturating_sub(peak.max(former_peak));
         running + foreign
     }
 
     /// Returns the number of requests for which there is room now.
-    fn free(&self, places: &[Place]) -> u32 {
-        let usable = places.iter().filter(|place| place.is_usable);
+    fn free(&self, destinations: &[Destination]) -> u32 {
+        let usable = destinations
+            .iter()
+            .filter(|destination| destination.is_usable);
         usable
-            .map(|place| self.capacity(place).saturating_sub(self.load(place)))
+            .map(|destination| {
+                self.capacity(destination)
+                    .saturating_sub(self.load(destination))
+            })
             .sum()
     }
 
     /// Returns the target with room where a request is served first, by `(load + 1) * speed / slots`.
-    fn choose(&self, request: &Request, places: &[Place], now_ms: u64) -> Option<Number> {
-        let open = places.iter().filter(|place| {
-            let known = self.granted.get(&place.number);
-            place.is_usable
-                && !request.avoided.contains(&place.number)
+    fn choose(
+        &self,
+        request: &Request,
+        destinations: &[Destination],
+        now_ms: u64,
+    ) -> Option<Number> {
+        let open = destinations.iter().filter(|destination| {
+            let known = self.granted.get(&destination.number);
+            destination.is_usable
+                && !request.avoided.contains(&destination.number)
                 && known.is_none_or(|it| now_ms >= it.full_until_ms)
-                && self.load(place) < self.capacity(place)
+                && self.load(destination) < self.capacity(destination)
         });
-        let cost = |place: &Place| {
-            let speed = self.pace.speed(place.number, now_ms);
-            let slots = f64::from(place.slots.max(1));
-            let distance = match place.zone == request.zone {
+        let cost = |destination: &Destination| {
+            let speed = self.timing.speed(destination.number, now_ms);
+            let slots = f64::from(destination.slots.max(1));
+            let distance = match destination.zone == request.zone {
                 true => 0.0,
                 false => OTHER_ZONE_LOAD,
             };
-            (f64::from(self.load(place)) + 1.0 + distance) * speed / slots
+            (f64::from(self.load(destination)) + 1.0 + distance) * speed / slots
         };
         let best = open.min_by(|left, right| cost(left).total_cmp(&cost(right)));
-        best.map(|place| place.number)
+        best.map(|destination| destination.number)
     }
 
     /// Returns the requests a millisecond that the targets complete while they have no room, by Little's law:
     /// `sum(capacity) / time`.
-    fn drain_per_ms(&self, places: &[Place]) -> f64 {
-        let usable = places.iter().filter(|place| place.is_usable);
-        let room: u32 = usable.map(|place| self.capacity(place)).sum();
-        f64::from(room) / self.pace.time_ms(None).max(1.0)
+    fn drain_per_ms(&self, destinations: &[Destination]) -> f64 {
+        let usable = destinations
+            .iter()
+            .filter(|destination| destination.is_usable);
+        let room: u32 = usable.map(|destination| self.capacity(destination)).sum();
+        f64::from(room) / self.timing.time_ms(None).max(1.0)
     }
 }
 
--- a/crates/core/src/permits/line.rs
+++ b/crates/core/src/permits/backlog.rs
@@ -30,8 +30,8 @@
     /// When its latency objective is over, in milliseconds.
     objective_ms: u64,
     has_returned: bool,
-    /// Its place in the queue of its priority. The requests of an organisation exchange their places.
-    place: fairness::Ticket,
+    /// Its position in the queue of its priority. The requests of an organisation exchange their positions.
+    position: fairness::Ticket,
 }
 
 impl Waiting {
@@ -46,7 +46,7 @@
 
 /// The requests of a pool that wait.
 #[derive(Clone, Debug, Default)]
-pub struct Line {
+pub struct Backlog {
     waiting: IndexMap<Ticket, Waiting>,
     queues: [Queue; PRIORITIES],
     next_place: u64,
@@ -56,7 +56,7 @@
     refused: IndexMap<u64, u64>,
 }
 
-impl Line {
+impl Backlog {
     /// Returns the number of requests that wait.
     pub fn len(&self) -> usize {
         self.waiting.len() + self.late.len()
@@ -91,18 +91,18 @@
 
     pub(super) fn push(&mut self, request: Request, now_ms: u64) {
         let refused_ms = self.refused.shift_remove(&request.content);
-        let place = fairness::Ticket(self.next_place);
+        let position = fairness::Ticket(self.next_place);
         self.next_place += 1;
         let waiting = Waiting {
             deadline_ms: now_ms + u64::from(request.left_ms),
             objective_ms: now_ms + u64::from(request.objective_ms),
             has_returned: refused_ms
                 .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < REFUSED_TTL_MS),
-            place,
+            position,
             request,
         };
         let item = Item {
-            ticket: place,
+            ticket: position,
             tokens: 1,
         };
         let flow = Self::flow(&waiting.request);
@@ -115,7 +115,7 @@
             return Some(late);
         }
         let waiting = self.waiting.swap_remove(ticket)?;
-        self.queues[waiting.priority()].remove(waiting.place);
+        self.queues[waiting.priority()].remove(waiting.position);
         Some(waiting)
     }
 
@@ -143,7 +143,7 @@
     }
 
     /// Removes and returns the next request for which `grant` returns a target. One that no target with room can serve is passed
-    /// over, and keeps its place.
+    /// over, and keeps its position.
     pub(super) fn take<T>(
         &mut self,
         mut grant: impl FnMut(&Request) -> Option<T>,
@@ -168,7 +168,7 @@
             }
             for waiting in passed {
                 let item = Item {
-                    ticket: waiting.place,
+                    ticket: waiting.position,
                     tokens: 1,
                 };
                 self.queues[priority].push(&Self::flow(&waiting.request), item);
@@ -195,12 +195,12 @@
         Some((self.late.swap_remove(&ticket)?, target))
     }
 
-    /// Returns the first request of the organisation that has a place, and exchanges the places of the two.
-    fn next_of(&mut self, priority: usize, place: fairness::Ticket) -> Option<Ticket> {
+    /// Returns the first request of the organisation that has a position, and exchanges the positions of the two.
+    fn next_of(&mut self, priority: usize, position: fairness::Ticket) -> Option<Ticket> {
         let holder = self
             .waiting
             .values()
-            .find(|it| it.place == place && it.priority() == priority)?;
+            .find(|it| it.position == position && it.priority() == priority)?;
         let organisation = &holder.request.organisation;
         let same = self
             .waiting
@@ -210,13 +210,13 @@
         let (holder, first, other) = (
             holder.request.ticket.clone(),
             first.request.ticket.clone(),
-            first.place,
+            first.position,
         );
         if let Some(it) = self.waiting.get_mut(&holder) {
-            it.place = other;
+            it.position = other;
         }
         if let Some(it) = self.waiting.get_mut(&first) {
-            it.place = place;
+            it.position = position;
         }
         Some(first)
     }
--- a/crates/core/src/permits/command.rs
+++ b/crates/core/src/permits/command.rs
@@ -1,8 +1,8 @@
 //! Changes of a dispatcher: requests, ends, and the passage of time.
 
 use super::{
-    Decision, Dispatcher, End, Granted, Notice, Permit, Place, Request, Ticket, OVERDUE_MULTIPLE,
-    OVERDUE_SLACK_MS, TRIP_MS,
+    Decision, Destination, Dispatcher, End, Granted, Notice, Permit, Request, Ticket,
+    OVERDUE_MULTIPLE, OVERDUE_SLACK_MS, TRIP_MS,
 };
 use crate::collection::Number;
 
@@ -19,7 +19,7 @@
 ///
 /// ```
 /// use sardinemux_core::collection::Number;
-/// use sardinemux_core::permits::{command, Decision, Dispatcher, Place, Request, Ticket};
+/// use sardinemux_core::permits::{command, Decision, Dispatcher, Destination, Request, Ticket};
 ///
 /// let request = Request {
 ///     ticket: Ticket { gateway: "g".into(), number: 1 },
@@ -32,30 +32,35 @@
 ///     objective_ms: 150,
 ///     avoided: Vec::new(),
 /// };
-/// let place = Place { number: Number(1), zone: "z".into(), slots: 2, reported: 0, is_usable: true };
+/// let destination = Destination { number: Number(1), zone: "z".into(), slots: 2, reported: 0, is_usable: true };
 /// let mut dispatcher = Dispatcher::default();
-/// let notices = command::request(&mut dispatcher, request, &[place], 0);
+/// let notices = command::request(&mut dispatcher, request, &[destination], 0);
 /// assert_eq!(notices[0].1, Decision::Granted(Number(1)));
 /// ```
 pub fn request(
     dispatcher: &mut Dispatcher,
     request: Request,
-    places: &[Place],
+    destinations: &[Destination],
     now_ms: u64,
 ) -> Vec<Notice> {
     let ticket = request.ticket.clone();
     if let Some(permit) = dispatcher.permits.get(&ticket) {
         return vec![(ticket, Decision::Granted(permit.target))];
     }
-    if dispatcher.line.contains(&ticket) {
+    if dispatcher.backlog.contains(&ticket) {
         return vec![(ticket, Decision::Queued)];
     }
-    let may_serve = |place: &&Place| place.is_usable && !request.avoided.contains(&place.number);
-    if !places.iter().any(|place| may_serve(&place)) {
+    let may_serve = |destination: &&Destination| {
+        destination.is_usable && !request.avoided.contains(&destination.number)
+    };
+    if !destinations
+        .iter()
+        .any(|destination| may_serve(&destination))
+    {
         return vec![(ticket, Decision::Declined)];
     }
-    dispatcher.line.push(request, now_ms);
-    let mut notices = expire(dispatcher, places, now_ms);
+    dispatcher.backlog.push(request, now_ms);
+    let mut notices = expire(dispatcher, destinations, now_ms);
     let own = notices.iter().position(|(it, _)| *it == ticket);
     match own {
         Some(index) => notices.swap(0, index),
@@ -69,10 +74,10 @@
     dispatcher: &mut Dispatcher,
     ticket: &Ticket,
     end: End,
-    places: &[Place],
+    destinations: &[Destination],
     now_ms: u64,
 ) -> Vec<Notice> {
-    dispatcher.line.remove(ticket);
+    dispatcher.backlog.remove(ticket);
     let Some(permit) = release(dispatcher, ticket, now_ms) else {
         return Vec::new();
     };
@@ -80,50 +85,58 @@
         End::Completed(time_ms) => {
             let (target, route) = (permit.target, permit.route);
             dispatcher
-                .pace
+                .timing
                 .note(target, route, f64::from(time_ms), now_ms);
         }
         End::Rejected => {
             // The target has more requests than are known here, at least as many as its queue holds; one takes the mean time.
-            let pause_ms = dispatcher.pace.time_ms(None) as u64;
+            let pause_ms = dispatcher.timing.time_ms(None) as u64;
             if let Some(granted) = dispatcher.granted.get_mut(&permit.target) {
                 granted.full_until_ms = now_ms + pause_ms;
             }
         }
         End::Other => {}
     }
-    serve(dispatcher, places, now_ms)
+    serve(dispatcher, destinations, now_ms)
 }
 
 /// Grants what there is room for, and refuses the waiting requests that cannot be served in time.
-pub fn expire(dispatcher: &mut Dispatcher, places: &[Place], now_ms: u64) -> Vec<Notice> {
+pub fn expire(
+    dispatcher: &mut Dispatcher,
+    destinations: &[Destination],
+    now_ms: u64,
+) -> Vec<Notice> {
     release_overdue(dispatcher, now_ms);
-    let mut notices = refuse_late(dispatcher, places, now_ms);
-    notices.extend(serve(dispatcher, places, now_ms));
+    let mut notices = refuse_late(dispatcher, destinations, now_ms);
+    notices.extend(serve(dispatcher, destinations, now_ms));
     notices
 }
 
 /// Refuses the waiting requests that cannot be served in time, also if there is room: they may run for nothing otherwise.
-fn refuse_late(dispatcher: &mut Dispatcher, places: &[Place], now_ms: u64) -> Vec<Notice> {
+fn refuse_late(
+    dispatcher: &mut Dispatcher,
+    destinations: &[Destination],
+    now_ms: u64,
+) -> Vec<Notice> {
     let mut notices = Vec::new();
-    if dispatcher.line.is_empty() {
+    if dispatcher.backlog.is_empty() {
         return notices;
     }
-    let pace = &dispatcher.pace;
-    dispatcher.line.demote(
-        |request| pace.time_ms(Some(request.route)) as u64 + TRIP_MS,
+    let timing = &dispatcher.timing;
+    dispatcher.backlog.demote(
+        |request| timing.time_ms(Some(request.route)) as u64 + TRIP_MS,
         now_ms,
     );
-    let mut free: f64 = dispatcher.free(places).into();
-    let per_ms = dispatcher.drain_per_ms(places);
+    let mut free: f64 = dispatcher.free(destinations).into();
+    let per_ms = dispatcher.drain_per_ms(destinations);
     let mut ahead = 0.0;
     let mut late: Vec<(Ticket, u64)> = Vec::new();
-    for waiting in dispatcher.line.forecast() {
+    for waiting in dispatcher.backlog.forecast() {
         let wait_ms = match per_ms > 0.0 && free < 1.0 {
             true => ahead / per_ms,
             false => 0.0,
         };
-        let time_ms = dispatcher.pace.long_ms(waiting.request.route);
+        let time_ms = dispatcher.timing.long_ms(waiting.request.route);
         let end_ms = now_ms as f64 + wait_ms + time_ms + TRIP_MS as f64;
         match end_ms > waiting.deadline_ms as f64 {
             true => late.push((waiting.request.ticket.clone(), waiting.request.content)),
@@ -132,8 +145,8 @@
         }
     }
     for (ticket, content) in late {
-        dispatcher.line.remove(&ticket);
-        dispatcher.line.note_refused(content, now_ms);
+        dispatcher.backlog.remove(&ticket);
+        dispatcher.backlog.note_refused(content, now_ms);
         let return_ms = next_return(dispatcher, per_ms, now_ms);
         notices.push((ticket, Decision::Refused(return_ms)));
     }
@@ -144,46 +157,46 @@
 pub fn forget(
     dispatcher: &mut Dispatcher,
     gateway: &str,
-    places: &[Place],
+    destinations: &[Destination],
     now_ms: u64,
 ) -> Vec<Notice> {
     let held = dispatcher
         .permits
         .keys()
-        .chain(dispatcher.line.iter().map(|it| &it.request.ticket));
+        .chain(dispatcher.backlog.iter().map(|it| &it.request.ticket));
     let held = held.filter(|ticket| ticket.gateway == gateway);
     let held: Vec<Ticket> = held.cloned().collect();
     for ticket in &held {
-        dispatcher.line.remove(ticket);
+        dispatcher.backlog.remove(ticket);
         release(dispatcher, ticket, now_ms);
     }
-    serve(dispatcher, places, now_ms)
+    serve(dispatcher, destinations, now_ms)
 }
 
 /// Takes all waiting requests out of the queue, so that their gateways ask again.
 pub fn dismiss(dispatcher: &mut Dispatcher) -> Vec<Notice> {
-    let waiting = dispatcher.line.iter();
+    let waiting = dispatcher.backlog.iter();
     let tickets: Vec<Ticket> = waiting.map(|it| it.request.ticket.clone()).collect();
     let notices = tickets.into_iter().map(|ticket| {
-        dispatcher.line.remove(&ticket);
+        dispatcher.backlog.remove(&ticket);
         (ticket, Decision::Moved)
     });
     notices.collect()
 }
 
 /// Grants permits to waiting requests while there is room.
-fn serve(dispatcher: &mut Dispatcher, places: &[Place], now_ms: u64) -> Vec<Notice> {
+fn serve(dispatcher: &mut Dispatcher, destinations: &[Destination], now_ms: u64) -> Vec<Notice> {
     let mut notices = Vec::new();
     for granted in dispatcher.granted.values_mut() {
         granted.roll(now_ms);
     }
     loop {
-        let mut line = std::mem::take(&mut dispatcher.line);
-        let taken = match has_room(dispatcher, places, now_ms) {
-            true => line.take(|request| dispatcher.choose(request, places, now_ms)),
+        let mut backlog = std::mem::take(&mut dispatcher.backlog);
+        let taken = match has_room(dispatcher, destinations, now_ms) {
+            true => backlog.take(|request| dispatcher.choose(request, destinations, now_ms)),
             false => None,
         };
-        dispatcher.line = line;
+        dispatcher.backlog = backlog;
         let Some((waiting, target)) = taken else {
             return notices;
         };
@@ -199,12 +212,14 @@
     }
 }
 
-fn has_room(dispatcher: &Dispatcher, places: &[Place], now_ms: u64) -> bool {
-    let mut usable = places.iter().filter(|place| place.is_usable);
-    usable.any(|place| {
-        let known = dispatcher.granted.get(&place.number);
+fn has_room(dispatcher: &Dispatcher, destinations: &[Destination], now_ms: u64) -> bool {
+    let mut usable = destinations
+        .iter()
+        .filter(|destination| destination.is_usable);
+    usable.any(|destination| {
+        let known = dispatcher.granted.get(&destination.number);
         known.is_none_or(|it| now_ms >= it.full_until_ms)
-            && dispatcher.load(place) < dispatcher.capacity(place)
+            && dispatcher.load(destination) < dispatcher.capacity(destination)
     })
 }
 
@@ -241,7 +256,7 @@
 
 /// Releases the permits whose end was not heard: at the deadline of the request, or long after it should have ended.
 fn release_overdue(dispatcher: &mut Dispatcher, now_ms: u64) {
-    let usual_ms = dispatcher.pace.time_ms(None) * OVERDUE_MULTIPLE + OVERDUE_SLACK_MS;
+    let usual_ms = dispatcher.timing.time_ms(None) * OVERDUE_MULTIPLE + OVERDUE_SLACK_MS;
     let overdue = dispatcher.permits.iter().filter(|(_, permit)| {
         let age_ms = now_ms.saturating_sub(permit.at_ms);
         now_ms >= permit.expires_ms || age_ms as f64 > usual_ms
@@ -255,7 +270,7 @@
 /// Returns the time after which the next refused caller may return: behind the queue, and spread over the room that there will be.
 fn next_return(dispatcher: &mut Dispatcher, per_ms: f64, now_ms: u64) -> u32 {
     let per_ms = per_ms.max(1e-3);
-    let earliest_ms = now_ms + (dispatcher.line.len() as f64 / per_ms) as u64;
+    let earliest_ms = now_ms + (dispatcher.backlog.len() as f64 / per_ms) as u64;
     let step_ms = (1.0 / (per_ms * RETURN_SHARE)).ceil() as u64;
     let next_ms = dispatcher.return_ms.max(earliest_ms) + step_ms;
     // Beyond the longest time, callers that return share the room again from the beginning.
--- a/crates/core/src/permits/pace.rs
+++ b/crates/core/src/permits/timing.rs
@@ -18,7 +18,7 @@
 
 /// The moving averages of the time that requests take.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Pace {
+pub(super) struct Timing {
     all_ms: Option<f64>,
     routes_ms: IndexMap<u32, f64>,
     /// The mean deviation from the time of the route, in milliseconds.
@@ -27,7 +27,7 @@
     speeds: IndexMap<Number, (f64, u64)>,
 }
 
-impl Pace {
+impl Timing {
     pub fn note(&mut self, target: Number, route: u32, time_ms: f64, now_ms: u64) {
         let time_ms = time_ms.max(1.0);
         let usual_ms = self.time_ms(Some(route)).max(1.0);
--- a/crates/core/tests/permits.rs
+++ b/crates/core/tests/permits.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use sardinemux_core::collection::Number;
 use sardinemux_core::permits::{
-    command, Decision, Dispatcher, End, Notice, Place, Request, Ticket,
+    command, Decision, Destination, Dispatcher, End, Notice, Request, Ticket,
 };
 
 use scarce::{Load, Mode, Simulation};
@@ -83,8 +83,8 @@
     assert_eq!((faulty.held, faulty.open), (0, 0));
 }
 
-fn place(number: u32, slots: u32) -> Place {
-    Place {
+fn destination(number: u32, slots: u32) -> Destination {
+    Destination {
         number: Number(number),
         zone: "z".into(),
         slots,
@@ -114,11 +114,11 @@
 #[test]
 fn verify_order_of_the_queue() {
     let mut dispatcher = Dispatcher::default();
-    let places = [place(1, 1)];
+    let destinations = [destination(1, 1)];
     let ask = |dispatcher: &mut Dispatcher, request: Request| {
-        command::request(dispatcher, request, &places, 0);
+        command::request(dispatcher, request, &destinations, 0);
     };
-    // Two fill the slot and the queue place.
+    // Two fill the slot and the place in the queue.
     for number in [0, 1] {
         ask(&mut dispatcher, request(number, 9, 0, 5_000));
     }
@@ -130,7 +130,7 @@
     let mut running = vec![0, 1];
     while let Some(number) = running.pop() {
         let ticket = request(number, 0, 0, 0).ticket;
-        let notices = command::finish(&mut dispatcher, &ticket, End::Other, &places, 1);
+        let notices = command::finish(&mut dispatcher, &ticket, End::Other, &destinations, 1);
         for (ticket, decision) in notices {
             assert!(matches!(decision, Decision::Granted(_)));
             order.push(ticket.number);
@@ -144,20 +144,25 @@
 #[test]
 fn verify_returning_caller_comes_first() {
     let mut dispatcher = Dispatcher::default();
-    let places = [place(1, 1)];
+    let destinations = [destination(1, 1)];
     for number in [0, 1] {
-        command::request(&mut dispatcher, request(number, 1, 5, 5_000), &places, 0);
+        command::request(
+            &mut dispatcher,
+            request(number, 1, 5, 5_000),
+            &destinations,
+            0,
+        );
     }
-    let notices = command::request(&mut dispatcher, request(2, 1, 5, 1), &places, 0);
+    let notices = command::request(&mut dispatcher, request(2, 1, 5, 1), &destinations, 0);
     assert!(matches!(notices[0].1, Decision::Refused(_)), "{notices:?}");
-    command::request(&mut dispatcher, request(3, 1, 5, 3_000), &places, 100);
+    command::request(&mut dispatcher, request(3, 1, 5, 3_000), &destinations, 100);
     let returning = Request {
         content: 2,
         ..request(4, 1, 5, 5_000)
     };
-    command::request(&mut dispatcher, returning, &places, 100);
+    command::request(&mut dispatcher, returning, &destinations, 100);
     let ticket = request(0, 0, 0, 0).ticket;
-    let notices = command::finish(&mut dispatcher, &ticket, End::Other, &places, 101);
+    let notices = command::finish(&mut dispatcher, &ticket, End::Other, &destinations, 101);
     assert_eq!(notices[0].0.number, 4);
 }
 
@@ -165,20 +170,27 @@
 #[test]
 fn verify_slow_target_gets_fewer_requests_for_a_second() {
     let mut dispatcher = Dispatcher::default();
-    let places = [place(1, 20), place(2, 20)];
+    let destinations = [destination(1, 20), destination(2, 20)];
     let share = |dispatcher: &mut Dispatcher, first: u64, now_ms: u64| {
         for number in first..first + 10 {
-            command::request(dispatcher, request(number, 1, 5, 5_000), &places, now_ms);
+            command::request(
+                dispatcher,
+                request(number, 1, 5, 5_000),
+                &destinations,
+                now_ms,
+            );
         }
-        places.each_ref().map(|it| dispatcher.granted(it.number))
+        destinations
+            .each_ref()
+            .map(|it| dispatcher.granted(it.number))
     };
     let end = |dispatcher: &mut Dispatcher, first: u64, now_ms: u64| {
         for number in first..first + 10 {
             let it = request(number, 1, 5, 5_000);
-            let notices = command::request(dispatcher, it.clone(), &places, now_ms);
+            let notices = command::request(dispatcher, it.clone(), &destinations, now_ms);
             let is_slow = notices[0].1 == Decision::Granted(Number(1));
             let end = End::Completed(if is_slow { 100 } else { 25 });
-            command::finish(dispatcher, &it.ticket, end, &places, now_ms);
+            command::finish(dispatcher, &it.ticket, end, &destinations, now_ms);
         }
     };
     assert_eq!(share(&mut dispatcher, 0, 0), [5, 5]);
@@ -187,7 +199,7 @@
     assert!(slow < fast, "{slow} {fast}");
     for number in 100..110 {
         let ticket = request(number, 0, 0, 0).ticket;
-        command::finish(&mut dispatcher, &ticket, End::Other, &places, 100);
+        command::finish(&mut dispatcher, &ticket, End::Other, &destinations, 100);
     }
     let [slow, fast] = share(&mut dispatcher, 200, 3_000);
     assert_eq!((slow, fast), (5, 5));
@@ -197,7 +209,7 @@
 #[test]
 fn verify_foreign_requests_take_room() {
     let mut dispatcher = Dispatcher::default();
-    let mut busy = place(1, 4);
+    let mut busy = destination(1, 4);
     busy.reported = dispatcher.capacity(&busy);
     let notices = command::request(&mut dispatcher, request(1, 1, 1, 900), &[busy], 0);
     assert_eq!(notices[0].1, Decision::Queued);
@@ -207,12 +219,17 @@
 #[test]
 fn verify_permits_of_a_lapsed_gateway_are_freed() {
     let mut dispatcher = Dispatcher::default();
-    let places = [place(1, 1)];
+    let destinations = [destination(1, 1)];
     for number in [0, 5, 1] {
-        command::request(&mut dispatcher, request(number, 1, 1, 5_000), &places, 0);
+        command::request(
+            &mut dispatcher,
+            request(number, 1, 1, 5_000),
+            &destinations,
+            0,
+        );
     }
     assert_eq!(dispatcher.waiting(), 1);
-    let notices = command::forget(&mut dispatcher, "g0", &places, 1);
+    let notices = command::forget(&mut dispatcher, "g0", &destinations, 1);
     let waiting = request(1, 0, 0, 0).ticket;
     assert_eq!(notices, [(waiting, Decision::Granted(Number(1)))]);
 }
@@ -239,7 +256,7 @@
     /// A target gets more than it has room for, a request two permits, or a waiting one is forgotten.
     #[test]
     fn prop_grants_stay_within_room(steps in prop::collection::vec(step(), 1..400)) {
-        let places = [place(1, 2), place(2, 3)];
+        let destinations = [destination(1, 2), destination(2, 3)];
         let mut dispatcher = Dispatcher::default();
         let mut now_ms = 0;
         let mut asked: BTreeMap<u64, Request> = BTreeMap::new();
@@ -247,7 +264,7 @@
         let mut granted: BTreeMap<u64, Number> = BTreeMap::new();
         let mut withdrawn: BTreeSet<u64> = BTreeSet::new();
         for step in steps {
-            let before: Vec<u32> = places.iter().map(|it| dispatcher.granted(it.number)).collect();
+            let before: Vec<u32> = destinations.iter().map(|it| dispatcher.granted(it.number)).collect();
             let notices: Vec<Notice> = match step {
                 Step::Ask(number, organisation, priority, left_ms) => {
                     if asked.contains_key(&number) {
@@ -256,11 +273,11 @@
                     let it = request(number, organisation, priority, left_ms);
                     asked.insert(number, it.clone());
                     waiting.insert(number);
-                    command::request(&mut dispatcher, it, &places, now_ms)
+                    command::request(&mut dispatcher, it, &destinations, now_ms)
                 }
                 Step::Repeat(number) => match asked.get(&number) {
                     Some(it) if waiting.contains(&number) => {
-                        command::request(&mut dispatcher, it.clone(), &places, now_ms)
+                        command::request(&mut dispatcher, it.clone(), &destinations, now_ms)
                     }
                     _ => continue,
                 },
@@ -269,11 +286,11 @@
                         withdrawn.insert(number);
                     }
                     let Some(it) = asked.get(&number) else { continue };
-                    command::finish(&mut dispatcher, &it.ticket, End::Completed(time_ms), &places, now_ms)
+                    command::finish(&mut dispatcher, &it.ticket, End::Completed(time_ms), &destinations, now_ms)
                 }
                 Step::Wait(ms) => {
                     now_ms += ms;
-                    command::expire(&mut dispatcher, &places, now_ms)
+                    command::expire(&mut dispatcher, &destinations, now_ms)
                 }
             };
             for (ticket, decision) in notices {
@@ -292,7 +309,7 @@
                     Decision::Declined | Decision::Moved => prop_assert!(false),
                 }
             }
-            for (it, before) in places.iter().zip(before) {
+            for (it, before) in destinations.iter().zip(before) {
                 // A change of the mean time may lower the capacity below what was granted before.
                 let limit = dispatcher.capacity(it).max(before);
                 prop_assert!(dispatcher.granted(it.number) <= limit);
@@ -301,7 +318,7 @@
         }
         for _ in 0..400 {
             now_ms += 50;
-            for (ticket, _) in command::expire(&mut dispatcher, &places, now_ms) {
+            for (ticket, _) in command::expire(&mut dispatcher, &destinations, now_ms) {
                 prop_assert!(waiting.remove(&ticket.number));
             }
         }
--- a/crates/core/tests/support/scarce.rs
+++ b/crates/core/tests/support/scarce.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 use sardinemux_core::collection::Number;
 use sardinemux_core::permits::{
-    command, Decision, Dispatcher, End, Notice, Place, Request, Ticket,
+    command, Decision, Destination, Dispatcher, End, Notice, Request, Ticket,
 };
 
 /// The targets of the pool.
@@ -211,15 +211,15 @@
         self.load.per_s * (1.0 + 0.55 * phase.sin()) * burst
     }
 
-    fn places(&self) -> Vec<Place> {
-        let place = |target: usize| Place {
+    fn destinations(&self) -> Vec<Destination> {
+        let destination = |target: usize| Destination {
             number: Number(target as u32),
             zone: "z".into(),
             slots: self.load.slots as u32,
             reported: self.samples[0][target] as u32,
             is_usable: true,
         };
-        (0..TARGETS).map(place).collect()
+        (0..TARGETS).map(destination).collect()
     }
 
     fn handle(&mut self, event: Event, now_ms: u64) {
@@ -240,9 +240,9 @@
             Event::Tick => {
                 for dispatcher in 0..2 {
                     if !self.is_down(dispatcher, now_ms) {
-                        let places = self.places();
+                        let destinations = self.destinations();
                         let state = &mut self.dispatchers[dispatcher];
-                        let notices = command::expire(state, &places, now_ms);
+                        let notices = command::expire(state, &destinations, now_ms);
                         self.notify(dispatcher, notices, now_ms);
                     }
                 }
@@ -282,12 +282,12 @@
         self.score.requests += 1;
         self.score.organisations.entry(organisation).or_default().0 += 1;
         self.score.priorities.entry(priority).or_default().0 += 1;
-        self.place(self.calls.len() - 1, now_ms);
+        self.destination(self.calls.len() - 1, now_ms);
         let gap_s = -self.arrivals.random_range(1e-9..1.0_f64).ln() / self.rate(now_ms);
         self.push(now_ms + (gap_s * 1_000.0).round() as u64, Event::Arrive);
     }
 
-    fn place(&mut self, call: usize, now_ms: u64) {
+    fn destination(&mut self, call: usize, now_ms: u64) {
         if self.mode == Mode::Alone {
             self.decide_alone(call, now_ms);
             return;
@@ -330,9 +330,9 @@
             objective_ms: objective_ms.saturating_sub(now_ms) as u32,
             avoided: it.avoided.iter().map(|it| Number(*it as u32)).collect(),
         };
-        let places = self.places();
+        let destinations = self.destinations();
         let state = &mut self.dispatchers[dispatcher];
-        let notices = command::request(state, request, &places, now_ms);
+        let notices = command::request(state, request, &destinations, now_ms);
         self.notify(dispatcher, notices, now_ms);
     }
 
@@ -461,7 +461,7 @@
         self.own[gateway][target] -= 1;
         self.give_back(call, 1, 0, now_ms);
         match tries < 3 {
-            true => self.place(call, now_ms),
+            true => self.destination(call, now_ms),
             false => {
                 self.calls[call].is_done = true;
                 self.score.refused += 1;
@@ -520,9 +520,9 @@
             1 => End::Rejected,
             _ => End::Other,
         };
-        let places = self.places();
+        let destinations = self.destinations();
         let state = &mut self.dispatchers[dispatcher];
-        let notices = command::finish(state, &ticket, end, &places, now_ms);
+        let notices = command::finish(state, &ticket, end, &destinations, now_ms);
         self.notify(dispatcher, notices, now_ms);
     }
 }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -242,7 +242,7 @@
 /// What came of a request to one dispatcher.
 enum Decided {
     Outcome(Outcome),
-    /// The dispatcher has lost its place.
+    /// Another gateway has replaced the dispatcher.
     Moved,
 }
 
--- a/crates/gateway/src/permits/dispatch.rs
+++ b/crates/gateway/src/permits/dispatch.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use sardinemux_core::collection::Number;
-use sardinemux_core::permits::{command, Dispatcher, Notice, Place};
+use sardinemux_core::permits::{command, Destination, Dispatcher, Notice};
 use sardinemux_core::roster::query;
 use tokio::time;
 
@@ -24,18 +24,18 @@
 const DECISIONS_MAX: usize = 40;
 
 /// Returns the targets of a pool as this gateway sees them.
-fn places(gateway: &Gateway, pool: &str) -> Vec<Place> {
+fn destinations(gateway: &Gateway, pool: &str) -> Vec<Destination> {
     let now_ms = gateway.now_ms();
     let roster = gateway.roster.lock();
     let keys = query::eligible(&roster, pool, now_ms).into_iter();
-    let places = keys.filter_map(|key| {
+    let destinations = keys.filter_map(|key| {
         let target = query::target(&roster, key)?;
         let is_usable = !query::is_paused(&roster, key, now_ms)
             && !query::is_in_backoff(&roster, key, now_ms)
             && !query::is_outlier(&roster, key, now_ms)
             && !query::is_cold(&roster, key, now_ms)
             && query::stated_limit(&roster, key, now_ms).is_none();
-        Some(Place {
+        Some(Destination {
             number: Number::of(&target.id),
             zone: target.zone.clone(),
             slots: target.slots,
@@ -43,7 +43,7 @@
             is_usable,
         })
     });
-    places.collect()
+    destinations.collect()
 }
 
 /// Applies requests and ends to the queue of their pool.
@@ -56,7 +56,7 @@
     if !super::is_on(gateway) || gateway.catalog().pool(&pool).is_none() {
         return;
     }
-    let places = places(gateway, &pool);
+    let destinations = destinations(gateway, &pool);
     let now_ms = gateway.now_ms();
     let is_serving = gateway.drain.phase() == Phase::Serving;
     let (notices, waiting) = {
@@ -67,10 +67,16 @@
         });
         let mut notices = Vec::new();
         for (ticket, end) in ends {
-            notices.extend(command::finish(dispatcher, &ticket, end, &places, now_ms));
+            notices.extend(command::finish(
+                dispatcher,
+                &ticket,
+                end,
+                &destinations,
+                now_ms,
+            ));
         }
         for request in requests {
-            notices.extend(command::request(dispatcher, request, &places, now_ms));
+            notices.extend(command::request(dispatcher, request, &destinations, now_ms));
         }
         if !is_serving {
             notices.extend(command::dismiss(dispatcher));
@@ -124,7 +130,7 @@
 
 /// Looks at the queue of a pool, and returns its length.
 fn tick(gateway: &Gateway, pool: &SmolStr, checks: bool) -> usize {
-    let places = places(gateway, pool);
+    let destinations = destinations(gateway, pool);
     let now_ms = gateway.now_ms();
     let live = match checks {
         true => ranked(gateway, pool),
@@ -137,11 +143,11 @@
         let Some(dispatcher) = dispatchers.get_mut(pool) else {
             return 0;
         };
-        let mut notices = command::expire(dispatcher, &places, now_ms);
+        let mut notices = command::expire(dispatcher, &destinations, now_ms);
         if checks && is_serving {
             let gateways = dispatcher.gateways().into_iter();
             for lapsed in gateways.filter(|it| !live.contains(it)) {
-                notices.extend(command::forget(dispatcher, &lapsed, &places, now_ms));
+                notices.extend(command::forget(dispatcher, &lapsed, &destinations, now_ms));
             }
         }
         if !is_serving || has_lost_place {
@@ -153,8 +159,8 @@
     waiting
 }
 
-/// Returns whether this gateway was the first dispatcher of a pool and another one is now. One that is asked in place of a silent first
-/// one has no place to lose.
+/// Returns whether this gateway was the first dispatcher of a pool and another one is now. One that is asked instead of a silent first
+/// one cannot be replaced.
 fn has_lost_place(gateway: &Gateway, pool: &SmolStr, ranked: &[SmolStr]) -> bool {
     let leads = ranked.first() == Some(&gateway.settings.name);
     let led = gateway.permits.leads.lock().insert(pool.clone(), leads);
