--- a/crates/core/src/rollout/counters.rs
+++ b/crates/core/src/rollout/counters.rs
@@ -202,7 +202,7 @@
 struct Source {
     presence: [Presence; 2],
     counts: IndexMap<Key, Count>,
-    heard_ms: u64,
+    received_ms: u64,
 }
 
 /// The sums of all gateways.
@@ -221,7 +221,7 @@
     pub fn note(&mut self, process: Process, tally: &Tally, now_ms: u64) {
         let source = self.sources.entry(process).or_default();
         source.presence = tally.presence;
-        source.heard_ms = now_ms;
+        source.received_ms = now_ms;
         for (key, count) in &tally.counts {
             let known = source.counts.entry(*key).or_default();
             // Messages may overtake each other.
@@ -282,10 +282,10 @@
         counts.map(|(_, count)| u64::from(count.sent)).sum()
     }
 
-    /// Returns the requests in flight at a side, as the gateways that were heard since `since_ms` report them.
+    /// Returns the requests in flight at a side, as the gateways from which a report was received since `since_ms` report them.
     pub fn in_flight(&self, side: Side, since_ms: u64) -> u32 {
         let sources = self.sources.values();
-        let recent = sources.filter(|source| source.heard_ms >= since_ms);
+        let recent = sources.filter(|source| source.received_ms >= since_ms);
         recent
             .map(|source| source.presence[side as usize].in_flight)
             .sum()
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -46,7 +46,7 @@
     since_ms: u64,
     directive: Option<Directive>,
     /// When the directive was received or made, in milliseconds.
-    heard_ms: u64,
+    received_ms: u64,
     /// The number of suspensions of the process when the directive was received.
     suspensions: u64,
     /// The directive that was sent last with the reports, and when, in milliseconds.
@@ -175,7 +175,7 @@
     let rollout = Rollout {
         since_ms: now_ms,
         directive: None,
-        heard_ms: now_ms,
+        received_ms: now_ms,
         suspensions: *gateway.suspensions.borrow(),
         sent: None,
         is_withdrawn: false,
@@ -248,7 +248,7 @@
             return 0.0;
         };
         let is_recent = self.suspensions == suspensions
-            && now_ms.saturating_sub(self.heard_ms) < DIRECTIVE_TTL_MS;
+            && now_ms.saturating_sub(self.received_ms) < DIRECTIVE_TTL_MS;
         match directive.state {
             State::Complete => 1.0,
             State::RolledBack => 0.0,
@@ -270,7 +270,7 @@
             self.replaced.retain(|build| *build != self.order.build);
         }
         self.directive = Some(directive);
-        self.heard_ms = now_ms;
+        self.received_ms = now_ms;
         self.suspensions = suspensions;
     }
 
@@ -547,7 +547,7 @@
             true => FINAL_NEWS_MS,
             false => DIRECTIVE_TTL_MS,
         };
-        let is_recent = now_ms.saturating_sub(rollout.heard_ms) < ttl_ms;
+        let is_recent = now_ms.saturating_sub(rollout.received_ms) < ttl_ms;
         is_recent.then(|| News {
             pool: pool.clone(),
             build: rollout.order.build.clone(),
--- a/crates/gateway/src/rollouts/decider.rs
+++ b/crates/gateway/src/rollouts/decider.rs
@@ -83,8 +83,8 @@
     position: Option<Position>,
     /// The status that the store holds, as far as that is known, and the era in which it was read or written.
     stored: Option<(Status, Era)>,
-    /// The state of which all gateways have been told at once.
-    told: Option<State>,
+    /// The state of which all gateways have been notified at once.
+    announced: Option<State>,
     /// When the store may be called again, in milliseconds.
     store_retry_ms: u64,
 }
@@ -219,14 +219,14 @@
             decision.recorded_ms = now_ms;
             rollout.ledger.record(now_ms);
         }
-        (rollout.directive, rollout.heard_ms)
+        (rollout.directive, rollout.received_ms)
     });
-    let Some((directive, heard_ms)) = known else {
+    let Some((directive, received_ms)) = known else {
         return;
     };
     let known_term = directive.map_or(0, |it| it.term);
     decision.term = decision.term.filter(|term| *term >= known_term);
-    let silent_ms = now_ms.saturating_sub(heard_ms);
+    let silent_ms = now_ms.saturating_sub(received_ms);
     // The first one also checks what the store holds once it has come back from an older copy.
     let is_settled = directive.is_some_and(|it| it.state.is_final() && it.is_stored);
     let is_first = rank == 0 || !is_settled && silent_ms >= rank as u64 * TAKEOVER_MS;
@@ -283,7 +283,7 @@
     };
     apply_directive(gateway, pool, &decision.build, stated);
     let is_urgent = stated.state.is_final() || stated.share >= 1.0;
-    if is_urgent && decision.told.replace(stated.state) != Some(stated.state) {
+    if is_urgent && decision.announced.replace(stated.state) != Some(stated.state) {
         gateway.rollouts.urgent.notify_one();
     }
 }
@@ -341,7 +341,7 @@
     listed.iter().any(|(it, _)| it == build)
 }
 
-/// Takes over the final status of the store, if a gateway that does not decide has heard nothing of an ordered rollout. A gateway that starts
+/// Takes over the final status of the store, if a gateway that does not decide has received nothing of an ordered rollout. A gateway that starts
 /// after the end of a rollout gets no directive from others.
 async fn look_up(gateway: &Gateway, source: &Source, pool: &SmolStr, decision: &mut Decision) {
     if !has_targets(gateway, pool, &decision.build) || !read(gateway, source, pool, decision).await
@@ -382,7 +382,7 @@
     let listed = listed_targets(gateway, pool, &decision.build);
     with_rollout(gateway, pool, |rollout| {
         let last = rollout.directive;
-        let since_last_ms = now_ms.saturating_sub(rollout.heard_ms);
+        let since_last_ms = now_ms.saturating_sub(rollout.received_ms);
         let elapsed_ms = match last {
             Some(last) => last.elapsed_ms + since_last_ms,
             None => now_ms.saturating_sub(rollout.since_ms),
