Tell a process that runs late from one that works, and log large updates and lost senders

A tick that comes late without processor time is logged as well, 'answered' states the time since the deadline, large updates are logged and all are counted, and requests of other gateways whose connection ends are logged with their sender.

--- a/crates/gateway/src/answer/response.rs
+++ b/crates/gateway/src/answer/response.rs
@@ -5,6 +5,7 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode};
 use sardinemux_core::catalog::Kind;
+use tokio::time::Instant;
 
 use super::{Arrived, Failure, Selection, Serving};
 use crate::prelude::*;
@@ -53,6 +54,7 @@
     pub fn record_answer(&self, status: StatusCode) {
         let inbound = &self.inbound;
         let elapsed = inbound.received_at.elapsed();
+        let late = Instant::now().saturating_duration_since(inbound.deadline);
         let class = class_label(inbound);
         let catalog = self.gateway.catalog();
         let organisation = inbound.organisation.as_deref();
@@ -82,7 +84,7 @@
             pool:% = inbound.pool, target_id:% = self.last_target.id, build:% = self.last_target.build, through:% = self.last_target.gateway, resumes:% = request::header_text(inbound.resumes.as_ref()), status = status.as_u16(), tried = self.tried.len(), ran = self.attempts.possible_runs,
             rollout = self.rollout.name(), candidates = candidates, held_back = skipped, load = load,
             content:% = quarantine::Hex(inbound.content),
-            elapsed_ms = elapsed.as_millis() as u64, left_ms = inbound.remaining().as_millis() as u64, version = catalog.version();
+            elapsed_ms = elapsed.as_millis() as u64, left_ms = inbound.remaining().as_millis() as u64, late_ms = late.as_millis() as u64, version = catalog.version();
             "answered"
         );
     }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -34,6 +34,7 @@
 use crate::prelude::*;
 use crate::reply::{self, Body};
 use crate::request::{self, Rejection};
+use crate::unanswered::Unanswered;
 
 /// The delay before the next attempt to accept a connection after one failed, as when no file descriptors are left.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -170,42 +171,6 @@
     }
 }
 
-/// Logs a request whose handling ends before its response has begun, as the connection ended.
-#[derive(Debug)]
-struct Unanswered {
-    id: Option<HeaderValue>,
-    received_at: Instant,
-    is_settled: bool,
-}
-
-impl Unanswered {
-    fn new(id: Option<HeaderValue>) -> Self {
-        Self {
-            id,
-            received_at: Instant::now(),
-            is_settled: false,
-        }
-    }
-
-    /// Notes that the response has begun.
-    fn settle(mut self) {
-        self.is_settled = true;
-    }
-}
-
-impl Drop for Unanswered {
-    fn drop(&mut self) {
-        if self.is_settled {
-            return;
-        }
-        log::info!(
-            request_id:% = request::header_text(self.id.as_ref()),
-            elapsed_ms = self.received_at.elapsed().as_millis() as u64;
-            "connection ended before the answer"
-        );
-    }
-}
-
 /// What the handler of a request shares with the connection that the request came over.
 struct Exchange {
     gateway: Arc<Gateway>,
@@ -240,7 +205,7 @@
     parts.extensions.insert(connection);
     let has_body = !body.is_end_stream();
     let awaits_continue = parts.headers.contains_key(header::EXPECT);
-    let unanswered = Unanswered::new(id.clone());
+    let unanswered = Unanswered::new(request::header_text(id.as_ref()).into(), None);
     let head_limit = gateway.catalog().limits().head_bytes;
     let read = if inspector.length() > head_limit {
         Err(Rejection::HeadTooLarge)
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -34,6 +34,7 @@
 use crate::request::{self, Hop, Inbound, Rejection};
 use crate::stream::Build;
 use crate::supplement::{self, Supplement};
+use crate::unanswered::Unanswered;
 use crate::whole::Whole;
 
 /// How long a gateway whose catalogue is behind waits for a later one before it refuses a request. Another gateway is tried then.
@@ -391,6 +392,8 @@
     let running = gateway.drain.guard();
     let (mut parts, mut body) = request.into_parts();
     let passed = Passed::take(&mut parts.headers);
+    let id = request::header_text(parts.headers.get(&gateway.dialect.request_id));
+    let unanswered = Unanswered::new(id.into(), passed.sender.clone());
     let accepted = match catch_up(&gateway, &passed).await {
         Ok(()) => accept(&gateway, parts, &mut body, &passed).await,
         Err(rejection) => Err(rejection),
@@ -399,6 +402,7 @@
         Ok(inbound) => answer::serve(gateway.clone(), inbound).await,
         Err(rejection) => reject(&gateway, rejection, &passed),
     };
+    unanswered.settle();
     let is_answer = response.headers().contains_key(&gateway.dialect.signature);
     let outcome = if is_answer { "answered" } else { "failed" };
     gateway.metrics.hops.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/internal.rs
+++ b/crates/gateway/src/internal.rs
@@ -136,11 +136,10 @@
     gateway.metrics.dropped_log_lines.set(dropped as i64);
     let ahead = gateway.read_ahead.used();
     gateway.metrics.read_ahead_bytes.set(ahead as i64);
-    let longest_busy = gateway.busy.lock().longest();
-    gateway
-        .metrics
-        .longest_busy_s
-        .set(longest_busy.as_secs_f64());
+    let meter = *gateway.busy.lock();
+    let metrics = &gateway.metrics;
+    metrics.longest_busy_s.set(meter.longest().as_secs_f64());
+    metrics.longest_delay_s.set(meter.latest().as_secs_f64());
     gateway.metrics.held_bytes.set(gateway.memory.used() as i64);
     for (port, label) in [
         (Port::Callers, "callers"),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,5 +41,6 @@
 pub mod stream;
 pub mod supplement;
 pub mod suspension;
+pub mod unanswered;
 pub mod whole;
 pub mod zones;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -111,6 +111,10 @@
     pub dropped_log_lines: IntGauge,
     /// The longest time for which the process has worked without a pause, in seconds.
     pub longest_busy_s: Gauge,
+    /// The longest delay of a task that runs at intervals, in seconds.
+    pub longest_delay_s: Gauge,
+    /// The bytes of entries that were sent to other gateways, by topic.
+    pub relayed_bytes: IntCounterVec,
     /// The number of bytes that are held for callers, targets and other gateways.
     pub held_bytes: IntGauge,
     /// What was refused or broken off for want of memory: a `connection`, a `head`, a `request`, an `answer` or an `event`.
@@ -273,6 +277,15 @@
                     "gateway_longest_busy_seconds",
                     "The longest time for which the process has worked without a pause",
                 )?,
+                longest_delay_s: Gauge::new(
+                    "gateway_longest_delay_seconds",
+                    "The longest delay of a task that runs at intervals",
+                )?,
+                relayed_bytes: counters(
+                    "gateway_relayed_bytes_total",
+                    "Bytes of entries that were sent to other gateways",
+                    &["topic"],
+                )?,
                 held_bytes: IntGauge::new(
                     "gateway_held_bytes",
                     "Bytes that are held for callers, targets and other gateways",
@@ -329,6 +342,8 @@
             Box::new(metrics.peer_reports.clone()),
             Box::new(metrics.dropped_log_lines.clone()),
             Box::new(metrics.longest_busy_s.clone()),
+            Box::new(metrics.longest_delay_s.clone()),
+            Box::new(metrics.relayed_bytes.clone()),
             Box::new(metrics.held_bytes.clone()),
             Box::new(metrics.memory_refusals.clone()),
             Box::new(metrics.read_ahead_bytes.clone()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -39,6 +39,9 @@
 /// The largest accepted body of a query, in bytes.
 const QUERY_MAX_BYTES: usize = 4_096;
 
+/// The size from which on an update is large: it takes 13 ms of a link of 10 Mbit/s.
+const LARGE_BYTES: usize = 16 << 10;
+
 /// How long the body of a query may take to arrive.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -220,7 +223,10 @@
     };
     let bytes = appendix::encode(&answer, &appendix).context(EncodeSnafu);
     Ok(match bytes {
-        Ok(bytes) => Response::new(reply::full_body(Bytes::from(bytes))),
+        Ok(bytes) => {
+            note_relayed(&gateway, query.topic, bytes.len());
+            Response::new(reply::full_body(Bytes::from(bytes)))
+        }
         Err(error) => {
             log::error!(error:% = error; "cannot encode the changes for another gateway; answered with status 500");
             empty_response(StatusCode::INTERNAL_SERVER_ERROR)
@@ -228,6 +234,17 @@
     })
 }
 
+/// Counts an update that is sent to another gateway, and logs a large one.
+fn note_relayed(gateway: &Gateway, topic: Topic, bytes: usize) {
+    let counter = &gateway.metrics.relayed_bytes;
+    counter
+        .with_label_values(&[topic.name()])
+        .inc_by(bytes as u64);
+    if bytes >= LARGE_BYTES {
+        log::info!(topic = topic.name(), bytes = bytes; "sending a large update to another gateway");
+    }
+}
+
 fn empty_response(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(reply::full_body(Bytes::new()));
     *response.status_mut() = status;
