Keep the history of a catalogue of more than 4,096 names

Gateways get the changes since their version from a history of names, which began anew beyond 4,096 names. A catalogue with more routes than that was sent as a whole at each change, to each gateway: with 4,650 routes, 280 KB instead of one route.

The bound is now twice the names of the catalogue, if that is more.

--- a/crates/core/src/catalog/patch.rs
+++ b/crates/core/src/catalog/patch.rs
@@ -128,6 +128,9 @@
 /// the complete catalogue. A name takes about 50 bytes.
 const TRACKED_NAMES_MAX: usize = 4_096;
 
+/// The same as a multiple of the names in the catalogue, if that is more: an update of all of them must not start the history anew.
+const TRACKED_SHARE_MAX: usize = 2;
+
 /// The versions at which routes and organisations of the catalogue last changed, from which patches are built.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -142,7 +145,9 @@
     /// Starts anew at `current` if there is no previous definition, or if too many names are recorded already.
     pub fn record(&mut self, previous: &Definition, current: &Definition) {
         let version = current.version;
-        let is_full = self.routes.0.len() + self.organisations.0.len() > TRACKED_NAMES_MAX;
+        let names = current.routes.len() + current.organisations.len();
+        let tracked_max = TRACKED_NAMES_MAX.max(TRACKED_SHARE_MAX * names);
+        let is_full = self.routes.0.len() + self.organisations.0.len() > tracked_max;
         if previous.version == 0 || is_full {
             *self = Self {
                 oldest_version: version,
--- a/crates/core/tests/patch.rs
+++ b/crates/core/tests/patch.rs
@@ -106,3 +106,33 @@
     assert!(history.patch_since(10, &current).is_none());
     assert!(history.patch_since(9, &current).unwrap().routes.is_empty());
 }
+
+/// A catalogue with more names than a history usually keeps goes to each gateway as a whole at each change.
+#[test]
+fn verify_change_of_a_large_catalog_is_small() {
+    let of = |version, count: u16, timeout_ms| {
+        let routes = (0..count).map(|index| Route {
+            name: format!("r{index}").into(),
+            timeout_ms: if index == 0 { timeout_ms } else { 1 },
+            ..Route::default()
+        });
+        Definition {
+            version,
+            routes: routes.collect(),
+            ..Definition::default()
+        }
+    };
+    let versions = [
+        of(1, 240, 1),
+        of(2, 1_640, 1),
+        of(3, 4_640, 1),
+        of(4, 4_640, 2),
+    ];
+    let mut history = History::default();
+    history.record(&Definition::default(), &versions[0]);
+    for pair in versions.windows(2) {
+        history.record(&pair[0], &pair[1]);
+    }
+    let patch = history.patch_since(3, &versions[3]).unwrap();
+    assert_eq!(patch.routes.len(), 1);
+}
