Tell a slow answer of the store from none

A list of the store that took longer than 0.4 s counted as overdue, and one of more than 1.5 s as failed, however much of it had arrived. Behind a link of 10 Mbit/s a desired state of some 3,000 routes takes that long.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -3,6 +3,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -45,6 +46,21 @@
     }
 }
 
+/// How much has arrived of the answers to one call or several, so that a slow answer can be told from none.
+#[derive(Debug, Default)]
+pub struct Progress(AtomicU64);
+
+impl Progress {
+    /// Returns the number of heads and bytes of bodies that have arrived.
+    pub fn received(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn note(&self, count: usize) {
+        self.0.fetch_add(count as u64, Ordering::Relaxed);
+    }
+}
+
 /// A complete answer, with the connection on which it came. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Reply<'a> {
@@ -89,14 +105,19 @@
     }
 
     /// Sends a request and returns the complete answer, within `limits`. The connection is kept for reuse only if the answer arrived
-    /// completely and the caller accepts it.
+    /// completely and the caller accepts it. `progress` is told what arrives.
     ///
     /// # Errors
     ///
     /// `Error::Connect` if the connection failed, so that nothing was sent. After `Error::Timeout`, `Error::Exchange` or
     /// `Error::Oversized`, the server may have processed the request.
-    pub async fn call(&self, request: Request<Whole>, limits: Limits) -> Result<Reply<'_>> {
-        self.within(limits.whole, self.exchange(request, limits))
+    pub async fn call(
+        &self,
+        request: Request<Whole>,
+        limits: Limits,
+        progress: &Progress,
+    ) -> Result<Reply<'_>> {
+        self.within(limits.whole, self.exchange(request, limits, progress))
             .await
     }
 
@@ -109,10 +130,16 @@
     }
 
     /// Sends a request on the idle connection, or on a new one, and reads the answer.
-    async fn exchange(&self, request: Request<Whole>, limits: Limits) -> Result<Reply<'_>> {
+    async fn exchange(
+        &self,
+        request: Request<Whole>,
+        limits: Limits,
+        progress: &Progress,
+    ) -> Result<Reply<'_>> {
         let (connection, response) = self.within(limits.head, self.send(request)).await?;
+        progress.note(1);
         let (parts, body) = response.into_parts();
-        let whole = self.collect(body, limits.pause).await?;
+        let whole = self.collect(body, limits.pause, progress).await?;
         Ok(Reply {
             client: self,
             connection,
@@ -136,14 +163,18 @@
     }
 
     /// Reads a body, whose parts arrive at most `pause` apart.
-    async fn collect(&self, body: Incoming, pause: Duration) -> Result<Bytes> {
+    async fn collect(&self, body: Incoming, pause: Duration, progress: &Progress) -> Result<Bytes> {
         let mut body = Limited::new(body, ANSWER_MAX_BYTES);
         let mut whole = BytesMut::new();
         loop {
             let next = self.within(pause, async { Ok(body.frame().await) });
             match next.await? {
                 None => return Ok(whole.freeze()),
-                Some(Ok(frame)) => whole.extend(frame.into_data()),
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    progress.note(data.len());
+                    whole.extend_from_slice(&data);
+                }
                 Some(Err(error)) => return Err(self.describe(error)),
             }
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -35,8 +35,8 @@
 /// written reads at this interval.
 const EMPTY_LIST_DELAY: Duration = Duration::from_millis(500);
 
-/// The time for the store's answer, in addition to that of a watch, after which a call is overdue: more than the answer of
-/// a store takes that is fifty times slower than usual, and a fraction of the seconds within which a change must be known.
+/// The time without any part of the store's answer, in addition to that of a watch, after which a call is overdue: more than the
+/// answer of a store takes that is fifty times slower than usual, and a fraction of the seconds within which a change must be known.
 const OVERDUE_TIME: Duration = Duration::from_millis(400);
 
 /// The delay after a complete list of another gateway that brought no later catalogue.
@@ -62,7 +62,7 @@
             None => ((source.list)(topic), OVERDUE_TIME),
         };
         let result = tokio::select! {
-            result = await_answer(&gateway, topic, call, limit) => result,
+            result = await_answer(&gateway, &source, topic, call, limit) => result,
             // A call that began before a suspension is repeated. The sender lives as long as the gateway, so an error
             // cannot occur here.
             _ = suspensions.changed() => continue,
@@ -101,16 +101,26 @@
     }
 }
 
-/// Awaits the answer of a call to the store. If it is not there within `limit`, the gateways are told so, and the call
-/// continues: a slow store still answers it.
+/// Awaits the answer of a call to the store. If nothing of it has come within `limit`, or no further part since, the gateways are
+/// told so, and the call continues: a slow store still answers it.
 async fn await_answer(
     gateway: &Gateway,
+    source: &Source,
     topic: Topic,
     mut call: BoxFuture<'static, source::Result<Batch>>,
     limit: Duration,
 ) -> source::Result<Batch> {
-    if let Ok(result) = time::timeout(limit, &mut call).await {
-        return result;
+    let mut received = (source.received)(topic);
+    let mut pause = limit;
+    loop {
+        if let Ok(result) = time::timeout(pause, &mut call).await {
+            return result;
+        }
+        let former = std::mem::replace(&mut received, (source.received)(topic));
+        if received == former {
+            break;
+        }
+        pause = OVERDUE_TIME;
     }
     replication::note_store_delay(gateway, topic, limit);
     call.await
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use tokio::time;
 
 use crate::appendix;
-use crate::client::Limits;
+use crate::client::{Limits, Progress};
 use crate::errors::{BuildSnafu, DecodeSnafu, EncodeSnafu, MismatchSnafu};
 use crate::hop;
 use crate::prelude::*;
@@ -138,7 +138,7 @@
         None => Limits::within(LIST_TIMEOUT),
     };
     let client = gateway.members.lock().client(address, topic);
-    let reply = client.call(request, limits).await?;
+    let reply = client.call(request, limits, &Progress::default()).await?;
     let answer = appendix::decode(reply.response().body());
     let (answer, appendix): (Answer, Option<Appendix>) = answer.context(DecodeSnafu { address })?;
     snafu::ensure!(answer.id == id, MismatchSnafu { address });
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -210,6 +210,10 @@
 pub type WriteStatus =
     Box<dyn Fn(StatusProposal) -> BoxFuture<'static, Result<bool>> + Send + Sync>;
 
+/// Returns the number of heads and bytes of answers of the store that have arrived for a topic, so that a slow answer can be told
+/// from none.
+pub type Received = Box<dyn Fn(Topic) -> u64 + Send + Sync>;
+
 /// Returns the era of the store, as far as its answers have shown it.
 pub type CurrentEra = Box<dyn Fn() -> Era + Send + Sync>;
 
@@ -240,6 +244,8 @@
     pub write_status: WriteStatus,
     /// Returns the last era that the store has stated in any answer.
     pub era: CurrentEra,
+    /// Returns how much of the store's answers for a topic has arrived.
+    pub received: Received,
 }
 
 impl fmt::Debug for Source {
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -311,6 +311,7 @@
                 async move { written }.boxed()
             }),
             era: Box::new(move || eras.era()),
+            received: Box::new(|_| 0),
         }
     }
 
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -325,6 +325,7 @@
         }),
         write_status: Box::new(|_| async { Ok(true) }.boxed()),
         era: Box::new(|| None),
+        received: Box::new(|_| 0),
     }
 }
 
