Send large updates to a few gateways at a time, and take them from any that has them

Cause: a reader sent a large change to its whole zone at once, over its own link of 10 Mbit/s, on which requests, answers and smaller changes wait as well. Followers gave up queries that were held up there for a second, or a connection for 0.4 s, and asked again (1,155 such lines in 25 s), so that much was sent in vain. All followers that looked for a newer gateway chose the same one, as the last of the newest was taken, and only the last one that had not answered was passed over.

Large updates are sent one at a time for each 20 Mbit/s, paced to half of the link, and compressed (87 KB to 19 KB for 1,400 routes). A query that would wait longer than 0.2 s is told nothing, and its sender asks another gateway. Gateways that have received a large update report that to their zone at once, followers choose among the newest ones at random, and leave one that has sent nothing for 0.2 s once another has newer entries.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -49,4 +49,5 @@
 pub mod target;
 pub mod token_bucket;
 pub mod tokens;
+pub mod uplink;
 pub mod warmup;
--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -218,20 +218,32 @@
     pub complete: Position,
 }
 
-/// Returns the peer with the newest entry, if it is newer than `progress`.
+/// Returns a peer with the newest entry, if it is newer than `progress`: one whose link is not far narrower than that of others, in
+/// availability zone `zone` if there is one. Among several it is chosen at random, so that followers do not share the link of one.
 ///
 /// A peer that follows the store is compared with the newest entry, any other peer with the position up to which all
 /// entries are present. Such a peer exists if the connection of this gateway to the store, or that of the gateway that
 /// it gets changes from, has stalled without a reset, or if a reader lost the store right after it read a change.
 pub fn find_newer_peer<'a>(
     progress: Progress,
+    zone: &str,
     peers: impl Iterator<Item = Peer<'a>>,
+    random: &mut impl Rng,
 ) -> Option<Peer<'a>> {
     let is_newer = |peer: &Peer<'_>| match peer.state {
         ReaderState::Following => peer.newest > progress.newest,
         ReaderState::Idle | ReaderState::Failing => peer.newest > progress.complete,
     };
-    peers.filter(is_newer).max_by_key(|peer| peer.newest)
+    let newer: Vec<Peer<'a>> = peers.filter(is_newer).collect();
+    let newest = newer.iter().map(|peer| peer.newest).max()?;
+    let widest_mbps = newer.iter().map(|peer| peer.link_mbps).max()?;
+    let rank = |peer: &Peer<'a>| {
+        let is_narrow = peer.link_mbps.saturating_mul(NARROW_FACTOR) <= widest_mbps;
+        (peer.newest < newest, is_narrow, peer.zone != zone)
+    };
+    let best = newer.iter().map(rank).min()?;
+    let best: Vec<Peer<'a>> = newer.into_iter().filter(|it| rank(it) == best).collect();
+    best.choose(random).copied()
 }
 
 /// Returns a random delay before the next call to the store, in milliseconds, after `failures` failed calls in a row.
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -209,16 +209,45 @@
         newest: newest.into(),
         complete: complete.into(),
     };
-    let ahead = readers::find_newer_peer(progress, peers(&names)).map(|peer| peer.newest.version);
+    let random = &mut rand::rng();
+    let ahead = readers::find_newer_peer(progress, "z0", peers(&names), random);
+    let ahead = ahead.map(|peer| peer.newest.version);
     assert_eq!(ahead, expected);
     let failing = peers(&names).map(|peer| Peer {
         state: ReaderState::Failing,
         ..peer
     });
-    let ahead = readers::find_newer_peer(progress, failing).map(|peer| peer.newest.version);
+    let ahead = readers::find_newer_peer(progress, "z0", failing, random);
+    let ahead = ahead.map(|peer| peer.newest.version);
     assert_eq!(ahead, expected.filter(|newest| *newest > complete));
 }
 
+/// All followers ask the same gateway for a change, although many have it.
+#[test]
+fn verify_followers_ask_different_gateways_for_a_change() {
+    let names = names(30);
+    let progress = Progress::default();
+    let peers = || {
+        peers(&names).map(|peer| Peer {
+            state: ReaderState::Idle,
+            newest: 1.into(),
+            link_mbps: if peer.name == "g0" { 200 } else { 10 },
+            ..peer
+        })
+    };
+    let narrow = || peers().filter(|peer| peer.link_mbps == 10);
+    let mut random = rand::rng();
+    let mut asked = indexmap::IndexSet::new();
+    for _ in 0..100 {
+        let peer = readers::find_newer_peer(progress, "z1", narrow(), &mut random).unwrap();
+        assert_eq!(peer.zone, "z1");
+        asked.insert(peer.name);
+    }
+    assert!(asked.len() > 5, "{asked:?}");
+    let peer = readers::find_newer_peer(progress, "z1", peers(), &mut random);
+    assert_eq!(peer.unwrap().name, "g0");
+}
+
 /// The store is unreachable, and every gateway of a zone has found this out by a failed call of its own. Together they
 /// must call it no more often than two gateways would.
 #[test]
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -22,7 +22,7 @@
 
 /// The maximum size of an answer, in bytes. The largest one is a list from the store of 500 entries of 64 KiB each, in
 /// base64.
-const ANSWER_MAX_BYTES: usize = 48 << 20;
+pub const ANSWER_MAX_BYTES: usize = 48 << 20;
 
 /// The time limits of a call. An answer over a narrow link may take long as a whole while its bytes keep arriving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/errors.rs
+++ b/crates/gateway/src/errors.rs
@@ -78,6 +78,14 @@
         /// The cause.
         source: rmp_serde::decode::Error,
     },
+    /// A compressed message from another gateway cannot be read.
+    #[snafu(display("cannot decompress a message from {address}: {source}"))]
+    Decompress {
+        /// The sender.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
     /// An answer of another gateway is that to another query.
     #[snafu(display("{address} sent the answer to another query"))]
     Mismatch {
@@ -90,6 +98,12 @@
         /// The cause.
         source: rmp_serde::encode::Error,
     },
+    /// A message to another gateway cannot be compressed.
+    #[snafu(display("cannot compress a message: {source}"))]
+    Compress {
+        /// The cause.
+        source: std::io::Error,
+    },
     /// A request to another gateway cannot be built.
     #[snafu(display("cannot build a request: {source}"))]
     Build {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,11 +6,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_util::future::BoxFuture;
+use futures_util::future::{self, BoxFuture};
 use sardinemux_core::position::Position;
 use sardinemux_core::readers::{self, Peer, Progress, ReaderState};
-use tokio::time;
+use tokio::time::{self, Instant};
 
+use crate::client;
 use crate::peers::{self, Scope};
 use crate::prelude::*;
 use crate::replication::{
@@ -39,6 +40,9 @@
 /// answer of a store takes that is fifty times slower than usual, and a fraction of the seconds within which a change must be known.
 const OVERDUE_TIME: Duration = Duration::from_millis(400);
 
+/// How long another gateway has had newer entries when a query that nothing has come back for is given up for one to that gateway.
+const OVERTAKEN_DELAY: Duration = Duration::from_millis(200);
+
 /// The delay after a complete list of another gateway that brought no later catalogue.
 const WHOLE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -128,11 +132,12 @@
 
 /// Gets the entries of one topic from other gateways, while there is one to choose. Never returns.
 pub async fn follow_peers(gateway: Arc<Gateway>, topic: Topic) {
-    let mut excluded = None;
+    // The gateways that have been asked in vain since the last success.
+    let mut excluded = Vec::new();
     let mut suspensions = gateway.suspensions.subscribe();
     loop {
-        let Some(choice) = choose_peer(&gateway, topic, excluded) else {
-            excluded = None;
+        let Some(choice) = choose_peer(&gateway, topic, &excluded) else {
+            excluded.clear();
             time::sleep(POLL_INTERVAL).await;
             continue;
         };
@@ -145,36 +150,87 @@
             false => Scope::Changes { waits },
         };
         let address = choice.address;
-        let call = peers::fetch_update(&gateway, address, topic, scope);
+        let progress = client::Progress::default();
+        let call = peers::fetch_update(&gateway, address, topic, scope, &progress);
         let result = tokio::select! {
             result = call => result,
             _ = suspensions.changed() => continue,
             () = gateway.later_catalog.notified(), if topic == Topic::Operators => continue,
+            () = wait_until_overtaken(&gateway, topic, &excluded, address, &progress) => {
+                log::info!(peer:% = address, topic = topic.name(); "another gateway has newer entries; asking that one");
+                excluded.push(address);
+                continue;
+            }
         };
         match result {
             Ok(news) => {
                 if news.is_following {
                     note_refresh(&gateway, topic, suspension_count);
                 }
-                excluded = (!news.is_following).then_some(address);
+                match news.is_following {
+                    true => excluded.clear(),
+                    false => excluded.push(address),
+                }
                 let former = gateway.catalog.read().version();
                 apply_peer_batch(&gateway, topic, news);
                 let has_later = gateway.catalog.read().version() > former;
                 if choice.is_whole && !has_later {
                     // A list that brings nothing is not read again at once.
-                    excluded = Some(address);
+                    excluded.push(address);
                     time::sleep(WHOLE_RETRY_DELAY).await;
                 }
             }
             Err(error) => {
                 log::info!(peer:% = address, topic = topic.name(), error:% = error; "a gateway told nothing");
                 gateway.members.lock().mark_silent(address);
-                excluded = Some(address);
+                excluded.push(address);
             }
         }
     }
 }
 
+/// Waits until another gateway has had newer entries for [`OVERTAKEN_DELAY`], while nothing has come from the gateway at `address`: it
+/// stands still, or its link is occupied.
+async fn wait_until_overtaken(
+    gateway: &Gateway,
+    topic: Topic,
+    excluded: &[SocketAddr],
+    address: SocketAddr,
+    progress: &client::Progress,
+) {
+    let excluded = [excluded, &[address]].concat();
+    let mut since = None;
+    while progress.received() == 0 {
+        time::sleep(POLL_INTERVAL).await;
+        since =
+            newer_address(gateway, topic, &excluded).and(since.or_else(|| Some(Instant::now())));
+        if since.is_some_and(|since| since.elapsed() >= OVERTAKEN_DELAY) && progress.received() == 0
+        {
+            return;
+        }
+    }
+    future::pending().await
+}
+
+/// Returns the address of a gateway that has a newer entry than this one, and is not `excluded`.
+fn newer_address(gateway: &Gateway, topic: Topic, excluded: &[SocketAddr]) -> Option<SocketAddr> {
+    let now_ms = gateway.now_ms();
+    let progress = with_view(gateway, topic, |view| {
+        let progress = Progress {
+            newest: view.log.newest(),
+            complete: view.log.position(),
+        };
+        view.log.has_snapshot().then_some(progress)
+    })?;
+    let known = *gateway.era.borrow();
+    let members = gateway.members.lock();
+    let peers = members.iter_in_era(topic, known, now_ms);
+    let peers = peers.filter(|peer| !is_excluded(excluded, members.address(peer.name)));
+    let zone = &gateway.settings.zone;
+    let newer = readers::find_newer_peer(progress, zone, peers, &mut rand::rng())?;
+    members.address(newer.name)
+}
+
 /// The gateway from which to get entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Choice {
@@ -183,29 +239,33 @@
     is_whole: bool,
 }
 
-/// Chooses the gateway from which to get entries, never `excluded`.
+fn is_excluded(excluded: &[SocketAddr], address: Option<SocketAddr>) -> bool {
+    address.is_some_and(|address| excluded.contains(&address))
+}
+
+/// Chooses the gateway from which to get entries, none of those `excluded`.
 ///
 /// Before the first complete list, this is a gateway that has the newest entry. Later it is one that has a newer entry
 /// than this gateway, one that has a later catalogue in force or, if this gateway does not follow the store, one that does.
 ///
 /// A gateway has the newest entry and an earlier catalogue than others if the store came back from an older copy before it read
 /// the operators' entries for the first time.
-fn choose_peer(gateway: &Gateway, topic: Topic, excluded: Option<SocketAddr>) -> Option<Choice> {
+fn choose_peer(gateway: &Gateway, topic: Topic, excluded: &[SocketAddr]) -> Option<Choice> {
     let now_ms = gateway.now_ms();
     let catalog = gateway.catalog.read().version();
-    let (is_following, is_filled, progress) = with_view(gateway, topic, |view| {
-        let progress = Progress {
-            newest: view.log.newest(),
-            complete: view.log.position(),
-        };
-        (view.is_following(), view.log.has_snapshot(), progress)
+    let (is_following, is_filled) = with_view(gateway, topic, |view| {
+        (view.is_following(), view.log.has_snapshot())
     });
+    if let Some(address) = newer_address(gateway, topic, excluded) {
+        let is_whole = false;
+        return Some(Choice { address, is_whole });
+    }
     let known = *gateway.era.borrow();
     let zone = &gateway.settings.zone;
     let members = gateway.members.lock();
     let peers = || {
         let recent = members.iter_in_era(topic, known, now_ms);
-        recent.filter(|peer| members.address(peer.name) != excluded)
+        recent.filter(|peer| !is_excluded(excluded, members.address(peer.name)))
     };
     let choose = |peer: Peer<'_>| {
         let address = members.address(peer.name)?;
@@ -219,11 +279,10 @@
             &mut rand::rng(),
         )?);
     }
-    if let Some(newer) = readers::find_newer_peer(progress, peers()) {
-        return choose(newer);
-    }
     let later = members.holder_of_later_catalog(catalog, now_ms);
-    if let Some(address) = later.filter(|_| topic == Topic::Operators && later != excluded) {
+    if let Some(address) =
+        later.filter(|_| topic == Topic::Operators && !is_excluded(excluded, later))
+    {
         let is_whole = true;
         return Some(Choice { address, is_whole });
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -115,6 +115,8 @@
     pub longest_delay_s: Gauge,
     /// The bytes of entries that were sent to other gateways, by topic.
     pub relayed_bytes: IntCounterVec,
+    /// Large updates for other gateways that others held up for too long, by topic.
+    pub updates_put_off: IntCounterVec,
     /// The number of bytes that are held for callers, targets and other gateways.
     pub held_bytes: IntGauge,
     /// What was refused or broken off for want of memory: a `connection`, a `head`, a `request`, an `answer` or an `event`.
@@ -286,6 +288,11 @@
                     "Bytes of entries that were sent to other gateways",
                     &["topic"],
                 )?,
+                updates_put_off: counters(
+                    "gateway_updates_put_off_total",
+                    "Large updates for other gateways that others held up for too long",
+                    &["topic"],
+                )?,
                 held_bytes: IntGauge::new(
                     "gateway_held_bytes",
                     "Bytes that are held for callers, targets and other gateways",
@@ -344,6 +351,7 @@
             Box::new(metrics.longest_busy_s.clone()),
             Box::new(metrics.longest_delay_s.clone()),
             Box::new(metrics.relayed_bytes.clone()),
+            Box::new(metrics.updates_put_off.clone()),
             Box::new(metrics.held_bytes.clone()),
             Box::new(metrics.memory_refusals.clone()),
             Box::new(metrics.read_ahead_bytes.clone()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,21 +8,27 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::header::CONTENT_ENCODING;
 use hyper::{Method, Request, Response, StatusCode};
 use sardinemux_core::position::{Era, Position};
+use sardinemux_core::uplink::LARGE_BYTES;
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use tokio::time;
 
 use crate::appendix;
-use crate::client::{Limits, Progress};
-use crate::errors::{BuildSnafu, DecodeSnafu, EncodeSnafu, MismatchSnafu};
+use crate::client::{Limits, Progress, ANSWER_MAX_BYTES};
+use crate::compression::{self, CODING};
+use crate::errors::{
+    BuildSnafu, CompressSnafu, DecodeSnafu, DecompressSnafu, EncodeSnafu, MismatchSnafu,
+};
 use crate::hop;
 use crate::prelude::*;
 use crate::relay::Update;
 use crate::replication;
 use crate::reply::{self, Body};
 use crate::source::{Batch, Topic};
+use crate::uplink;
 use crate::whole::Whole;
 
 /// The time after which a query without changes is answered. It is short so that a reader that no longer answers is
@@ -32,15 +38,18 @@
 /// The time for the head of the response to a query in addition to [`LONG_POLL_TIMEOUT`], and for each part of its body.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
 
-/// The time limit of a query whose response may hold all entries of a topic: 3,000 targets take half a megabyte, and several
-/// gateways may request them from the same one over a link of 10 Mbit/s. So does a catalogue with many changes.
+/// The time limit of a query for all entries of a topic up to the head of the response, and between its parts.
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The time limit of a query whose response keeps arriving: the largest catalogue takes 7 s at the pace of a link of 10 Mbit/s.
+const RESPONSE_MAX: Duration = Duration::from_secs(20);
+
 /// The largest accepted body of a query, in bytes.
 const QUERY_MAX_BYTES: usize = 4_096;
 
-/// The size from which on an update is large: it takes 13 ms of a link of 10 Mbit/s.
-const LARGE_BYTES: usize = 16 << 10;
+/// How long a query whose answer is a large update waits for others to be sent. After that, its sender gets nothing and asks
+/// another gateway.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// How long the body of a query may take to arrive.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -67,6 +76,8 @@
     era: Era,
     /// Whether the sender of a query reads orders of rollouts. A build that does not cannot decode a batch that holds one.
     reads_rollouts: bool,
+    /// Whether the sender of a query reads compressed answers.
+    reads_compressed: bool,
 }
 
 /// The answer to a query.
@@ -89,7 +100,7 @@
     },
 }
 
-/// Requests the entries of a topic from another gateway.
+/// Requests the entries of a topic from another gateway. `progress` is told what arrives.
 ///
 /// # Errors
 ///
@@ -100,6 +111,7 @@
     address: SocketAddr,
     topic: Topic,
     scope: Scope,
+    progress: &Progress,
 ) -> Result<Update> {
     let era = gateway.members.lock().era(address, topic);
     let since = {
@@ -123,6 +135,7 @@
     let appendix = Appendix {
         era: since.and_then(|since| since.era),
         reads_rollouts: true,
+        reads_compressed: true,
     };
     let query = appendix::encode(&query, &appendix).context(EncodeSnafu)?;
     let request = Request::post("/news")
@@ -133,13 +146,27 @@
         Some(_) => Limits {
             head: LONG_POLL_TIMEOUT + RESPONSE_MARGIN,
             pause: RESPONSE_MARGIN,
-            whole: LIST_TIMEOUT,
+            whole: RESPONSE_MAX,
+        },
+        None => Limits {
+            head: LIST_TIMEOUT,
+            pause: LIST_TIMEOUT,
+            whole: RESPONSE_MAX,
         },
-        None => Limits::within(LIST_TIMEOUT),
     };
     let client = gateway.members.lock().client(address, topic);
-    let reply = client.call(request, limits, &Progress::default()).await?;
-    let answer = appendix::decode(reply.response().body());
+    let reply = client.call(request, limits, progress).await?;
+    let body = reply.response().body();
+    let body = match reply.response().headers().get(CONTENT_ENCODING) == Some(&CODING) {
+        true => {
+            compression::decompress(body, ANSWER_MAX_BYTES).context(DecompressSnafu { address })?
+        }
+        false => body.to_vec(),
+    };
+    if body.len() >= LARGE_BYTES {
+        gateway.uplink.note_received();
+    }
+    let answer = appendix::decode(&body);
     let (answer, appendix): (Answer, Option<Appendix>) = answer.context(DecodeSnafu { address })?;
     snafu::ensure!(answer.id == id, MismatchSnafu { address });
     reply.accept();
@@ -210,23 +237,8 @@
     let Ok((query, appendix)) = query else {
         return Ok(empty_response(StatusCode::BAD_REQUEST));
     };
-    let mut answer = Answer {
-        id: query.id,
-        update: wait_for_update(&gateway, query, appendix.map(|it| it.era)).await,
-    };
-    if !appendix.unwrap_or_default().reads_rollouts {
-        replication::hide_rollouts(&mut answer.update.batch);
-    }
-    let appendix = Appendix {
-        era: answer.update.batch.position.era,
-        ..Appendix::default()
-    };
-    let bytes = appendix::encode(&answer, &appendix).context(EncodeSnafu);
-    Ok(match bytes {
-        Ok(bytes) => {
-            note_relayed(&gateway, query.topic, bytes.len());
-            Response::new(reply::full_body(Bytes::from(bytes)))
-        }
+    Ok(match respond(&gateway, query, appendix).await {
+        Ok(response) => response,
         Err(error) => {
             log::error!(error:% = error; "cannot encode the changes for another gateway; answered with status 500");
             empty_response(StatusCode::INTERNAL_SERVER_ERROR)
@@ -234,15 +246,69 @@
     })
 }
 
-/// Counts an update that is sent to another gateway, and logs a large one.
-fn note_relayed(gateway: &Gateway, topic: Topic, bytes: usize) {
+/// Returns the answer to a query. A large update is sent once there is room for it on the link; if there is none in time, the answer
+/// states that this gateway has nothing to tell.
+async fn respond(
+    gateway: &Arc<Gateway>,
+    query: Query,
+    appendix: Option<Appendix>,
+) -> Result<Response<Body>> {
+    let era = appendix.map(|it| it.era);
+    let appendix = appendix.unwrap_or_default();
+    let encode = |update| encode_update(query, update, appendix.reads_rollouts);
+    let bytes = encode(wait_for_update(gateway, query, era).await)?;
+    if bytes.len() < LARGE_BYTES {
+        count_relayed(gateway, query.topic, bytes.len());
+        return Ok(Response::new(reply::full_body(bytes)));
+    }
+    drop(bytes);
+    let until = time::Instant::now() + TRANSFER_TIMEOUT;
+    let Some(transfer) = gateway.uplink.begin(until).await else {
+        let put_off = &gateway.metrics.updates_put_off;
+        put_off.with_label_values(&[query.topic.name()]).inc();
+        return Ok(Response::new(reply::full_body(encode(Update::default())?)));
+    };
+    // More may have changed while others were sent.
+    let bytes = encode(wait_for_update(gateway, query, era).await)?;
+    let compressed = appendix
+        .reads_compressed
+        .then(|| compression::compress(&bytes));
+    let compressed = compressed.transpose().context(CompressSnafu)?;
+    let is_compressed = compressed.is_some();
+    let size = bytes.len();
+    let bytes = compressed.unwrap_or(bytes);
+    count_relayed(gateway, query.topic, bytes.len());
+    log::info!(topic = query.topic.name(), bytes = bytes.len(), size = size; "sending a large update to another gateway");
+    let mut response = Response::new(uplink::send(gateway.clone(), bytes, transfer));
+    if is_compressed {
+        response.headers_mut().insert(CONTENT_ENCODING, CODING);
+    }
+    Ok(response)
+}
+
+/// Encodes the answer to a query.
+fn encode_update(query: Query, mut update: Update, reads_rollouts: bool) -> Result<Bytes> {
+    if !reads_rollouts {
+        replication::hide_rollouts(&mut update.batch);
+    }
+    let appendix = Appendix {
+        era: update.batch.position.era,
+        ..Appendix::default()
+    };
+    let answer = Answer {
+        id: query.id,
+        update,
+    };
+    let bytes = appendix::encode(&answer, &appendix).context(EncodeSnafu)?;
+    Ok(Bytes::from(bytes))
+}
+
+/// Counts an update that is sent to another gateway.
+fn count_relayed(gateway: &Gateway, topic: Topic, bytes: usize) {
     let counter = &gateway.metrics.relayed_bytes;
     counter
         .with_label_values(&[topic.name()])
         .inc_by(bytes as u64);
-    if bytes >= LARGE_BYTES {
-        log::info!(topic = topic.name(), bytes = bytes; "sending a large update to another gateway");
-    }
 }
 
 fn empty_response(status: StatusCode) -> Response<Body> {
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -223,6 +223,12 @@
                     send_datagram(&socket, &samples, &recipients);
                 }
             }
+            // The zone learns at once from whom else it can get the update.
+            () = gateway.uplink.wait_for_update() => {
+                let now_ms = gateway.now_ms();
+                let zone = gateway.members.lock().due_addresses(round, Broadcast::Zone, now_ms);
+                send_reports(&gateway, &socket, &zone);
+            }
             () = gateway.quarantine_alarm.wait() => {
                 for (notices, recipients) in quarantine::take_urgent(&gateway) {
                     send_supplements(&socket, &notices, &recipients);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,6 +40,7 @@
 use crate::settings::{Bounds, Settings};
 use crate::source::Topic;
 use crate::speeds::Speeds;
+use crate::uplink::Uplink;
 use crate::zones::Zones;
 
 /// The share of the deployment's retry budget that the gateways use. The rest is a margin: arrivals are counted at the
@@ -115,6 +116,8 @@
     pub intake: Intake,
     /// The longest time for which the process has worked without a pause.
     pub busy: Mutex<Meter>,
+    /// The large updates that are sent to other gateways.
+    pub uplink: Uplink,
     /// The running requests and the phase of a stop.
     pub drain: Arc<Drain>,
     /// The metrics.
@@ -162,6 +165,7 @@
             read_ahead: Arc::default(),
             memory: Arc::new(memory::Budget::of_process(settings.memory_bytes)),
             intake: Intake::new(settings.clients),
+            uplink: Uplink::new(settings.link_mbps),
             busy: Mutex::default(),
             drain: Arc::default(),
             metrics: Metrics::new()?,
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -17,6 +17,7 @@
 use fleet::{catalog, catalog_of, Store};
 use harness::{announcement, definition, dialect, settings};
 use rstest::rstest;
+use sardinemux_gateway::client::Progress;
 use sardinemux_gateway::peers::{self, Scope};
 use sardinemux_gateway::prelude::*;
 use sardinemux_gateway::source::{Fact, Topic};
@@ -71,7 +72,8 @@
     let address = listener.local_addr().unwrap();
     tokio::spawn(exchange_first_answers(listener, peer.settings.peer_address));
     let follower = Gateway::new(settings(), dialect()).unwrap();
-    let fetch = |topic| peers::fetch_update(&follower, address, topic, Scope::Whole);
+    let progress = Progress::default();
+    let fetch = |topic| peers::fetch_update(&follower, address, topic, Scope::Whole, &progress);
     let (operators, targets) = tokio::join!(fetch(Topic::Operators), fetch(Topic::Targets));
     operators.unwrap_err();
     targets.unwrap_err();
@@ -163,7 +165,8 @@
     let server = peer.settings.peer_address;
     tokio::spawn(forward_slowly(listener, server, PIECES, interval));
     let scope = Scope::Changes { waits: true };
-    let update = peers::fetch_update(&follower, address, Topic::Operators, scope).await;
+    let progress = Progress::default();
+    let update = peers::fetch_update(&follower, address, Topic::Operators, scope, &progress).await;
     let entries = update.unwrap().batch.entries;
     assert!(
         matches!(&entries[..], [entry] if matches!(&entry.fact, Some(Fact::Catalog(it)) if it.routes.len() == ROUTES))
@@ -183,7 +186,8 @@
     let server = peer.settings.peer_address;
     tokio::spawn(forward_slowly(listener, server, pieces, Duration::ZERO));
     let scope = Scope::Changes { waits: true };
-    let fetch = peers::fetch_update(&follower, address, Topic::Operators, scope);
+    let progress = Progress::default();
+    let fetch = peers::fetch_update(&follower, address, Topic::Operators, scope, &progress);
     let update = time::timeout(PROPAGATION_MAX, fetch).await.unwrap();
     update.unwrap_err();
 }
--- a/crates/gateway/tests/support/restores.rs
+++ b/crates/gateway/tests/support/restores.rs
@@ -327,7 +327,7 @@
         };
         let chosen = match gateway.log.has_snapshot() {
             false => readers::choose_snapshot_peer(gateway.zone, all(), &mut self.random),
-            true => readers::find_newer_peer(progress, all()),
+            true => readers::find_newer_peer(progress, gateway.zone, all(), &mut self.random),
         };
         let later = peers
             .iter()
