Forward no answer whose status ends no exchange

A target in trouble that answers with 600 or 999 had its answer forwarded with that status, and one that answers 101 had its caller's connection switch protocols. The HTTP library rejects statuses below 100 and what is no number, such as 000, and accepts 100 to 999.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -519,7 +519,7 @@
     let (head, body) = response.into_parts();
     let headers = &head.headers;
     let echoed_id = headers.get(&dialect.request_id);
-    if echoed_id.is_some_and(|id| id != inbound.id) {
+    if echoed_id.is_some_and(|id| id != inbound.id) || !answer::is_final(head.status) {
         in_flight.set_evidence(Evidence::TransportError);
         return unknown(Reason::Crossed);
     }
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -25,7 +25,7 @@
     Passed, ARRIVED, BUILD, CATALOG, CHECKED, EXCHANGE, IS_CHECKED, NOT_ARRIVED, POOL, RUNS, SENDER,
 };
 use crate::answer::{self, Arrived};
-use crate::attempt::answer::{is_encoded, Answer};
+use crate::attempt::answer::{is_encoded, is_final, Answer};
 use crate::attempt::grant::Grant;
 use crate::attempt::{self, statement, AttemptOutcome, InFlight, Peer, Ready, Terms};
 use crate::connections::{self, Connection, IDLE_CONNECTIONS_MAX};
@@ -361,7 +361,7 @@
         };
     }
     let is_own = head.headers.get(&dialect.request_id) == Some(&inbound.id);
-    if !is_own || is_encoded(&head.headers) {
+    if !is_own || is_encoded(&head.headers) || !is_final(head.status) {
         return attempt::unknown(Reason::Crossed);
     }
     let build = build.as_ref().and_then(|build| build.to_str().ok());
