Answer a request at its deadline at whatever step it is

Steps of a request that do not know of its deadline went on past it: connecting through other gateways (three connections of 0.4 s each), waiting for a build to join (1.3 s), and finding out whether a target crashed.

A request is given up 0.1 s after its deadline: with 504 if a target or another gateway may have got it, else with 503; a stream that is being resumed breaks off. Five cases failed before: verify_request_is_answered_in_time_if_no_other_gateway_is_reached on all four routes, and verify_request_that_waits_for_a_build_is_answered_at_its_timeout.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -130,12 +130,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Arrived;
 
+/// How long after its deadline a request is given up at whatever step it is: the steps that know of the deadline have ended by then,
+/// with an answer that states more.
+pub(crate) const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+
 /// Serves a request and returns its final answer. A successful answer of a streaming route is returned as soon as its
-/// head has arrived. If the process ends before, the answer states whether the request may have run.
+/// head has arrived. If the deadline passes or the process ends before, the answer states whether the request may have run.
 pub async fn serve(gateway: Arc<Gateway>, inbound: Inbound) -> Response<Body> {
     let drain = gateway.drain.clone();
     let is_sent = inbound.is_sent.clone();
     let id = inbound.id.clone();
+    let until = inbound.deadline + DEADLINE_MARGIN;
     tokio::select! {
         biased;
         response = serve_to_end(gateway, inbound) => response,
@@ -147,7 +152,25 @@
                 false => reply::reject(Rejection::Stopping),
             }
         }
+        () = time::sleep_until(until) => {
+            let is_sent = is_sent.load(Ordering::Relaxed);
+            log::warn!(request_id:% = request::header_text(Some(&id)), is_sent = is_sent; "not answered before the deadline; giving the request up");
+            give_up(is_sent)
+        }
+    }
+}
+
+/// Returns the answer to a request that is given up at its deadline.
+fn give_up(is_sent: bool) -> Response<Body> {
+    let reason = Reason::Waited.name();
+    if is_sent {
+        let mut response = reply::text_response(StatusCode::GATEWAY_TIMEOUT, reason);
+        response.extensions_mut().insert(Arrived);
+        return response;
     }
+    let mut response = reply::text_response(StatusCode::SERVICE_UNAVAILABLE, reason);
+    reply::set_retry_after(&mut response, Duration::ZERO);
+    response
 }
 
 async fn serve_to_end(gateway: Arc<Gateway>, inbound: Inbound) -> Response<Body> {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,7 +20,7 @@
 
 use self::assembler::Assembler;
 use self::live::{Live, Step};
-use crate::answer::{Recipient, Serving};
+use crate::answer::{Recipient, Serving, DEADLINE_MARGIN};
 use crate::attempt::answer::Answer;
 use crate::origins;
 use crate::prelude::*;
@@ -299,7 +299,11 @@
                 Step::Broken(cause) => {
                     let (key, has_cleared) = (live.key(), live.has_cleared());
                     live.abort(&serving, &cursor, cause);
-                    replace(&mut serving, cause, key, has_cleared, cursor.last_id()).await
+                    let until = serving.inbound().deadline + DEADLINE_MARGIN;
+                    let last_event = cursor.last_id();
+                    let replaced = replace(&mut serving, cause, key, has_cleared, last_event);
+                    let replaced = time::timeout_at(until, replaced).await;
+                    replaced.unwrap_or(Err(interrupted(Reason::Silence)))
                 }
             };
             live = match next {
--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -10,6 +10,8 @@
 mod fleet;
 #[path = "support/harness.rs"]
 mod harness;
+#[path = "support/peer.rs"]
+mod peer;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,8 +19,10 @@
 use fleet::{catalog_of, Store};
 use harness::mock::{Behaviour, Ending, Framing, MockTarget, Script};
 use harness::{announcement, exchange, header, looks_complete, wait_until_serving};
+use peer::Peer;
 use rstest::rstest;
 use sardinemux_core::catalog::Definition;
+use sardinemux_core::collection::Role;
 use sardinemux_core::roster::Announcement;
 use sardinemux_gateway::settings::Settings;
 use sardinemux_gateway::source::{Fact, Member, Topic};
@@ -208,6 +212,57 @@
     assert_eq!(ran - ran_before, 10);
 }
 
+/// A gateway that reaches neither targets nor the others goes on trying after the deadline of a request.
+#[rstest]
+#[tokio::test]
+async fn verify_request_is_answered_in_time_if_no_other_gateway_is_reached(
+    #[values("/safe/", "/unsafe/", "/stream/", "/resumable/")] path: &str,
+) {
+    const TIMEOUT_MS: u64 = 500;
+    const ANSWERED_MS: u64 = 500;
+    let mut unreached = Vec::new();
+    let mut silent = Vec::new();
+    for _ in 0..TARGETS {
+        unreached.push(DeadEnd::new(Cut::Refused).await);
+        silent.push(DeadEnd::new(Cut::Silent).await);
+    }
+    let mut definition = definition();
+    for route in &mut definition.routes {
+        route.timeout_ms = TIMEOUT_MS;
+    }
+    let listed = unreached.iter().enumerate();
+    let listed = listed
+        .map(|(index, target)| announcement(&format!("t{index}"), &target.address.to_string()));
+    let settings = named("g0");
+    start_gateway_of(definition, &settings, listed.collect(), &[]).await;
+    let mut peers = Vec::new();
+    for name in ["g1", "g2", "g3"] {
+        let peer = Peer::join_as(name, Some(Role::None), settings.peer_address).await;
+        peers.push(peer);
+    }
+    let report = async {
+        loop {
+            for (peer, dead_end) in peers.iter().zip(&silent) {
+                peer.report_at(dead_end.address, Default::default()).await;
+            }
+            time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let calls = async {
+        let begun = time::Instant::now();
+        while begun.elapsed() < STABLE_WINDOW {
+            call(settings.caller_address, path, 1).await;
+        }
+        let limit = Duration::from_millis(TIMEOUT_MS + ANSWERED_MS);
+        let answer = time::timeout(limit, call(settings.caller_address, path, 2)).await;
+        assert!(answer.unwrap().starts_with("HTTP/1.1 503"));
+    };
+    tokio::select! {
+        () = calls => {}
+        () = report => {}
+    }
+}
+
 /// Two gateways that reach no target do not send a request back and forth.
 #[tokio::test]
 async fn verify_request_of_two_gateways_that_reach_no_target_is_refused() {
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -63,10 +63,16 @@
 
     /// Sends a report of these requests in flight to the gateway.
     pub async fn report_running(&self, running: IndexMap<SmolStr, u32>) {
+        let address = self.socket.local_addr().unwrap();
+        self.report_at(address, running).await;
+    }
+
+    /// Sends a report that states another address.
+    pub async fn report_at(&self, address: SocketAddr, running: IndexMap<SmolStr, u32>) {
         let report = Report {
             member: Member {
                 name: self.name.into(),
-                address: self.socket.local_addr().unwrap(),
+                address,
             },
             is_stopping: false,
             zone: "z1".into(),
@@ -76,7 +82,7 @@
             targets: Standing::default(),
             running,
             catalog: 0,
-            compares_catalogs: false,
+            compares_catalogs: self.role.is_some(),
             role: self.role.unwrap_or_default(),
             takes_permits: self.role.is_some(),
         };
--- a/crates/gateway/tests/timeouts.rs
+++ b/crates/gateway/tests/timeouts.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use fleet::{catalog_of, Store};
+use futures_util::future::{self, FutureExt};
 use harness::mock::{Behaviour, MockTarget};
 use harness::{announcement, exchange, looks_complete, settings, wait_until_serving};
 use rstest::rstest;
@@ -24,6 +25,9 @@
 /// The time-out of the routes, in milliseconds.
 const TIMEOUT_MS: u64 = 700;
 
+/// A shorter time that a caller has, in milliseconds.
+const SHORT_MS: u64 = 300;
+
 /// The users' time after the time-out within which a request has its final answer.
 const ANSWERED: Duration = Duration::from_millis(500);
 
@@ -39,6 +43,27 @@
     definition
 }
 
+/// A request that waits for a build to join is answered later than its caller has time.
+#[tokio::test]
+async fn verify_request_that_waits_for_a_build_is_answered_at_its_timeout() {
+    let target = MockTarget::start(Behaviour::Stream).await;
+    let store = Store::default();
+    let change = catalog_of(definition(1, TIMEOUT_MS));
+    store.put(Topic::Operators, "config", Some(change));
+    let target = announcement("t0", &target.address.to_string());
+    store.put(Topic::Targets, "t0", Some(Fact::Target(target)));
+    let settings = settings();
+    let mut source = store.source(&settings.name);
+    source.advance_builds = Box::new(|_| future::pending().boxed());
+    harness::spawn(settings.clone(), source);
+    wait_until_serving(settings.caller_address, settings.ready_address).await;
+    let headers = format!("x-deadline: {SHORT_MS}\r\n");
+    let request = harness::request("POST", "/resumable/", &headers, "p");
+    let limit = Duration::from_millis(SHORT_MS) + ANSWERED;
+    let answer = time::timeout(limit, exchange(settings.caller_address, &request)).await;
+    assert!(answer.unwrap().starts_with("HTTP/1.1 503"));
+}
+
 /// A request that is not answered at the time-out of its route keeps its caller waiting.
 #[rstest]
 #[tokio::test]
