Catch up with a catalogue that callers have seen through another gateway

A gateway without paths passes requests on, and one with a later catalogue serves them by that.

The answer to a request that is passed on now states the version by which it was served, to gateways that report to read it. The first gateway gets that version from the second one, and lets requests wait up to 0.3 s for it, after which they are refused with Retry-After 0.

--- a/crates/core/src/passage.rs
+++ b/crates/core/src/passage.rs
@@ -1,7 +1,9 @@
 //! Requests that a gateway passes on to another one, which may have another version of the catalogue in force.
 //!
 //! A request is served by the catalogue in which its gateway has looked it up, or by a later one. A gateway that has an earlier one
-//! refuses it, or waits until it has caught up. One that has a later one looks it up anew.
+//! refuses it, or waits until it has caught up. One that has a later one looks it up anew, and states that in its answer. From then
+//! on, callers of the gateway that has passed the request on may have seen that catalogue, so that this gateway catches up before it
+//! serves further requests by its own.
 
 use smol_str::SmolStr;
 
@@ -59,3 +61,46 @@
         None => may_change.then(|| selected.clone()),
     }
 }
+
+/// How long a gateway catches up with a catalogue that callers may have seen, in milliseconds. After that, the gateway which had it
+/// is taken to be lost with it.
+const SEEN_MS: u64 = 2_000;
+
+/// The latest catalogue by which another gateway has served a request that was passed on to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Its version.
+    pub catalog: u64,
+    /// When the first answer stated it, in milliseconds.
+    pub at_ms: u64,
+}
+
+impl Seen {
+    /// Records the version that an answer states.
+    pub fn note(&mut self, catalog: u64, now_ms: u64) {
+        if catalog > self.catalog {
+            *self = Self {
+                catalog,
+                at_ms: now_ms,
+            };
+        }
+    }
+
+    /// Returns whether a gateway with a catalogue of version `own` must catch up before it serves a request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use sardinemux_core::passage::Seen;
+    ///
+    /// let mut seen = Seen::default();
+    /// assert!(!seen.is_ahead(0, 5_000));
+    /// seen.note(7, 5_000);
+    /// assert!(seen.is_ahead(6, 6_000));
+    /// assert!(!seen.is_ahead(7, 6_000));
+    /// assert!(!seen.is_ahead(6, 7_000));
+    /// ```
+    pub fn is_ahead(&self, own: u64, now_ms: u64) -> bool {
+        self.catalog > own && now_ms.saturating_sub(self.at_ms) < SEEN_MS
+    }
+}
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -28,6 +28,7 @@
 use crate::attempt::answer::{is_encoded, is_final, Answer};
 use crate::attempt::grant::Grant;
 use crate::attempt::{self, statement, AttemptOutcome, InFlight, Peer, Ready, Terms};
+use crate::catching_up;
 use crate::connections::{self, Connection, IDLE_CONNECTIONS_MAX};
 use crate::prelude::*;
 use crate::reply::{self, Body};
@@ -37,12 +38,6 @@
 use crate::unanswered::Unanswered;
 use crate::whole::Whole;
 
-/// How long a gateway whose catalogue is behind waits for a later one before it refuses a request. Another gateway is tried then.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// The interval at which it checks for that.
-const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(5);
-
 /// The interval at which a gateway tries whether lost paths are back.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -346,6 +341,9 @@
         return attempt::unknown(Reason::Crossed);
     }
     let build = head.headers.remove(&BUILD);
+    if let Some(version) = head.headers.remove(&CATALOG) {
+        note_catalog(&gateway, &peer.name, &version);
+    }
     let is_checked = head.headers.remove(&CHECKED).is_some();
     let dialect = &gateway.dialect;
     if !head.headers.contains_key(&dialect.signature) {
@@ -377,6 +375,17 @@
     }))
 }
 
+/// Records by which version of the catalogue another gateway has served a request.
+fn note_catalog(gateway: &Gateway, name: &str, version: &HeaderValue) {
+    let stated = version.to_str().ok().and_then(|text| text.parse().ok());
+    match stated {
+        Some(version) => catching_up::note_seen(gateway, name, version),
+        None => {
+            log::warn!(peer:% = name, value:% = request::header_text(Some(version)); "another gateway states no valid version of its catalogue; ignoring it");
+        }
+    }
+}
+
 /// Returns whether a gateway that answers with this status states that the request has not run.
 fn states_not_run(status: StatusCode) -> bool {
     status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
@@ -398,6 +407,7 @@
         Ok(()) => accept(&gateway, parts, &mut body, &passed).await,
         Err(rejection) => Err(rejection),
     };
+    let version = accepted.as_ref().ok().map(|inbound| inbound.catalog);
     let mut response = match accepted {
         Ok(inbound) => answer::serve(gateway.clone(), inbound).await,
         Err(rejection) => reject(&gateway, rejection, &passed),
@@ -415,6 +425,9 @@
     } else if !has_arrived {
         headers.insert(ARRIVED, NOT_ARRIVED);
     }
+    if let Some(version) = version.filter(|_| is_learning(&gateway, passed.sender.as_deref())) {
+        headers.insert(CATALOG, HeaderValue::from(version));
+    }
     if let Some(exchange) = passed.exchange {
         headers.insert(EXCHANGE, exchange);
     }
@@ -424,11 +437,16 @@
     response.map(|body| reply::keep_until_sent(body, running))
 }
 
+/// Returns whether a gateway reads the version of the catalogue in answers. One of an earlier build would pass it on to its callers.
+fn is_learning(gateway: &Gateway, sender: Option<&str>) -> bool {
+    sender.is_some_and(|sender| gateway.members.lock().learns_catalogs(sender))
+}
+
 /// Waits until the catalogue in force is not earlier than that of the gateway which passes a request on.
 ///
 /// # Errors
 ///
-/// `Rejection::OtherCatalog` if it is still earlier after [`CATCH_UP_TIMEOUT`].
+/// `Rejection::OtherCatalog` if it is still earlier after a while.
 async fn catch_up(gateway: &Gateway, passed: &Passed) -> std::result::Result<(), Rejection> {
     let passage = passed.passage();
     let is_behind = || passage::is_behind(passage, gateway.catalog.read().version());
@@ -437,17 +455,12 @@
     }
     gateway.metrics.hops.with_label_values(&["behind"]).inc();
     if let (Some(sender), Some(version)) = (&passed.sender, passed.catalog) {
-        if gateway.members.lock().note_catalog(sender, version) {
-            gateway.later_catalog.notify_waiters();
-        }
+        catching_up::note_holder(gateway, sender, version);
+    }
+    match catching_up::wait_while(is_behind).await {
+        true => Ok(()),
+        false => Err(Rejection::OtherCatalog),
     }
-    let caught_up = async {
-        while is_behind() {
-            time::sleep(CATCH_UP_POLL_INTERVAL).await;
-        }
-    };
-    let result = time::timeout(CATCH_UP_TIMEOUT, caught_up).await;
-    result.map_err(|_| Rejection::OtherCatalog)
 }
 
 /// Checks a request of another gateway like one of a caller, and selects its pool.
--- a/crates/gateway/src/hop/head.rs
+++ b/crates/gateway/src/hop/head.rs
@@ -17,8 +17,8 @@
 /// The header with the build at which a stream must go on, or which sends one.
 pub const BUILD: HeaderName = HeaderName::from_static("x-hop-build");
 
-/// The header with the version of the catalogue in which a request has been looked up. It is sent only to gateways that read it, as
-/// others pass it on to targets.
+/// The header with the version of the catalogue in which a request has been looked up, or by which it was served. It is sent only to
+/// gateways that read it, as others pass it on to targets or callers.
 pub const CATALOG: HeaderName = HeaderName::from_static("x-hop-catalog");
 
 /// The header with the name of the gateway that passes a request on, beside [`CATALOG`].
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod busy;
 pub mod caller;
+pub mod catching_up;
 pub mod client;
 pub mod compression;
 pub mod connections;
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -39,6 +39,7 @@
     /// The version of the catalogue that it has in force.
     catalog: u64,
     compares_catalogs: bool,
+    learns_catalogs: bool,
     role: Role,
     /// Whether it takes part in permits.
     takes_permits: bool,
@@ -150,6 +151,7 @@
                     targets: Standing::default(),
                     catalog: 0,
                     compares_catalogs: false,
+                    learns_catalogs: false,
                     role: Role::None,
                     takes_permits: false,
                 };
@@ -169,6 +171,7 @@
             targets: report.targets,
             catalog: report.catalog,
             compares_catalogs: report.compares_catalogs,
+            learns_catalogs: report.learns_catalogs,
             role: report.role,
             takes_permits: report.takes_permits,
         };
@@ -189,6 +192,11 @@
         }
     }
 
+    /// Returns whether a gateway reads the version of the catalogue in the answers to requests that it passes on.
+    pub fn learns_catalogs(&self, name: &str) -> bool {
+        self.contacts.get(name).is_some_and(|it| it.learns_catalogs)
+    }
+
     /// Returns the gateways that have sent a report within the silence timeout, as those through which requests may be sent.
     pub fn candidates(&self, now_ms: u64) -> impl Iterator<Item = Candidate<'_>> {
         let recent = self
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -58,7 +58,9 @@
             Duration::from_millis(attempts::RETRY_AFTER_MAX_MS),
         ),
         // Other gateways serve the caller at once.
-        Rejection::Stopping => set_retry_after(&mut response, Duration::ZERO),
+        Rejection::Stopping | Rejection::OtherCatalog => {
+            set_retry_after(&mut response, Duration::ZERO)
+        }
         _ => {}
     }
     // The rest of the request is not read, so the connection cannot be reused.
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -68,6 +68,9 @@
     /// is in the appendix.
     #[serde(skip)]
     pub compares_catalogs: bool,
+    /// Whether it reads the version of the catalogue in the answers to requests that it passes on. It is in the appendix.
+    #[serde(skip)]
+    pub learns_catalogs: bool,
     /// What it does for the collection of requests in flight. It is in the appendix.
     #[serde(skip)]
     pub role: Role,
@@ -86,6 +89,7 @@
     targets: Era,
     catalog: u64,
     compares_catalogs: bool,
+    learns_catalogs: bool,
     role: Role,
     takes_permits: bool,
 }
@@ -101,6 +105,7 @@
         targets: report.targets.newest.era,
         catalog: report.catalog,
         compares_catalogs: report.compares_catalogs,
+        learns_catalogs: report.learns_catalogs,
         role: report.role,
         takes_permits: report.takes_permits,
     };
@@ -117,6 +122,7 @@
     let appendix = appendix.unwrap_or_default();
     report.catalog = appendix.catalog;
     report.compares_catalogs = appendix.compares_catalogs;
+    report.learns_catalogs = appendix.learns_catalogs;
     report.role = appendix.role;
     report.takes_permits = appendix.takes_permits;
     for (standing, era) in [
@@ -162,6 +168,7 @@
         running,
         catalog,
         compares_catalogs: true,
+        learns_catalogs: true,
         role,
         takes_permits,
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,6 +18,7 @@
 use tokio::time::{self, Instant};
 
 use crate::caller::presence::Presence;
+use crate::catching_up;
 use crate::drain::Phase;
 use crate::intake::{self, Connection};
 use crate::prelude::*;
@@ -131,7 +132,8 @@
     /// The gateway is about to end.
     #[snafu(display("stopping"))]
     Stopping,
-    /// The catalogue of the gateway is earlier than that of the gateway that passes the request on, or does not allow its pool.
+    /// The catalogue of the gateway is earlier than that of the gateway that passes the request on, or than one that callers may have
+    /// seen, or it does not allow the request's pool.
     #[snafu(display("another catalogue"))]
     OtherCatalog,
     /// The head cannot be forwarded safely, or the body could not be read.
@@ -190,6 +192,9 @@
     let connection = parts.extensions.get::<Arc<Connection>>().cloned();
     let memory = take_memory(gateway).await?;
     suspension::wait_for_refresh(gateway).await;
+    if !catching_up::wait_for_seen(gateway).await {
+        return Err(Rejection::OtherCatalog);
+    }
     if !gateway.can_serve() {
         return Err(Rejection::NotReady);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
 use sardinemux_core::catalog::patch::History;
 use sardinemux_core::catalog::Catalog;
 use sardinemux_core::memory;
+use sardinemux_core::passage::Seen;
 use sardinemux_core::position::Era;
 use sardinemux_core::prompt::Holders;
 use sardinemux_core::reach::{self, Reach};
@@ -64,6 +65,8 @@
     pub catalog: RwLock<Arc<Catalog>>,
     /// Wakes the task that follows other gateways once one of them has shown that it has a later catalogue.
     pub later_catalog: Notify,
+    /// The catalogue that callers may have seen through another gateway.
+    pub seen_catalog: Mutex<Seen>,
     /// The changes between recent versions of the catalogue.
     pub history: Mutex<History>,
     /// The targets and their load.
@@ -140,6 +143,7 @@
             clock: Clock::default(),
             catalog: RwLock::default(),
             later_catalog: Notify::new(),
+            seen_catalog: Mutex::default(),
             history: Mutex::default(),
             roster: Mutex::new(Roster::new(roster)),
             load_change: Notify::new(),
--- a/crates/gateway/tests/former.rs
+++ b/crates/gateway/tests/former.rs
@@ -112,6 +112,7 @@
         running: [("t0".into(), 4)].into_iter().collect(),
         catalog: 44,
         compares_catalogs: true,
+        learns_catalogs: true,
         role: Role::Collector,
         takes_permits: true,
     };
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -83,6 +83,7 @@
             running,
             catalog: 0,
             compares_catalogs: self.role.is_some(),
+            learns_catalogs: self.role.is_some(),
             role: self.role.unwrap_or_default(),
             takes_permits: self.role.is_some(),
         };
--- a/crates/gateway/tests/uplink.rs
+++ b/crates/gateway/tests/uplink.rs
@@ -169,6 +169,7 @@
             running: IndexMap::new(),
             catalog: 0,
             compares_catalogs: true,
+            learns_catalogs: true,
             role: Role::None,
             takes_permits: false,
         };
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -221,3 +221,51 @@
         other.store.put(Topic::Operators, "config", Some(change));
     }
 }
+
+/// A caller that has seen a change through another gateway sees it come back older, as its own gateway decides by the former
+/// catalogue once it need not pass requests on.
+#[tokio::test]
+async fn verify_change_seen_through_another_gateway_does_not_come_back_older() {
+    const CHANGES: u64 = 8;
+    let targets = [
+        MockTarget::start(Behaviour::Answer).await,
+        MockTarget::start(Behaviour::Answer).await,
+    ];
+    let reached = targets.each_ref().map(|target| target.address);
+    let refusing = TcpSocket::new_v4().unwrap();
+    refusing.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    // The entry reaches the targets of `q` only, which serve the safe route.
+    let entered = [refusing.local_addr().unwrap(), reached[1]];
+    let of = |version: u64| {
+        let mut definition = definition(version, "p", &format!("o{version}"));
+        definition.routes[0].shares[0].pool = "q".into();
+        definition
+    };
+    let other = Instance::start("g1", of(1), reached, &[]).await;
+    let entry = Instance::start("g0", of(1), entered, &[&other.settings]).await;
+    let mut number = 0;
+    let mut call = async |path: &str| {
+        number += 1;
+        let text = harness::request("POST", path, "", "p");
+        let text = text.replace("x-id: r1", &format!("x-id: r{number}"));
+        exchange(entry.settings.caller_address, &text).await
+    };
+    let organisation = |target: &MockTarget| {
+        let seen = target.observed.lock().requests.last().cloned();
+        seen.and_then(|seen| header(&seen, "x-organisation"))
+    };
+    while !looks_complete(&call("/unsafe/").await) {}
+    for version in 2..2 + CHANGES {
+        let change = catalog_of(of(version));
+        other.store.put(Topic::Operators, "config", Some(change));
+        while other.gateway.catalog().version() < version {
+            time::sleep(Duration::from_millis(1)).await;
+        }
+        let expected = Some(format!("o{version}"));
+        assert!(looks_complete(&call("/unsafe/").await));
+        assert_eq!(organisation(&targets[0]), expected);
+        let answer = call("/safe/").await;
+        assert!(looks_complete(&answer), "{answer}");
+        assert_eq!(organisation(&targets[1]), expected, "version {version}");
+    }
+}
