Deliver no service answer whose status ends no exchange on the own interface

A service that answers a call, keyed or not, with 101 had that status delivered to the caller; by reading, 600 to 999 as well, and those of engines. Such an answer now counts as that of another request. What a final status is has moved to core, as both routers and gateways ask. verify_service_answer_without_a_final_status_is_not_delivered failed before with '101 Switching Protocols'; a repeat of the key gets 409, as the outcome is unknown.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -2,6 +2,22 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Returns whether a status is that of a final answer. HTTP libraries also accept codes that have no meaning, and some take
+/// `101 Switching Protocols` for the end of the exchange. Source: RFC 9110, section 15.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::outcome;
+///
+/// assert!(outcome::is_final_status(200));
+/// assert!(!outcome::is_final_status(101));
+/// assert!(!outcome::is_final_status(600));
+/// ```
+pub fn is_final_status(code: u16) -> bool {
+    (200..600).contains(&code)
+}
+
 /// The outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response, StatusCode};
+use sardinemux_core::outcome;
 use sardinemux_core::reach::Failure;
 use sardinemux_core::roster::{command, query, room, Evidence};
 use sardinemux_core::target::{self, Key, Target};
@@ -519,7 +520,9 @@
     let (head, body) = response.into_parts();
     let headers = &head.headers;
     let echoed_id = headers.get(&dialect.request_id);
-    if echoed_id.is_some_and(|id| id != inbound.id) || !answer::is_final(head.status) {
+    if echoed_id.is_some_and(|id| id != inbound.id)
+        || !outcome::is_final_status(head.status.as_u16())
+    {
         in_flight.set_evidence(Evidence::TransportError);
         return unknown(Reason::Crossed);
     }
--- a/crates/gateway/src/attempt/answer.rs
+++ b/crates/gateway/src/attempt/answer.rs
@@ -6,7 +6,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header;
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, StatusCode};
+use hyper::HeaderMap;
 use sardinemux_core::event;
 use sardinemux_core::roster::Evidence;
 
@@ -93,23 +93,6 @@
         })
 }
 
-/// Returns whether a status is that of a final answer. The HTTP library also accepts codes that have no meaning, and takes
-/// `101 Switching Protocols` for the end of the exchange. Source: RFC 9110, section 15.
-///
-/// # Examples
-///
-/// ```
-/// use hyper::StatusCode;
-/// use sardinemux_gateway::attempt::answer;
-///
-/// assert!(answer::is_final(StatusCode::OK));
-/// assert!(!answer::is_final(StatusCode::SWITCHING_PROTOCOLS));
-/// assert!(!answer::is_final(StatusCode::from_u16(600).unwrap()));
-/// ```
-pub fn is_final(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
 /// An answer whose head has arrived, and whose body can be read.
 #[derive(Debug)]
 pub struct Answer {
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -15,9 +15,9 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use rand::seq::IndexedRandom;
-use sardinemux_core::passage;
 use sardinemux_core::reach::{command, query, Candidate, Failure, Finding, Search};
 use sardinemux_core::target::{Key, Target};
+use sardinemux_core::{outcome, passage};
 use sardinemux_core::{roster, slot_share};
 use tokio::time::{self, Instant};
 
@@ -25,7 +25,7 @@
     Passed, ARRIVED, BUILD, CATALOG, CHECKED, EXCHANGE, IS_CHECKED, NOT_ARRIVED, POOL, RUNS, SENDER,
 };
 use crate::answer::{self, Arrived};
-use crate::attempt::answer::{is_encoded, is_final, Answer};
+use crate::attempt::answer::{is_encoded, Answer};
 use crate::attempt::grant::Grant;
 use crate::attempt::{self, statement, AttemptOutcome, InFlight, Peer, Ready, Terms};
 use crate::catching_up;
@@ -359,7 +359,7 @@
         };
     }
     let is_own = head.headers.get(&dialect.request_id) == Some(&inbound.id);
-    if !is_own || is_encoded(&head.headers) || !is_final(head.status) {
+    if !is_own || is_encoded(&head.headers) || !outcome::is_final_status(head.status.as_u16()) {
         return attempt::unknown(Reason::Crossed);
     }
     let build = build.as_ref().and_then(|build| build.to_str().ok());
--- a/crates/proof/tests/path.rs
+++ b/crates/proof/tests/path.rs
@@ -10,7 +10,7 @@
 use sardinemux_proof::fleet::{Fleet, Settings};
 use sardinemux_proof::matrix::{self, Told};
 use sardinemux_standin::engine::routes::{ENDLESS_FIELD, FATAL_FIELD, REJECTING_FIELD, REJECTION};
-use sardinemux_standin::service::BROKEN_EVENTS;
+use sardinemux_standin::service::{BROKEN_EVENTS, SWITCHING};
 use sardinemux_wire::caller::{ErrorBody, ErrorKind};
 use sardinemux_wire::header;
 use serde_json::{json, Value};
@@ -189,6 +189,29 @@
     assert_eq!(runs.get("two"), Some(&1));
 }
 
+/// A service's answer whose status ends no exchange is not delivered, also to a repeat of its key.
+#[tokio::test]
+async fn verify_service_answer_without_a_final_status_is_not_delivered() {
+    let fleet = Fleet::start(small()).await.unwrap();
+    let entry = fleet.routers[0].entry;
+    let url = format!("http://{entry}/services/booking/{SWITCHING}");
+    let read = fleet.client.get(format!("{url}?operation=one"));
+    let write = |operation: &str| {
+        let call = fleet.client.post(&url);
+        call.json(&json!({"operation": operation}))
+    };
+    let keyed = || write("three").header("Idempotency-Key", "one key");
+    for request in [read, write("two"), keyed(), keyed()] {
+        let response = request.bearer_auth(fleet.key(0)).send().await.unwrap();
+        let status = response.status();
+        let is_failure = status.is_server_error() || status == StatusCode::CONFLICT;
+        assert!(is_failure, "{status}");
+    }
+    let runs = matrix::runs(&fleet).await.unwrap();
+    assert_eq!(runs.get("two"), Some(&1));
+    assert_eq!(runs.get("three"), Some(&1));
+}
+
 /// A chat that crashes each engine that begins to answer it is repeated once.
 #[tokio::test]
 async fn verify_chat_that_crashes_engines_is_not_sent_to_one_after_the_other() {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -8,6 +8,7 @@
 
 use sardinemux_core::config::Parameter;
 use sardinemux_core::fence::RequestId;
+use sardinemux_core::outcome;
 use sardinemux_core::target::Target;
 use sardinemux_core::warmup::Observation;
 use sardinemux_wire::forward::{Call, Request};
@@ -228,6 +229,12 @@
         router.metrics.dropped_parts.inc();
         return Err(Failure::unknown(Reason::Crossed, Observation::None));
     }
+    if !outcome::is_final_status(response.status().as_u16()) {
+        return Err(Failure::unknown(
+            Reason::Crossed,
+            Observation::ConnectionLost,
+        ));
+    }
     let incarnation = headers
         .get(header::INCARNATION)
         .and_then(|value| value.to_str().ok()?.parse().ok());
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -61,7 +61,10 @@
 /// The last segment of the path of calls that are answered with a stream of events which ends inside an event.
 pub const BROKEN_EVENTS: &str = "broken-events";
 
-/// The body of the answer to these calls.
+/// The last segment of the path of calls that are answered with a status that ends no exchange.
+pub const SWITCHING: &str = "switching-protocols";
+
+/// The body of the answer to [`BROKEN_EVENTS`].
 const BROKEN_EVENTS_BODY: &str = "id: 1\ndata: a\n\nid: 2\nda";
 
 /// The methods of calls.
@@ -110,6 +113,9 @@
             return answer(200, BROKEN_EVENTS_BODY)
                 .with_header("Content-Type", "text/event-stream".to_owned());
         }
+        if path.ends_with(SWITCHING) {
+            return answer(101, "");
+        }
         answer(200, &text::service_answer(&path, &operation))
     }
 
