Keep the pacing of updates and the wait for a catalogue out of the gateway's circle of modules

Both modules depended on the state of the gateway, which depends on them. The pacing now has its own clock and returns parts, from which the query handler makes a body; the wait takes what it waits for. A gateway that puts a query off states the era of its entries, so that the receiver does not log entries of another era.

--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -379,7 +379,7 @@
 fn note_catalog(gateway: &Gateway, name: &str, version: &HeaderValue) {
     let stated = version.to_str().ok().and_then(|text| text.parse().ok());
     match stated {
-        Some(version) => catching_up::note_seen(gateway, name, version),
+        Some(version) => gateway.note_seen_catalog(name, version),
         None => {
             log::warn!(peer:% = name, value:% = request::header_text(Some(version)); "another gateway states no valid version of its catalogue; ignoring it");
         }
@@ -455,7 +455,7 @@
     }
     gateway.metrics.hops.with_label_values(&["behind"]).inc();
     if let (Some(sender), Some(version)) = (&passed.sender, passed.catalog) {
-        catching_up::note_holder(gateway, sender, version);
+        gateway.note_catalog_holder(sender, version);
     }
     match catching_up::wait_while(is_behind).await {
         true => Ok(()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use futures_util::StreamExt;
+use http_body_util::{BodyExt, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Method, Request, Response, StatusCode};
 use sardinemux_core::position::{Era, Position};
@@ -256,7 +257,9 @@
     let era = appendix.map(|it| it.era);
     let appendix = appendix.unwrap_or_default();
     let encode = |update| encode_update(query, update, appendix.reads_rollouts);
-    let bytes = encode(wait_for_update(gateway, query, era).await)?;
+    let update = wait_for_update(gateway, query, era).await;
+    let position = Position::new(update.batch.position.era, 0);
+    let bytes = encode(update)?;
     if bytes.len() < LARGE_BYTES {
         count_relayed(gateway, query.topic, bytes.len());
         return Ok(Response::new(reply::full_body(bytes)));
@@ -266,7 +269,7 @@
     let Some(transfer) = gateway.uplink.begin(until).await else {
         let put_off = &gateway.metrics.updates_put_off;
         put_off.with_label_values(&[query.topic.name()]).inc();
-        return Ok(Response::new(reply::full_body(encode(Update::default())?)));
+        return Ok(Response::new(reply::full_body(encode(nothing(position))?)));
     };
     // More may have changed while others were sent.
     let bytes = encode(wait_for_update(gateway, query, era).await)?;
@@ -279,13 +282,24 @@
     let bytes = compressed.unwrap_or(bytes);
     count_relayed(gateway, query.topic, bytes.len());
     log::info!(topic = query.topic.name(), bytes = bytes.len(), size = size; "sending a large update to another gateway");
-    let mut response = Response::new(uplink::send(gateway.clone(), bytes, transfer));
+    let parts = uplink::pace(gateway.uplink.clone(), bytes, transfer);
+    let parts = parts.map(|part| Ok(Frame::data(part)));
+    let mut response = Response::new(StreamBody::new(parts).boxed_unsync());
     if is_compressed {
         response.headers_mut().insert(CONTENT_ENCODING, CODING);
     }
     Ok(response)
 }
 
+/// Returns the update of a gateway that has nothing to tell.
+fn nothing(position: Position) -> Update {
+    let entries = Vec::new();
+    Update {
+        batch: Batch { entries, position },
+        ..Update::default()
+    }
+}
+
 /// Encodes the answer to a query.
 fn encode_update(query: Query, mut update: Update, reads_rollouts: bool) -> Result<Bytes> {
     if !reads_rollouts {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -192,7 +192,7 @@
     let connection = parts.extensions.get::<Arc<Connection>>().cloned();
     let memory = take_memory(gateway).await?;
     suspension::wait_for_refresh(gateway).await;
-    if !catching_up::wait_for_seen(gateway).await {
+    if !catching_up::wait_while(|| gateway.is_behind_seen_catalog()).await {
         return Err(Rejection::OtherCatalog);
     }
     if !gateway.can_serve() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -120,7 +120,7 @@
     /// The longest time for which the process has worked without a pause.
     pub busy: Mutex<Meter>,
     /// The large updates that are sent to other gateways.
-    pub uplink: Uplink,
+    pub uplink: Arc<Uplink>,
     /// The running requests and the phase of a stop.
     pub drain: Arc<Drain>,
     /// The metrics.
@@ -169,7 +169,7 @@
             read_ahead: Arc::default(),
             memory: Arc::new(memory::Budget::of_process(settings.memory_bytes)),
             intake: Intake::new(settings.clients),
-            uplink: Uplink::new(settings.link_mbps),
+            uplink: Arc::new(Uplink::new(settings.link_mbps)),
             busy: Mutex::default(),
             drain: Arc::default(),
             metrics: Metrics::new()?,
@@ -196,6 +196,29 @@
         }
     }
 
+    /// Records that another gateway has a version of the catalogue in force, and has this one get it if that is later.
+    pub fn note_catalog_holder(&self, name: &str, version: u64) {
+        if self.members.lock().note_catalog(name, version) {
+            self.later_catalog.notify_waiters();
+        }
+    }
+
+    /// Records by which version of the catalogue another gateway has served a request that was passed on to it.
+    pub fn note_seen_catalog(&self, name: &str, version: u64) {
+        if version <= self.catalog.read().version() {
+            return;
+        }
+        self.seen_catalog.lock().note(version, self.now_ms());
+        self.note_catalog_holder(name, version);
+    }
+
+    /// Returns whether callers may have seen a later catalogue than the one in force.
+    pub fn is_behind_seen_catalog(&self) -> bool {
+        let own = self.catalog.read().version();
+        let seen = *self.seen_catalog.lock();
+        seen.is_ahead(own, self.now_ms())
+    }
+
     /// Returns the time since the start of the process, in milliseconds.
     pub fn now_ms(&self) -> u64 {
         self.clock.now_ms()
--- a/crates/gateway/src/uplink.rs
+++ b/crates/gateway/src/uplink.rs
@@ -1,19 +1,16 @@
 //! Sends large updates to other gateways, a few at a time and in paced parts. Decisions are made in [`sardinemux_core::uplink`].
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_stream::stream;
 use bytes::Bytes;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::Frame;
+use futures_util::Stream;
 use parking_lot::Mutex;
 use sardinemux_core::uplink::{self, Pacer, PART_BYTES};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{self, Instant};
 
-use crate::prelude::*;
-use crate::reply::Body;
-
 /// The longest time for which a transfer keeps others waiting. A receiver that reads no longer does not end its transfer.
 const TRANSFER_MAX: Duration = Duration::from_secs(2);
 
@@ -22,6 +19,8 @@
 pub struct Uplink {
     slots: Arc<Semaphore>,
     pacer: Mutex<Pacer>,
+    /// When the process began, from which the pacer counts.
+    begin: Instant,
     received: Notify,
 }
 
@@ -37,6 +36,7 @@
         Self {
             slots: Arc::new(Semaphore::new(uplink::transfers_max(link_mbps))),
             pacer: Mutex::new(Pacer::new(link_mbps)),
+            begin: Instant::now(),
             received: Notify::new(),
         }
     }
@@ -67,17 +67,20 @@
     }
 }
 
-/// Returns a body that sends an update in paced parts, and ends the transfer behind the last one.
-pub fn send(gateway: Arc<Gateway>, mut update: Bytes, transfer: Transfer) -> Body {
-    let parts = stream! {
+/// Returns the parts of an update, each when it may be sent, and ends the transfer behind the last one.
+pub fn pace(
+    uplink: Arc<Uplink>,
+    mut update: Bytes,
+    transfer: Transfer,
+) -> impl Stream<Item = Bytes> {
+    stream! {
         while !update.is_empty() {
             let part = update.split_to(update.len().min(PART_BYTES));
-            let now_ms = gateway.now_ms();
-            let at_ms = gateway.uplink.pacer.lock().schedule(part.len(), now_ms);
+            let now_ms = uplink.begin.elapsed().as_millis() as u64;
+            let at_ms = uplink.pacer.lock().schedule(part.len(), now_ms);
             time::sleep(Duration::from_millis(at_ms.saturating_sub(now_ms))).await;
-            yield Ok(Frame::data(part));
+            yield part;
         }
         drop(transfer);
-    };
-    StreamBody::new(parts).boxed_unsync()
+    }
 }
