--- a/crates/gateway/src/uplink.rs
+++ b/crates/gateway/src/uplink.rs
@@ -24,7 +24,7 @@
     received: Notify,
 }
 
-/// The right to send a large update. It ends when it is dropped, and after [`TRANSFER_MAX`].
+/// The right to send a large update. It ends when it is dropped, and after two seconds.
 #[derive(Debug)]
 pub struct Transfer {
     _permit: Arc<Mutex<Option<OwnedSemaphorePermit>>>,
