--- a/review/support-2/support.rs
+++ b/review/support-2/support.rs
@@ -527,6 +527,62 @@
     }
 }
 
+/// The path of one machine to the store. While it is cut, channels are reset and new ones are refused.
+#[derive(Clone)]
+pub struct Path {
+    pub address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+}
+
+impl Path {
+    pub fn to(store: &Store) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port for a path");
+        let path = Self {
+            address: listener.local_addr().unwrap(),
+            is_cut: Arc::default(),
+        };
+        let (server, target) = (path.clone(), store.address);
+        thread::spawn(move || server.forward(listener, target));
+        path
+    }
+
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+    }
+
+    fn forward(&self, listener: TcpListener, target: SocketAddr) {
+        let mut listener = Some(listener);
+        let mut channels: Vec<TcpStream> = Vec::new();
+        loop {
+            sleep(0.001);
+            if self.is_cut.load(Ordering::SeqCst) {
+                listener = None;
+                for channel in channels.drain(..) {
+                    let _ = channel.shutdown(std::net::Shutdown::Both);
+                }
+                continue;
+            }
+            if listener.is_none() {
+                listener = TcpListener::bind(self.address).ok();
+            }
+            let Some(open) = &listener else { continue };
+            open.set_nonblocking(true).expect("a listener that can be closed");
+            let Ok((near, _)) = open.accept() else { continue };
+            let _ = near.set_nonblocking(false);
+            let Ok(far) = TcpStream::connect(target) else { continue };
+            for (from, to) in [(&near, &far), (&far, &near)] {
+                let _ = from.set_nodelay(true);
+                let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+                thread::spawn(move || {
+                    let _ = io::copy(&mut from, &mut to);
+                    let _ = to.shutdown(std::net::Shutdown::Both);
+                });
+            }
+            channels.extend([near, far]);
+        }
+    }
+}
+
 // ---------------------------------------------------------------- replicas
 
 /// A request that a replica ran.
@@ -715,6 +771,13 @@
         self.child.id()
     }
 
+    /// The machine loses power for good.
+    pub fn lose_power(&mut self, record: &Record) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        record.note(format!("{} is lost", self.name));
+    }
+
     fn signal(&self, name: &str) {
         let _ = Command::new("kill").arg(format!("-{name}")).arg(self.pid().to_string()).status();
     }
@@ -781,10 +844,12 @@
 
 /// Starts the machines with the program of the deploy file and settings like those of lakeshore-mux, and waits until they are ready.
 pub fn start_machines(store: &Store, record: &Record) -> Vec<Machine> {
-    start_some(store, record, &MACHINES)
+    start_with(store.address, record)
 }
 
-pub fn start_some(store: &Store, record: &Record, machines: &[(&str, usize)]) -> Vec<Machine> {
+/// Starts the machines, which reach the store at an address.
+pub fn start_with(store: SocketAddr, record: &Record) -> Vec<Machine> {
+    let machines = &MACHINES;
     let root = PathBuf::from(std::env::var("ROOT").unwrap_or_else(|_| ".".into()));
     let folder = PathBuf::from(std::env::var("WORK").expect("a temporary folder in WORK"));
     let template = fs::read_to_string(root.join("deploy/front.ini")).expect("deploy/front.ini");
@@ -808,7 +873,7 @@
             ("Bootstrap", "true".into()),
             ("Limits.MemoryMb", "260".into()),
             ("Limits.LinkMbps", "1000".into()),
-            ("Platform.Address", store.address.to_string()),
+            ("Platform.Address", store.to_string()),
             ("Bounds.GraceS", "8".into()),
             ("Bounds.RetryBudgetRatio", "0.2".into()),
             ("Bounds.BudgetExtra", "54".into()),
