Review cases 6 to 8: end all processes also if a script is ended early

Cause: a script that was killed left the processes that it had started. Change: run.sh ends the case and the processes whose ids it wrote down.

--- a/review/support-2/support.rs
+++ b/review/support-2/support.rs
@@ -858,6 +858,7 @@
     let ports = common_ports(&addresses, 4);
     let seeds: Vec<String> = addresses.iter().take(3).map(|it| format!("{it}:{}", ports[2])).collect();
     let mut started = Vec::new();
+    let mut pids = fs::File::create(folder.join("pids")).expect("a file for process ids");
     for ((zone, number), address) in machines.iter().zip(&addresses) {
         let name = format!("front-{zone}-{number}");
         let mut values = BTreeMap::new();
@@ -894,6 +895,8 @@
             .stdout(log)
             .spawn();
         let Ok(child) = child else { cannot_run("sardinemux-front does not start") };
+        // run.sh ends what is left if this process is killed.
+        let _ = writeln!(pids, "{}", child.id());
         started.push(Machine {
             name,
             zone: (*zone).to_owned(),
@@ -918,10 +921,9 @@
     started
 }
 
-/// Ends the script as one that could not run.
+/// Ends the script as one that could not run, and all processes with it: run.sh exits with 2.
 pub fn cannot_run(reason: &str) -> ! {
-    eprintln!("cannot run: {reason}");
-    std::process::exit(2);
+    panic!("cannot run: {reason}");
 }
 
 /// A desired state like that of lakeshore-mux, with its tenants and their keys.
