--- a/review/support-2/support.rs
+++ b/review/support-2/support.rs
@@ -377,15 +377,21 @@
     rows: Arc<(Mutex<Rows>, Condvar)>,
     /// Whether calls over the network are answered 503, and nothing is done.
     is_down: Arc<AtomicBool>,
+    /// The value of `Store-Era`; answers have none while it is 0.
+    era: Arc<AtomicU64>,
     pub address: SocketAddr,
 }
 
+/// A copy of what the store holds.
+pub struct Copy(u64, BTreeMap<(String, String), (u64, Option<String>)>);
+
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the store");
         let store = Self {
             rows: Arc::default(),
             is_down: Arc::default(),
+            era: Arc::default(),
             address: listener.local_addr().unwrap(),
         };
         let server = store.clone();
@@ -398,6 +404,32 @@
         self.is_down.store(is_down, Ordering::SeqCst);
     }
 
+    /// The store states its era from now on.
+    pub fn state_era(&self) {
+        self.era.store(1, Ordering::SeqCst);
+    }
+
+    pub fn copy(&self) -> Copy {
+        let rows = self.rows.0.lock().unwrap();
+        Copy(rows.version, rows.rows.clone())
+    }
+
+    /// The store comes back from a copy. Versions go back and are given out again, and the era rises by one.
+    pub fn restore(&self, copy: Copy) {
+        let mut rows = self.rows.0.lock().unwrap();
+        rows.version = copy.0;
+        rows.rows = copy.1;
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.rows.1.notify_all();
+    }
+
+    /// The keys and values of a table, for the record.
+    pub fn dump(&self, table: &str) -> String {
+        let rows = self.rows.0.lock().unwrap();
+        let inside = rows.rows.iter().filter(|((it, _), (_, value))| it == table && value.is_some());
+        inside.map(|((_, key), (version, value))| format!("{key}@{version}={} ", value.as_deref().unwrap_or_default())).collect()
+    }
+
     /// Writes a row as the operator or a replica does; the return is the confirmation.
     pub fn put(&self, table: &str, key: &str, value: &str) -> u64 {
         self.write(&[(table.into(), key.into(), Some(base64(value.as_bytes())))])
@@ -430,7 +462,10 @@
                 true => (503, "{}".to_owned()),
                 false => self.answer(&request),
             };
-            if respond(&mut writer, status, &[("Content-Type", "application/json")], body.as_bytes()).is_err() {
+            let era = self.era.load(Ordering::SeqCst).to_string();
+            let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+            let headers = if era == "0" { &headers[..1] } else { &headers[..] };
+            if respond(&mut writer, status, headers, body.as_bytes()).is_err() {
                 return;
             }
         }
@@ -481,6 +516,9 @@
         let until = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut rows = self.rows.0.lock().unwrap();
         loop {
+            if since > rows.version {
+                return (410, "{}".into());
+            }
             let mut changed: Vec<(u64, String)> = Vec::new();
             for ((it, key), (version, value)) in &rows.rows {
                 if *it == table && *version > since {
@@ -764,6 +802,10 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     child: Child,
+    root: PathBuf,
+    folder: PathBuf,
+    /// The settings file of each start but the first.
+    later: String,
 }
 
 impl Machine {
@@ -778,6 +820,25 @@
         record.note(format!("{} is lost", self.name));
     }
 
+    /// The process starts again.
+    pub fn start_again(&mut self, record: &Record) {
+        let boot = self.folder.join(format!("{}.ini", self.name));
+        fs::write(&boot, &self.later).expect("a settings file");
+        let log = fs::File::create(self.folder.join(format!("{}-again.log", self.name))).expect("a log file");
+        self.child = Command::new(self.root.join("target/release/sardinemux-front"))
+            .current_dir(&self.root)
+            .env_clear()
+            .env("SARDINEMUX_BOOT", &boot)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone().unwrap())
+            .stdout(log)
+            .spawn()
+            .expect("the gateway");
+        let pids = fs::OpenOptions::new().append(true).open(self.folder.join("pids"));
+        let _ = writeln!(pids.expect("a file for process ids"), "{}", self.pid());
+        record.note(format!("{} starts again", self.name));
+    }
+
     fn signal(&self, name: &str) {
         let _ = Command::new("kill").arg(format!("-{name}")).arg(self.pid().to_string()).status();
     }
@@ -903,6 +964,12 @@
             front: SocketAddr::new(IpAddr::V4(*address), ports[0]),
             ready: SocketAddr::new(IpAddr::V4(*address), ports[1]),
             child,
+            root: root.clone(),
+            folder: folder.clone(),
+            later: {
+                values.remove("Bootstrap");
+                render(&template, &values)
+            },
         });
     }
     let until = Instant::now() + Duration::from_secs(15);
