--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -14,12 +14,12 @@
 const STABLE_WINDOW_S: f64 = 3.0;
 
 /// How long the machine is cut off: less than the 5.5 s of the site file.
-const CUT_S: f64 = 4.0;
+const CUT_S: f64 = 1.8;
 
 /// When a replica leaves, before the end of the cut. It goes on serving for longer than the machine is asked.
 const LEAVES_S: f64 = 0.6;
 
-const ROUNDS: usize = 12;
+const ROUNDS: usize = 17;
 
 /// The requesters that ask at the same time.
 const CLIENTS: usize = 6;
