--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -14,7 +14,7 @@
 use support::*;
 
 /// The number of streams, and the time budget of each requester in seconds.
-const STREAMS: usize = 21;
+const STREAMS: usize = 140;
 const BUDGET_S: f64 = 12.0;
 
 /// `DrainMs` of the deployment, in seconds.
@@ -81,7 +81,7 @@
     let store = Store::start();
     store.state_era();
     store.put("op", "config", &desired_state(10, &[("studio", &["studio-key"])]));
-    let former: Vec<Replica> = (0..2).map(|_| Replica::new(&record, &runs, 200, 40)).collect();
+    let former: Vec<Replica> = (0..10).map(|_| Replica::new(&record, &runs, 200, 40)).collect();
     for (index, replica) in former.iter().enumerate() {
         replica.start(&format!("i-{index}"), "sardine-pool", "v1");
         replica.announce(&store, "duluth");
@@ -90,7 +90,7 @@
     // The machines have run for a while.
     sleep(4.0);
     let copy = store.copy();
-    let new: Vec<Replica> = (0..3).map(|_| Replica::new(&record, &runs, 200, 40)).collect();
+    let new: Vec<Replica> = (0..2).map(|_| Replica::new(&record, &runs, 200, 40)).collect();
     for (index, replica) in new.iter().enumerate() {
         replica.start(&format!("n-{index}"), "sardine-pool", "v2");
         replica.announce(&store, "duluth");
