--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -8,8 +8,13 @@
 //! base of the next epoch.
 //!
 //! The store may come back from an older copy, without a build that has joined since and without the latest records. A gateway
-//! that knows more writes both again, and has streams recorded meanwhile. One that knows nothing of the time before sees from
-//! the era in which an epoch was written that it may lack a build, and believes its base only once no other build is listed.
+//! that knows more writes both again, and has streams recorded meanwhile. One that may not know of the last join, as it has
+//! started or was out of touch, sees from the era in which an epoch was written that it may lack a build. It holds the base for
+//! a [`Doubt`] until no stream of the time before can be taken up: a missing record says nothing of where a stream began.
+//!
+//! Most streams are still taken up then. While a join is so recent that a copy may lack it, only one stream in
+//! [`RECENT_STREAMS`], chosen by its id, begins at the new build, and all others at the first build of the epoch. Those can have
+//! begun nowhere else.
 //!
 //! Each change of an epoch is a write under the condition that the epoch is the one that the writer has read, so that a
 //! delayed write cannot undo a later one. A gateway that takes up a stream reads the epoch after the request has arrived: no
@@ -49,9 +54,13 @@
     /// How long other gateways have after a restore of the store to tell what they know of an epoch, before it is written again,
     /// in milliseconds.
     pub confirm_ms: u64,
-    /// How long no other build has been listed before a doubtful base is believed, in milliseconds. Targets write their entries
-    /// again in this time.
+    /// How long no other build has been listed before streams that can only have begun at a doubtful base go on there, in
+    /// milliseconds. Targets write their entries again in this time.
     pub doubt_ms: u64,
+    /// How old the copy may be from which the store comes back, in milliseconds.
+    pub copy_age_ms: u64,
+    /// The share of the open slots below which those of the first build are too few for most streams.
+    pub first_slots_min: f64,
     /// The largest number of streams that are kept.
     pub streams_max: usize,
 }
@@ -67,6 +76,8 @@
             stream_ms: 30_000,
             confirm_ms: 1_000,
             doubt_ms: 2_500,
+            copy_age_ms: 15_000,
+            first_slots_min: 0.5,
             streams_max: 4_096,
         }
     }
@@ -163,8 +174,13 @@
     /// It has not been read.
     #[default]
     None,
-    /// The store holds none in this era.
-    Absent(Era),
+    /// The store holds none.
+    Absent {
+        /// The era in which it holds none.
+        era: Era,
+        /// Whether there can have been none before, which the store has lost.
+        is_first: bool,
+    },
     /// The store held this one.
     Stored(Stored),
 }
@@ -188,16 +204,29 @@
 struct Pool {
     epoch: Knowledge,
     builds: IndexMap<SmolStr, Sighting>,
+    /// When builds other than the first one of the epoch have joined it, as far as known here, in milliseconds.
+    joined: IndexMap<SmolStr, u64>,
+    /// The only build of the epoch, while that has no base.
+    sole: Option<Sole>,
     /// The epoch of an earlier era of the store, until the store holds it again.
     kept: Option<Epoch>,
     /// The base that the store states and that is not certain.
     doubt: Option<Doubt>,
     /// When an epoch of a later era was read, in milliseconds.
     era_ms: u64,
+    /// When the list of targets was last known to be current, in the era of the epoch, in milliseconds.
+    current_ms: Option<u64>,
 }
 
-/// A base that was written in an earlier era of the store and read by a gateway that knows nothing of that era: the store may lack
-/// that a further build has joined since.
+/// A build that has been the only one of an epoch without a base.
+#[derive(Clone, Debug)]
+struct Sole {
+    build: SmolStr,
+    since_ms: u64,
+}
+
+/// A base that was written in an earlier era of the store and read by a gateway that may not know of the last join of that era, which
+/// the store may lack.
 #[derive(Clone, Debug)]
 struct Doubt {
     base: SmolStr,
@@ -224,6 +253,8 @@
     outbox: VecDeque<Origin>,
     /// When a gateway was last seen to start, in milliseconds.
     restart_ms: u64,
+    /// Whether the fleet starts for the first time, so that there was no epoch before.
+    is_first_start: bool,
 }
 
 impl Register {
@@ -246,6 +277,23 @@
     }
 }
 
+/// While the store may lose the join of a build, one stream in this number may begin there.
+pub const RECENT_STREAMS: u64 = 4;
+
+/// Returns whether a stream may begin at a build whose join the store may still lose.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::origin::{may_begin_at_recent, RECENT_STREAMS};
+///
+/// let allowed = (0..1_000).filter(|stream| may_begin_at_recent(*stream));
+/// assert_eq!(allowed.count() as u64, 1_000 / RECENT_STREAMS);
+/// ```
+pub fn may_begin_at_recent(stream: u64) -> bool {
+    stream.is_multiple_of(RECENT_STREAMS)
+}
+
 /// Returns the id of the stream that a request of an organisation began. It is the same at all gateways.
 ///
 /// # Examples
--- a/crates/core/src/origin/command.rs
+++ b/crates/core/src/origin/command.rs
@@ -5,14 +5,17 @@
 use crate::position::{Era, Position};
 
 use super::{
-    query, Doubt, Epoch, Knowledge, Known, Origin, Pool, Presence, Register, Sighting, Stored,
+    query, Doubt, Epoch, Knowledge, Known, Origin, Pool, Presence, Register, Sighting, Sole, Stored,
 };
 
+/// The latest era in which a store cannot have come back from a copy. Stores count from zero or one.
+const FIRST_ERA: Era = Some(1);
+
 /// Records which builds a pool has listed, and the slots of each that may get new requests.
 pub fn observe(register: &mut Register, pool: &SmolStr, present: &[Presence], now_ms: u64) {
     let settings = register.settings;
     let state = register.pools.entry(pool.clone()).or_default();
-    settle_doubt(state, present, settings.doubt_ms, now_ms);
+    drop_doubt(state, present);
     let position = query::position(&state.epoch).unwrap_or_default();
     for (build, sighting) in &mut state.builds {
         sighting.slots = 0;
@@ -49,6 +52,21 @@
     register.settings.stream_ms = stream_ms;
 }
 
+/// Records that the fleet starts for the first time: where the store holds no epoch, there was none before.
+pub fn note_first_start(register: &mut Register) {
+    register.is_first_start = true;
+}
+
+/// Records that the list of targets is current and was read in an era of the store: any build that may have joined in that era
+/// is known here, or has been listed for too short a time.
+pub fn note_current(register: &mut Register, era: Era, now_ms: u64) {
+    for state in register.pools.values_mut() {
+        if query::position(&state.epoch).is_some_and(|position| position.era == era) {
+            state.current_ms = Some(now_ms);
+        }
+    }
+}
+
 /// Records that a gateway, this one or another, has started: streams that began at a former process may be taken up.
 pub fn note_restart(register: &mut Register, now_ms: u64) {
     register.restart_ms = register.restart_ms.max(now_ms);
@@ -63,21 +81,44 @@
     era: Era,
     now_ms: u64,
 ) -> bool {
+    let settings = register.settings;
+    let is_first_start = register.is_first_start && era <= FIRST_ERA || era.is_none();
     let state = register.pools.entry(pool.clone()).or_default();
     let absent = Position::new(era, 0);
     let position = stored.as_ref().map_or(absent, |stored| stored.position);
-    if query::position(&state.epoch).is_some_and(|known| position <= known) {
+    let former = query::position(&state.epoch);
+    let is_dated = former == Some(position) && dates(&state.epoch, stored.as_ref());
+    if former.is_some_and(|known| position <= known) && !is_dated {
         return false;
     }
     for sighting in state.builds.values_mut() {
         let was_before = sighting.absent_at.is_some_and(|at| at < position);
-        if was_before && now_ms.saturating_sub(sighting.last_ms) < register.settings.absent_ms {
+        if was_before && now_ms.saturating_sub(sighting.last_ms) < settings.absent_ms {
             sighting.absent_at = None;
         }
     }
-    let former = std::mem::take(&mut state.epoch);
-    let is_restored = replace_epoch(state, former, stored, era, now_ms);
+    let former = match is_dated {
+        true => Knowledge::None,
+        false => std::mem::take(&mut state.epoch),
+    };
+    let mut reading = Reading {
+        stored,
+        era,
+        is_certain: true,
+        now_ms,
+    };
+    let is_restored = note_era(state, &former, &reading);
+    let was_current = |at_ms| now_ms.saturating_sub(at_ms) <= settings.join_ms;
+    reading.is_certain = !is_restored || state.current_ms.is_some_and(was_current);
+    let mut is_first = reading.is_certain;
+    if former == Knowledge::None {
+        reading.is_certain = false;
+        is_first = is_first_start;
+    }
+    keep_former(state, former, is_restored, &mut reading);
+    replace_epoch(state, reading, is_first);
     if is_restored {
+        register.is_first_start = false;
         renew_records(register, pool, now_ms);
     }
     if query::is_mixed(register, pool, now_ms) {
@@ -86,49 +127,98 @@
     true
 }
 
-/// Replaces what is known of an epoch by what the store states. Returns whether the store may have come back from an older copy,
-/// so that the former epoch must be written again unless the store still holds it.
-fn replace_epoch(
-    state: &mut Pool,
-    former: Knowledge,
+/// What the store has stated of an epoch.
+struct Reading {
     stored: Option<Stored>,
     era: Era,
+    /// Whether each join of the time before is known here.
+    is_certain: bool,
     now_ms: u64,
-) -> bool {
-    let known = query::position(&former).and_then(|position| position.era);
-    let is_first = matches!(former, Knowledge::None);
-    let is_later_era = query::position(&former).is_some_and(|position| era > position.era);
-    if is_later_era {
-        state.era_ms = now_ms;
+}
+
+/// Returns whether the store tells in which era an epoch was written of which another gateway has told the rest.
+fn dates(known: &Knowledge, stored: Option<&Stored>) -> bool {
+    let is_told = matches!(known, Knowledge::Stored(known) if known.written.is_none());
+    is_told && stored.is_some_and(|stored| stored.written.is_some())
+}
+
+/// Notes whether an epoch is of a later era than the former one. Returns whether the store may have come back from an older copy, so that
+/// the former epoch must be written again unless the store still holds it.
+fn note_era(state: &mut Pool, former: &Knowledge, reading: &Reading) -> bool {
+    let Some(former) = query::position(former) else {
+        return false;
+    };
+    let is_later = reading.era > former.era;
+    if is_later {
+        state.era_ms = reading.now_ms;
     }
-    let is_restored = is_later_era && known.is_some();
+    is_later && former.era.is_some()
+}
+
+/// Keeps the former epoch if the store may have come back from an older copy, and adds to the one that was read what it lacks.
+fn keep_former(state: &mut Pool, former: Knowledge, is_restored: bool, reading: &mut Reading) {
     if let (true, Knowledge::Stored(former)) = (is_restored, former) {
         state.kept = Some(former.epoch);
     }
-    let position = Position::new(era, 0);
-    let mut stored = stored;
-    match (&state.kept, &mut stored) {
-        (Some(kept), Some(stored)) if covers(&stored.epoch, kept) => state.kept = None,
-        (Some(kept), Some(stored)) => stored.epoch = union(&stored.epoch, kept),
-        (Some(kept), None) => {
-            stored = Some(Stored {
-                epoch: kept.clone(),
-                position,
-                written: era,
+    let Some(kept) = state.kept.clone() else {
+        return;
+    };
+    // The store may lose again what is written again.
+    state.joined.clear();
+    match &mut reading.stored {
+        Some(stored) if covers(&stored.epoch, &kept) => state.kept = None,
+        Some(stored) => stored.epoch = union(&stored.epoch, &kept),
+        None => {
+            reading.stored = Some(Stored {
+                epoch: kept,
+                position: Position::new(reading.era, 0),
+                written: None,
             });
         }
-        (None, _) => {}
     }
+}
+
+/// Replaces what is known of an epoch by what was read. `is_first` states whether there was none before if the store holds none.
+fn replace_epoch(state: &mut Pool, reading: Reading, is_first: bool) {
+    let Reading {
+        mut stored,
+        era,
+        is_certain,
+        now_ms,
+    } = reading;
     state.doubt = None;
-    if let Some(stored) = stored.as_mut().filter(|_| is_first) {
+    if let Some(stored) = stored.as_mut().filter(|_| !is_certain) {
+        let is_rebuilt = state.kept.is_some();
         let is_earlier = stored.written.is_some() && stored.written < stored.position.era;
-        if let Some(base) = stored.epoch.base.take_if(|_| is_earlier) {
-            let since_ms = now_ms;
-            state.doubt = Some(Doubt { base, since_ms });
+        let base = stored.epoch.base.take_if(|_| is_earlier || is_rebuilt);
+        let since_ms = now_ms;
+        state.doubt = base.map(|base| Doubt { base, since_ms });
+    }
+    let epoch = stored.as_ref().map(|stored| &stored.epoch);
+    date_builds(state, epoch.unwrap_or(&Epoch::default()), now_ms);
+    state.epoch = stored.map_or(Knowledge::Absent { era, is_first }, Knowledge::Stored);
+}
+
+/// Notes which builds of an epoch have just joined it, and since when it has had one build without a base.
+fn date_builds(state: &mut Pool, epoch: &Epoch, now_ms: u64) {
+    let former = state.sole.take();
+    state.sole = match (&epoch.base, epoch.builds.as_slice()) {
+        (None, [build]) => {
+            let former = former.filter(|sole| sole.build == *build);
+            Some(former.unwrap_or_else(|| Sole {
+                build: build.clone(),
+                since_ms: now_ms,
+            }))
         }
+        _ => None,
+    };
+    let later = epoch.builds.iter().skip(1);
+    state
+        .joined
+        .retain(|build, _| later.clone().any(|it| it == build));
+    for build in later {
+        state.joined.entry(build.clone()).or_insert(now_ms);
     }
-    state.epoch = stored.map_or(Knowledge::Absent(era), Knowledge::Stored);
-    is_restored
 }
 
 /// Returns whether an epoch has all builds of another one, and states no base that the other does not.
@@ -161,19 +251,12 @@
     }
 }
 
-/// Believes a doubtful base once no other build has been listed for long enough, and gives it up if one is.
-fn settle_doubt(state: &mut Pool, present: &[Presence], doubt_ms: u64, now_ms: u64) {
-    let Some(doubt) = &state.doubt else {
-        return;
-    };
-    let is_alone = present.iter().all(|presence| presence.build == doubt.base);
-    if is_alone && now_ms.saturating_sub(doubt.since_ms) < doubt_ms {
-        return;
+/// Gives up a doubtful base if another build is listed: the store has lost its join, or it joins now.
+fn drop_doubt(state: &mut Pool, present: &[Presence]) {
+    let is_alone = |doubt: &Doubt| present.iter().all(|presence| presence.build == doubt.base);
+    if !state.doubt.as_ref().is_some_and(is_alone) {
+        state.doubt = None;
     }
-    if let (true, Knowledge::Stored(stored)) = (is_alone, &mut state.epoch) {
-        stored.epoch.base = Some(doubt.base.clone());
-    }
-    state.doubt = None;
 }
 
 /// Records that a stream has begun here, and queues its record if it needs one.
--- a/crates/core/src/origin/query.rs
+++ b/crates/core/src/origin/query.rs
@@ -5,8 +5,8 @@
 use crate::position::Position;
 
 use super::{
-    command, Contact, Epoch, Knowledge, Origin, Pool, Presence, Proposal, Register, Sighting,
-    Stored,
+    command, may_begin_at_recent, Contact, Doubt, Epoch, Knowledge, Origin, Pool, Presence,
+    Proposal, Register, Settings, Sighting, Sole, Stored,
 };
 
 /// What a gateway that is to take up a stream has to find out about its build.
@@ -27,7 +27,7 @@
 pub fn epoch<'a>(register: &'a Register, pool: &str) -> Option<&'a Stored> {
     match &register.pools.get(pool)?.epoch {
         Knowledge::Stored(stored) => Some(stored),
-        Knowledge::None | Knowledge::Absent(_) => None,
+        Knowledge::None | Knowledge::Absent { .. } => None,
     }
 }
 
@@ -35,7 +35,7 @@
 pub(super) fn position(epoch: &Knowledge) -> Option<Position> {
     match epoch {
         Knowledge::None => None,
-        Knowledge::Absent(era) => Some(Position::new(*era, 0)),
+        Knowledge::Absent { era, .. } => Some(Position::new(*era, 0)),
         Knowledge::Stored(stored) => Some(stored.position),
     }
 }
@@ -55,12 +55,12 @@
     !register.outbox.is_empty()
 }
 
-/// Returns the known epochs of all pools.
+/// Returns the known epochs of all pools, without those whose base is in doubt: others are to find that out for themselves.
 pub fn epochs(register: &Register) -> impl Iterator<Item = (&SmolStr, &Stored)> {
-    let pools = register.pools.iter();
+    let pools = register.pools.iter().filter(|(_, it)| it.doubt.is_none());
     pools.filter_map(|(name, pool)| match &pool.epoch {
         Knowledge::Stored(stored) => Some((name, stored)),
-        Knowledge::None | Knowledge::Absent(_) => None,
+        Knowledge::None | Knowledge::Absent { .. } => None,
     })
 }
 
@@ -72,6 +72,42 @@
     }
 }
 
+/// Returns the base of a pool that is in doubt, as the store may have lost the join of another build.
+pub fn doubtful_base<'a>(register: &'a Register, pool: &str) -> Option<&'a SmolStr> {
+    let doubt = register.pools.get(pool)?.doubt.as_ref()?;
+    Some(&doubt.base)
+}
+
+/// Returns the build at which a stream without a record began: the base, or a base in doubt if the stream can have begun nowhere else.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::origin::{command, query, Epoch, Register, Settings, Stored};
+/// use sardinemux_core::position::Position;
+///
+/// let mut register = Register::new(Settings::default(), 0);
+/// let epoch = Epoch { base: Some("v1".into()), builds: vec!["v1".into()] };
+/// let stored = Stored { epoch, position: Position::new(Some(2), 1), written: Some(1) };
+/// command::note_epoch(&mut register, &"p".into(), Some(stored), Some(2), 0);
+/// assert!(query::unrecorded_build(&register, "p", 1, 0).is_none());
+/// assert_eq!(query::unrecorded_build(&register, "p", 1, 9_000).unwrap(), "v1");
+/// assert!(query::unrecorded_build(&register, "p", 4, 9_000).is_none());
+/// ```
+pub fn unrecorded_build(
+    register: &Register,
+    pool: &str,
+    stream: u64,
+    now_ms: u64,
+) -> Option<SmolStr> {
+    let base = epoch(register, pool)?.epoch.base.clone();
+    let doubt = register.pools.get(pool)?.doubt.as_ref();
+    let is_settled =
+        |doubt: &Doubt| now_ms.saturating_sub(doubt.since_ms) >= register.settings.doubt_ms;
+    let doubt = doubt.filter(|doubt| is_settled(doubt) && !may_begin_at_recent(stream));
+    base.or_else(|| doubt.map(|doubt| doubt.base.clone()))
+}
+
 /// Returns the base of a pool if it is certain although the epoch cannot be read, which takes that only targets of the base are in the
 /// list, that the list has been read since the process last stood still, and one of:
 ///
@@ -105,9 +141,14 @@
 ) -> Option<SmolStr> {
     let base = epoch(register, pool)?.epoch.base.clone()?;
     let is_alone = present.iter().all(|presence| presence.build == base);
-    let is_recent = contact.age_ms <= register.settings.contact_ms;
-    let is_certain = is_recent || is_outage(contact, register.settings.contact_ms);
-    (contact.is_refreshed && is_alone && is_certain).then_some(base)
+    (is_alone && is_current(register, contact)).then_some(base)
+}
+
+/// Returns whether a gateway's list of targets is as current as that of any gateway that can write a join.
+pub fn is_current(register: &Register, contact: &Contact) -> bool {
+    let recent_ms = register.settings.contact_ms;
+    let is_recent = contact.age_ms <= recent_ms;
+    contact.is_refreshed && (is_recent || is_outage(contact, recent_ms))
 }
 
 /// Returns whether the other gateways show that none reaches the store.
@@ -130,7 +171,7 @@
     };
     let has_base = match &state.epoch {
         Knowledge::Stored(stored) => stored.epoch.base.is_some(),
-        Knowledge::None | Knowledge::Absent(_) => true,
+        Knowledge::None | Knowledge::Absent { .. } => true,
     };
     !has_base || listed(state, register, now_ms).count() > 1
 }
@@ -148,9 +189,9 @@
     builds.filter(move |(_, sighting)| now_ms.saturating_sub(sighting.last_ms) <= limit_ms)
 }
 
-/// Returns the builds of a pool at which streams may begin. Before the epoch has been read, that is the only build that is
+/// Returns the builds of a pool at which a stream may begin. Before the epoch has been read, that is the only build that is
 /// listed, if there is only one: a stream that is then taken to have begun at another build finds no target of it.
-pub fn open_builds(register: &Register, pool: &str, now_ms: u64) -> Vec<SmolStr> {
+pub fn open_builds(register: &Register, pool: &str, stream: u64, now_ms: u64) -> Vec<SmolStr> {
     let Some(state) = register.pools.get(pool) else {
         return Vec::new();
     };
@@ -160,16 +201,46 @@
             let is_open = |(build, sighting): &&(&SmolStr, &Sighting)| {
                 stored.epoch.builds.contains(build) && sighting.absent_at.is_none()
             };
-            let open = listed.iter().filter(is_open);
-            open.map(|(build, _)| (*build).clone()).collect()
+            let open: Vec<_> = listed.iter().filter(is_open).copied().collect();
+            let lasting = match may_begin_at_recent(stream) {
+                true => None,
+                false => lasting_builds(state, &stored.epoch, &open, &register.settings, now_ms),
+            };
+            let open = lasting.unwrap_or(open).into_iter();
+            open.map(|(build, _)| build.clone()).collect()
         }
-        Knowledge::None | Knowledge::Absent(_) => match listed.as_slice() {
+        Knowledge::None | Knowledge::Absent { .. } => match listed.as_slice() {
             [(build, _)] => vec![(*build).clone()],
             _ => Vec::new(),
         },
     }
 }
 
+/// A build and when it was listed.
+type Listed<'a> = (&'a SmolStr, &'a Sighting);
+
+/// Returns the open builds whose joins the store cannot lose any more. `None` if the first build, at which most streams begin until
+/// then, has too few slots for that.
+fn lasting_builds<'a>(
+    state: &Pool,
+    epoch: &Epoch,
+    open: &[Listed<'a>],
+    settings: &Settings,
+    now_ms: u64,
+) -> Option<Vec<Listed<'a>>> {
+    let is_recent = |build: &SmolStr| {
+        let joined_ms = state.joined.get(build);
+        joined_ms.is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < settings.copy_age_ms)
+    };
+    let lasting = open.iter().filter(|(build, _)| !is_recent(build));
+    let lasting: Vec<_> = lasting.copied().collect();
+    let first = epoch.builds.first()?;
+    let slots = |builds: &[Listed<'_>]| builds.iter().map(|(_, it)| it.slots).sum::<u32>();
+    let has_first = lasting.iter().any(|(build, _)| *build == first);
+    let is_enough = f64::from(slots(&lasting)) >= settings.first_slots_min * f64::from(slots(open));
+    (has_first && is_enough).then_some(lasting)
+}
+
 /// Returns the changes of epochs that are due.
 pub fn proposals(register: &Register, now_ms: u64) -> Vec<Proposal> {
     let pools = register.pools.iter();
@@ -181,11 +252,11 @@
     let listed: Vec<_> = listed(pool, register, now_ms).collect();
     let (epoch, expected) = match &pool.epoch {
         Knowledge::None => return None,
-        Knowledge::Absent(era) => {
+        Knowledge::Absent { era, is_first } => {
             let builds: Vec<SmolStr> = listed.iter().map(|(build, _)| (*build).clone()).collect();
             let base = match builds.as_slice() {
                 [] => return None,
-                [build] => Some(build.clone()),
+                [build] => Some(build.clone()).filter(|_| *is_first),
                 _ => None,
             };
             (Epoch { base, builds }, Position::new(*era, 0))
@@ -256,7 +327,8 @@
     builds.filter(|_| is_due).collect()
 }
 
-/// Returns the epoch without the builds that have been absent for long, or `None` if there is none or no other build is left.
+/// Returns the epoch without the builds that have been absent for long, or with the only build as its base once no stream of the time
+/// before can be taken up. `None` if neither changes it.
 fn settle(register: &Register, pool: &Pool, epoch: &Epoch, now_ms: u64) -> Option<Epoch> {
     let settle_ms = register.settings.settle_ms();
     let is_present = |build: &&SmolStr| match pool.builds.get(*build) {
@@ -264,7 +336,10 @@
         None => now_ms.saturating_sub(register.restart_ms) < settle_ms,
     };
     let builds: Vec<SmolStr> = epoch.builds.iter().filter(is_present).cloned().collect();
-    if builds.is_empty() || builds.len() == epoch.builds.len() {
+    let stream_ms = register.settings.stream_ms;
+    let is_old = |sole: &Sole| now_ms.saturating_sub(sole.since_ms) >= stream_ms;
+    let is_sole = pool.sole.as_ref().is_some_and(is_old);
+    if builds.is_empty() || builds.len() == epoch.builds.len() && !is_sole {
         return None;
     }
     let base = match builds.as_slice() {
--- a/crates/core/tests/origin.rs
+++ b/crates/core/tests/origin.rs
@@ -24,6 +24,10 @@
 
 const END: u64 = u64::MAX;
 
+/// A stream that may begin at a build whose join the store may still lose, and one that may not.
+const RECENT: u64 = 4;
+const LASTING: u64 = 5;
+
 const RELEASE: Scenario = Scenario {
     gateways: 9,
     streams_per_s: 45.0,
@@ -35,6 +39,8 @@
     ],
     outage: (0, 0),
     lapse: None,
+    restore: None,
+    patience_ms: 0,
 };
 
 /// A third build while two others serve; the first one leaves.
@@ -93,6 +99,24 @@
     }
 }
 
+/// A build joins and is taken back, and the store comes back from a copy without it as all gateways are killed.
+const TAKEN_BACK: Scenario = Scenario {
+    streams_per_s: 180.0,
+    builds: &[(0, END, 10), (9_000, 11_800, 2)],
+    kills: &[(12_500, 1.0, 500)],
+    restore: Some((12_500, 9_000)),
+    patience_ms: 8_000,
+    ..RELEASE
+};
+
+/// The same with gateways that were out of step while the build joined, and that are not killed.
+const fn surviving(lapse: Lapse) -> Scenario {
+    Scenario {
+        lapse: Some((8_500, 13_500, 0.1, lapse)),
+        ..TAKEN_BACK
+    }
+}
+
 const fn large(scenario: Scenario) -> Scenario {
     Scenario {
         gateways: 100,
@@ -149,6 +173,9 @@
 #[case::cut("joining, one is cut off", joining(Lapse::Cut, 0.1))]
 #[case::apart("joining, a third is cut off", joining(Lapse::Cut, 0.33))]
 #[case::replaced("replaced, a third is cut off", replacing(Lapse::Cut, 0.33))]
+#[case::taken_back("taken back, the store loses the join", TAKEN_BACK)]
+#[case::survivor_frozen("taken back, one stands still", surviving(Lapse::Freeze))]
+#[case::survivor_cut("taken back, one is cut off", surviving(Lapse::Cut))]
 #[case::large_frozen(
     "joining, a third of 100 stands still",
     large(joining(Lapse::Freeze, 0.33))
@@ -168,6 +195,8 @@
         assert!(!is_judged || is_kept, "seed {seed}: {outcome:?}");
         assert!(begun > 0.9, "seed {seed}: {outcome:?}");
     }
+    let lost: u32 = outcomes.iter().map(|outcome| outcome.lost).sum();
+    assert_eq!(lost > 0, scenario.restore.is_some());
 }
 
 #[rstest]
@@ -235,7 +264,7 @@
         observe(&mut register, &["v2"], now_ms);
     }
     observe(&mut register, &["v1", "v2"], now_ms);
-    assert_eq!(query::open_builds(&register, "p", now_ms), ["v2"]);
+    assert_eq!(query::open_builds(&register, "p", RECENT, now_ms), ["v2"]);
     let proposals = query::proposals(&register, now_ms);
     assert_eq!(proposals.len(), 1);
     assert_eq!(proposals[0].expected.version, 3);
@@ -246,7 +275,10 @@
         None,
         now_ms,
     );
-    assert_eq!(query::open_builds(&register, "p", now_ms), ["v1", "v2"]);
+    assert_eq!(
+        query::open_builds(&register, "p", RECENT, now_ms),
+        ["v1", "v2"]
+    );
 }
 
 /// A stream that began before the second build was listed has no record until then.
@@ -269,7 +301,7 @@
     command::begin(&mut register, origin.clone(), 100);
     assert!(!query::has_records(&register));
     observe(&mut register, &["v1", "v2"], 200);
-    assert_eq!(query::open_builds(&register, "p", 200), ["v1"]);
+    assert_eq!(query::open_builds(&register, "p", RECENT, 200), ["v1"]);
     assert!(query::proposals(&register, 200).is_empty());
     assert_eq!(command::take_records(&mut register, 10), [origin]);
 }
@@ -321,7 +353,7 @@
         None,
         0
     ));
-    assert_eq!(query::open_builds(&register, "p", 0), ["v2"]);
+    assert_eq!(query::open_builds(&register, "p", RECENT, 0), ["v2"]);
 }
 
 /// Two builds that are both new have no base, and the only one that is left becomes it.
@@ -387,7 +419,10 @@
     note(&mut register, restored, 2, 100);
     let known = query::epoch(&register, "p").map(|stored| &stored.epoch);
     assert_eq!(known.and_then(|epoch| epoch.base.as_ref()), None);
-    assert_eq!(query::open_builds(&register, "p", 100), ["v1", "v2"]);
+    assert_eq!(
+        query::open_builds(&register, "p", RECENT, 100),
+        ["v1", "v2"]
+    );
     let proposals = query::proposals(&register, 100);
     assert_eq!(proposals[0].epoch.builds, ["v1", "v2"]);
     assert_eq!(proposals[0].expected, Position::new(Some(2), version));
@@ -397,28 +432,141 @@
     assert!(query::proposals(&register, 200).is_empty());
 }
 
+fn base(register: &Register) -> Option<SmolStr> {
+    query::epoch(register, "p").and_then(|it| it.epoch.base.clone())
+}
+
 /// A gateway that has started after a restore cannot know whether a build had joined that the copy lacks.
 #[rstest]
 #[case::another_build(&["v1", "v2"], None)]
 #[case::alone(&["v1"], Some("v1"))]
-fn verify_base_of_an_earlier_era_is_believed_late(
+fn verify_base_of_an_earlier_era_is_not_believed_while_older_streams_can_be_taken_up(
     #[case] builds: &[&str],
     #[case] expected: Option<&str>,
 ) {
     let settings = Settings::default();
     let mut register = Register::new(settings, 0);
-    let base =
-        |register: &Register| query::epoch(register, "p").and_then(|it| it.epoch.base.clone());
     note(&mut register, at(Some("v1"), &["v1"], 2, 3), 2, 0);
-    assert_eq!(base(&register), None);
     let mut now_ms = 0;
-    while now_ms <= settings.doubt_ms {
-        assert_eq!(base(&register), None);
+    while now_ms < settings.stream_ms {
         observe(&mut register, builds, now_ms);
+        assert_eq!(base(&register), None);
+        let found = |stream| query::unrecorded_build(&register, "p", stream, now_ms);
+        assert_eq!(found(RECENT), None);
+        let expected = expected.filter(|_| now_ms >= settings.doubt_ms);
+        assert_eq!(found(LASTING).as_deref(), expected);
+        now_ms += 100;
+    }
+    observe(&mut register, builds, now_ms);
+    let proposal = &query::proposals(&register, now_ms)[0];
+    assert_eq!(proposal.epoch.base.as_deref(), expected);
+}
+
+/// An epoch that the store has lost leaves none behind: the listed build need not be the one at which streams began.
+#[rstest]
+#[case::first_start(true, Some(1), Some("v1"))]
+#[case::no_eras(false, None, Some("v1"))]
+#[case::later_start(false, Some(1), None)]
+#[case::later_era(true, Some(2), None)]
+fn verify_missing_epoch_is_no_knowledge_after_a_start(
+    #[case] is_first_start: bool,
+    #[case] era: Option<u32>,
+    #[case] expected: Option<&str>,
+) {
+    let settings = Settings::default();
+    let mut register = Register::new(settings, 0);
+    if is_first_start {
+        command::note_first_start(&mut register);
+    }
+    command::note_epoch(&mut register, &"p".into(), None, era, 0);
+    observe(&mut register, &["v1"], 0);
+    let epoch = query::proposals(&register, 0)[0].epoch.clone();
+    assert_eq!(epoch.base.as_deref(), expected);
+    let stored = Stored {
+        epoch,
+        position: Position::new(era, 1),
+        written: era,
+    };
+    command::note_epoch(&mut register, &"p".into(), Some(stored), era, 0);
+    let mut now_ms = 0;
+    while expected.is_none() && now_ms < settings.stream_ms {
+        observe(&mut register, &["v1"], now_ms);
+        assert!(query::proposals(&register, now_ms).is_empty());
+        assert_eq!(
+            query::unrecorded_build(&register, "p", LASTING, now_ms),
+            None
+        );
         now_ms += 100;
     }
+    let known = base(&register).or_else(|| {
+        observe(&mut register, &["v1"], now_ms);
+        query::proposals(&register, now_ms)[0].epoch.base.clone()
+    });
+    assert_eq!(known.as_deref(), Some("v1"));
+}
+
+/// A gateway that was out of touch while a build joined must not write the base of the copy into the new era.
+#[rstest]
+#[case::in_touch(100, Some("v1"))]
+#[case::out_of_touch(4_000, None)]
+fn verify_survivor_of_a_restore_states_the_base_only_if_it_knows_the_last_join(
+    #[case] gap_ms: u64,
+    #[case] expected: Option<&str>,
+) {
+    let settings = Settings::default();
+    let mut register = Register::new(settings, 0);
+    observe(&mut register, &["v1"], 0);
+    note(&mut register, at(Some("v1"), &["v1"], 1, 3), 1, 0);
+    command::note_current(&mut register, Some(1), 10_000);
+    // A contact in the new era says nothing of the former one.
+    command::note_current(&mut register, Some(2), 10_000 + gap_ms);
+    let now_ms = 10_000 + gap_ms;
+    observe(&mut register, &["v1"], now_ms);
+    note(&mut register, at(Some("v1"), &["v1"], 2, 3), 2, now_ms);
     assert_eq!(base(&register).as_deref(), expected);
-    assert!(!query::proposals(&register, now_ms).is_empty());
+    let due_ms = now_ms + settings.confirm_ms;
+    observe(&mut register, &["v1"], due_ms);
+    let proposals = query::proposals(&register, due_ms);
+    let proposed = proposals.first().and_then(|it| it.epoch.base.as_deref());
+    assert_eq!(proposed, expected);
+}
+
+/// Another gateway tells an epoch without the era in which it was written.
+#[test]
+fn verify_epoch_that_was_told_is_doubted_once_the_store_dates_it() {
+    let mut register = Register::new(Settings::default(), 0);
+    let mut told = at(Some("v1"), &["v1"], 2, 3);
+    told.iter_mut().for_each(|told| told.written = None);
+    note(&mut register, told, 2, 0);
+    assert_eq!(base(&register).as_deref(), Some("v1"));
+    note(&mut register, at(Some("v1"), &["v1"], 2, 3), 2, 100);
+    assert_eq!(base(&register), None);
+    assert_eq!(query::epochs(&register).count(), 0);
+}
+
+/// A stream at a build whose join gets lost must not look like one of the base.
+#[rstest]
+#[case::fresh(8, 4_000, &["v1"])]
+#[case::old(8, 20_000, &["v1", "v2"])]
+#[case::few_slots(2, 4_000, &["v1", "v2"])]
+fn verify_most_streams_begin_at_the_first_build_while_the_store_may_lose_the_join_of_another(
+    #[case] slots: u32,
+    #[case] now_ms: u64,
+    #[case] expected: &[&str],
+) {
+    let mut register = Register::new(Settings::default(), 0);
+    let presence = |build: &str, slots| Presence {
+        build: build.into(),
+        slots,
+    };
+    let present = [presence("v1", slots), presence("v2", 8)];
+    note(&mut register, at(None, &["v1", "v2"], 1, 9), 1, 0);
+    for at_ms in (0..=now_ms).step_by(100) {
+        command::observe(&mut register, &"p".into(), &present, at_ms);
+    }
+    let open = |stream| query::open_builds(&register, "p", stream, now_ms);
+    assert_eq!(open(LASTING), expected);
+    assert_eq!(open(RECENT), ["v1", "v2"]);
 }
 
 /// An epoch that nothing has changed is written again in the new era, so that gateways that start believe it at once.
@@ -428,9 +576,9 @@
     let mut register = Register::new(settings, 0);
     observe(&mut register, &["v1"], 0);
     note(&mut register, at(Some("v1"), &["v1"], 1, 3), 1, 0);
+    command::note_current(&mut register, Some(1), 0);
     note(&mut register, at(Some("v1"), &["v1"], 2, 3), 2, 100);
-    let base = query::epoch(&register, "p").and_then(|stored| stored.epoch.base.clone());
-    assert_eq!(base.as_deref(), Some("v1"));
+    assert_eq!(base(&register).as_deref(), Some("v1"));
     assert!(query::proposals(&register, 100).is_empty());
     let due_ms = 100 + settings.confirm_ms;
     observe(&mut register, &["v1"], due_ms);
--- a/crates/core/tests/support/streams.rs
+++ b/crates/core/tests/support/streams.rs
@@ -8,6 +8,7 @@
 use sardinemux_core::origin::{
     command, query, Contact, Epoch, Origin, Presence, Register, Settings, Stored, Witness,
 };
+use sardinemux_core::position::Position;
 use sardinemux_core::reports;
 use smol_str::SmolStr;
 
@@ -49,6 +50,10 @@
     pub outage: (u64, u64),
     /// When a share of the gateways is out of step, in milliseconds, and how.
     pub lapse: Option<(u64, u64, f64, Lapse)>,
+    /// When the store comes back from a copy, and when that was made, in milliseconds.
+    pub restore: Option<(u64, u64)>,
+    /// How long callers come again with a stream that is refused, in milliseconds.
+    pub patience_ms: u64,
 }
 
 /// What callers saw.
@@ -64,6 +69,8 @@
     pub not_begun: u32,
     pub begun: u32,
     pub calls: u32,
+    /// Streams that began at a build whose join the store lost.
+    pub lost: u32,
 }
 
 const POOL: &str = "p";
@@ -72,6 +79,7 @@
 const OBSERVE_MS: u64 = 100;
 const WRITE_MS: u64 = 80;
 const GOSSIP_MS: u64 = 250;
+const RETRY_MS: u64 = 500;
 /// How long gateways that stood still do not reach the store afterwards, in milliseconds.
 const THAW_MS: u64 = 1_000;
 
@@ -82,6 +90,8 @@
     written_ms: u64,
     /// Whether the lapse of the scenario concerns it.
     lapses: bool,
+    /// The latest era of the store that it knows.
+    era: Option<u32>,
 }
 
 #[derive(Clone)]
@@ -90,6 +100,8 @@
     build: usize,
     end_ms: u64,
     gateway: usize,
+    /// When it broke off, in milliseconds.
+    broken_ms: u64,
 }
 
 struct World {
@@ -102,6 +114,9 @@
     running: Vec<Stream>,
     broken: Vec<(u64, Stream)>,
     in_transit: Vec<(u64, Origin)>,
+    /// The era of the store; `None` if it states none.
+    era: Option<u32>,
+    copy: (Option<Stored>, BTreeMap<u64, Origin>),
     outcome: Outcome,
     next_id: u64,
 }
@@ -209,9 +224,9 @@
         if !self.reaches_store(index, now_ms) {
             return false;
         }
-        let stored = self.epoch.clone();
+        let (stored, era) = (self.epoch.clone(), self.era);
         let register = &mut self.gateways[index].register;
-        command::note_epoch(register, &POOL.into(), stored, None, now_ms);
+        command::note_epoch(register, &POOL.into(), stored, era, now_ms);
         true
     }
 
@@ -224,6 +239,17 @@
             &present,
             now_ms,
         );
+        // Each answer of the store states the era.
+        if self.reaches_store(index, now_ms) && self.gateways[index].era != self.era {
+            self.gateways[index].era = self.era;
+            self.gateways[index].is_read = false;
+        }
+        let contact = self.contact(index, now_ms);
+        let known = self.gateways[index].era;
+        let register = &mut self.gateways[index].register;
+        if query::is_current(register, &contact) {
+            command::note_current(register, known, now_ms);
+        }
         if !self.gateways[index].is_read {
             self.gateways[index].is_read = self.read_epoch(index, now_ms);
             return;
@@ -237,11 +263,10 @@
                 .map_or(0, |stored| stored.position.version);
             if self.reaches_store(index, now_ms) && version == proposal.expected.version {
                 let epoch: Epoch = proposal.epoch;
-                let position = (version + 1).into();
                 self.epoch = Some(Stored {
                     epoch,
-                    position,
-                    written: None,
+                    position: Position::new(self.era, version + 1),
+                    written: proposal.expected.era,
                 });
             }
             self.read_epoch(index, now_ms);
@@ -294,7 +319,8 @@
             return;
         };
         self.outcome.begun += 1;
-        let open = query::open_builds(&self.gateways[index].register, POOL, now_ms);
+        let register = &self.gateways[index].register;
+        let open = query::open_builds(register, POOL, self.next_id + 1, now_ms);
         let mut choices = Vec::new();
         for build in 0..self.scenario.builds.len() {
             let has_epochs = matches!(self.policy, Policy::Epochs | Policy::Credulous);
@@ -316,6 +342,7 @@
             build,
             end_ms: now_ms + self.random.random_range(200..4_000),
             gateway: index,
+            broken_ms: 0,
         };
         let origin = Origin {
             stream: stream.id,
@@ -357,7 +384,14 @@
         self.outcome.calls += 1;
         let is_reached = self.reaches_store(index, now_ms);
         let record = self.records.get(&stream.id).filter(|_| is_reached);
-        record.map(|origin| origin.build.clone())
+        if let Some(origin) = record {
+            return Some(origin.build.clone());
+        }
+        if !has_epochs || !self.read_epoch(index, now_ms) {
+            return None;
+        }
+        let register = &self.gateways[index].register;
+        query::unrecorded_build(register, POOL, stream.id, now_ms)
     }
 
     fn take_up(&mut self, stream: Stream, now_ms: u64) {
@@ -371,7 +405,6 @@
         let is_judged = serving >= 2
             && self.is_up(now_ms)
             && (self.scenario.outage.1 == 0 || since_outage_ms > 3_000);
-        self.outcome.possible += u32::from(is_judged);
         let found = match self.policy {
             Policy::None => {
                 let mut choices = Vec::new();
@@ -382,6 +415,11 @@
             }
             _ => self.find(index, &stream, now_ms),
         };
+        if found.is_none() && now_ms < stream.broken_ms + self.scenario.patience_ms {
+            self.broken.push((now_ms + RETRY_MS, stream));
+            return;
+        }
+        self.outcome.possible += u32::from(is_judged);
         let Some(found) = found else { return };
         let Some(build) = (0..self.scenario.builds.len()).find(|build| name(*build) == found)
         else {
@@ -406,6 +444,7 @@
                 is_read: false,
                 written_ms: 0,
                 lapses: self.gateways[index].lapses,
+                era: None,
             };
             let (broken, rest) = self
                 .running
@@ -413,14 +452,39 @@
                 .partition(|stream| stream.gateway == index);
             self.running = rest;
             let broken: Vec<Stream> = broken;
-            for stream in broken {
+            for mut stream in broken {
+                stream.broken_ms = now_ms;
                 let at_ms = now_ms + self.random.random_range(100..3_500);
                 self.broken.push((at_ms, stream));
             }
         }
     }
 
+    /// Makes the copy of the store, or brings the store back from it.
+    fn restore(&mut self, now_ms: u64) {
+        let Some((restore_ms, copy_ms)) = self.scenario.restore else {
+            return;
+        };
+        if now_ms == copy_ms {
+            self.copy = (self.epoch.clone(), self.records.clone());
+        }
+        if now_ms != restore_ms {
+            return;
+        }
+        let copied = self.copy.0.as_ref().map(|copy| copy.epoch.builds.clone());
+        let copied = copied.unwrap_or_default();
+        let running = self.running.iter();
+        let lost = running.filter(|stream| !copied.contains(&name(stream.build)));
+        self.outcome.lost = lost.count() as u32;
+        self.era = self.era.map(|era| era + 1);
+        (self.epoch, self.records) = self.copy.clone();
+        if let Some(stored) = &mut self.epoch {
+            stored.position = stored.position.in_era(self.era);
+        }
+    }
+
     fn step(&mut self, now_ms: u64) {
+        self.restore(now_ms);
         for (at_ms, share, for_ms) in self.scenario.kills {
             if *at_ms == now_ms {
                 self.kill(*share, *for_ms, now_ms);
@@ -477,10 +541,16 @@
             };
             let is_apart =
                 self.lapse(sender, now_ms).is_some() || self.lapse(*index, now_ms).is_some();
-            let stored = query::epoch(&self.gateways[sender].register, POOL).cloned();
+            let told = &self.gateways[sender];
+            let era = told.era;
+            let stored = query::epochs(&told.register).next();
+            let stored = stored.map(|(_, stored)| Stored {
+                written: None,
+                ..stored.clone()
+            });
             if stored.is_some() && !is_apart && self.random.random_bool(0.9) {
                 let register = &mut self.gateways[*index].register;
-                command::note_epoch(register, &POOL.into(), stored, None, now_ms);
+                command::note_epoch(register, &POOL.into(), stored, era, now_ms);
             }
         }
     }
@@ -495,12 +565,15 @@
 
 /// Runs a scenario with a seed.
 pub fn run(scenario: Scenario, policy: Policy, seed: u64) -> Outcome {
+    let mut register = Register::new(Settings::default(), 0);
+    command::note_first_start(&mut register);
     let gateways = (0..scenario.gateways).map(|_| Gateway {
-        register: Register::new(Settings::default(), 0),
+        register: register.clone(),
         back_ms: 0,
         is_read: false,
         written_ms: 0,
         lapses: false,
+        era: None,
     });
     let mut world = World {
         scenario,
@@ -512,6 +585,8 @@
         running: Vec::new(),
         broken: Vec::new(),
         in_transit: Vec::new(),
+        era: scenario.restore.map(|_| 1),
+        copy: Default::default(),
         outcome: Outcome::default(),
         next_id: 0,
     };
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -239,7 +239,7 @@
             return Ok(());
         }
         if !self.inbound.is_resumption() {
-            self.builds = Some(origins::open_builds(&self.gateway, &self.inbound.pool).await);
+            self.builds = Some(origins::open_builds(&self.gateway, &self.inbound).await);
             return Ok(());
         }
         if let Some(build) = self.inbound.hop.as_ref().and_then(|hop| hop.build.clone()) {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -135,10 +135,11 @@
     command::observe(&mut register, pool, &present, now_ms);
 }
 
-/// Returns the builds of a pool at which a stream may begin now. If the pool has no epoch yet, or none of its builds has an
+/// Returns the builds of a pool at which a new stream may begin now. If the pool has no epoch yet, or none of its builds has an
 /// eligible target but others do, waits a moment for a change. After that, beginning at a build that has not joined is better
 /// than refusing all streams: the store may be unavailable.
-pub async fn open_builds(gateway: &Gateway, pool: &SmolStr) -> Vec<SmolStr> {
+pub async fn open_builds(gateway: &Gateway, inbound: &Inbound) -> Vec<SmolStr> {
+    let (pool, stream) = (&inbound.pool, inbound.stream_id());
     let mut changes = gateway.origins.changes.subscribe();
     let until = Instant::now() + JOIN_TIMEOUT;
     loop {
@@ -146,7 +147,7 @@
         let now_ms = gateway.now_ms();
         let (open, has_epoch) = {
             let register = gateway.origins.register.lock();
-            let open = query::open_builds(&register, pool, now_ms);
+            let open = query::open_builds(&register, pool, stream, now_ms);
             (open, query::epoch(&register, pool).is_some())
         };
         let present = roster::query::builds(&gateway.roster.lock(), pool, now_ms);
@@ -236,14 +237,27 @@
         };
     }
     wait_for_epoch(gateway, &inbound.pool).await;
-    match base(gateway, &inbound.pool) {
-        Some(build) => ("base", Some(based(build))),
-        None if plan == Search::Record || !is_stated => ("unknown", None),
-        None => match read_record(gateway, stream).await {
-            Some(origin) => ("record", Some(continuation(&origin))),
-            None => ("unknown", None),
-        },
+    if let Some(build) = base(gateway, &inbound.pool) {
+        return ("base", Some(based(build)));
     }
+    // The id of the stream is known only if the caller states the request that began it.
+    if !is_stated {
+        return ("unknown", None);
+    }
+    if plan != Search::Record {
+        if let Some(origin) = read_record(gateway, stream).await {
+            return ("record", Some(continuation(&origin)));
+        }
+    }
+    match unrecorded_build(gateway, &inbound.pool, stream) {
+        Some(build) => ("doubt", Some(based(build))),
+        None => ("unknown", None),
+    }
+}
+
+fn unrecorded_build(gateway: &Gateway, pool: &str, stream: u64) -> Option<SmolStr> {
+    let register = gateway.origins.register.lock();
+    query::unrecorded_build(&register, pool, stream, gateway.now_ms())
 }
 
 /// Waits a moment for the first epoch of a pool, if there is none yet.
@@ -263,17 +277,33 @@
     query::epoch(&register, pool)?.epoch.base.clone()
 }
 
-/// Returns the base of a pool if it is certain although the store cannot be read.
-fn base_without_store(gateway: &Gateway, pool: &SmolStr) -> Option<SmolStr> {
+/// Returns what this gateway knows of how current its list of targets is.
+fn contact(gateway: &Gateway) -> Contact {
     let now_ms = gateway.now_ms();
-    let present = roster::query::builds(&gateway.roster.lock(), pool, now_ms);
-    let witnesses = gateway.members.lock().witnesses(Topic::Targets, now_ms);
     let contact_ms = with_view(gateway, Topic::Targets, |view| view.last_contact_ms);
-    let contact = Contact {
+    Contact {
         is_refreshed: replication::is_refreshed(gateway, *gateway.suspensions.borrow()),
         age_ms: now_ms.saturating_sub(contact_ms),
-        witnesses,
-    };
+        witnesses: gateway.members.lock().witnesses(Topic::Targets, now_ms),
+    }
+}
+
+/// Notes that the list of targets is current, if it is.
+fn note_current(gateway: &Gateway) {
+    let contact = contact(gateway);
+    // The era is read last: a contact in a later one does not make the list of this one current.
+    let era = gateway.era.borrow().era;
+    let mut register = gateway.origins.register.lock();
+    if query::is_current(&register, &contact) {
+        command::note_current(&mut register, era, gateway.now_ms());
+    }
+}
+
+/// Returns the base of a pool if it is certain although the store cannot be read.
+fn base_without_store(gateway: &Gateway, pool: &SmolStr) -> Option<SmolStr> {
+    let now_ms = gateway.now_ms();
+    let present = roster::query::builds(&gateway.roster.lock(), pool, now_ms);
+    let contact = contact(gateway);
     let register = gateway.origins.register.lock();
     query::certain_base(&register, pool, &present, &contact)
 }
@@ -355,13 +385,20 @@
         (stored.epoch.builds.join(","), base)
     });
     let has_epoch = stored.is_some();
-    let is_news = {
+    let (is_news, doubtful) = {
         let mut register = gateway.origins.register.lock();
-        command::note_epoch(&mut register, pool, stored, era, now_ms)
+        let is_news = command::note_epoch(&mut register, pool, stored, era, now_ms);
+        (is_news, query::doubtful_base(&register, pool).cloned())
     };
     if !is_news {
         return;
     }
+    if let Some(base) = doubtful {
+        log::warn!(
+            pool:% = pool, base:% = base, era:? = era;
+            "the store may have lost that a build has joined; streams without a record go on only if they can have begun nowhere else"
+        );
+    }
     if has_epoch {
         log::info!(pool:% = pool, builds:% = builds, base:% = base; "builds of a pool");
         *gateway.origins.changed_ms.lock() = Some(now_ms);
@@ -385,6 +422,9 @@
     let mut pending_since: Option<Instant> = None;
     let mut is_read = false;
     let mut eras = gateway.era.subscribe();
+    if gateway.settings.is_first_start {
+        command::note_first_start(&mut gateway.origins.register.lock());
+    }
     loop {
         let woken = gateway.origins.join_request.notified();
         // Both ends of the wait lead to the same check.
@@ -394,6 +434,7 @@
         if pools.is_empty() {
             continue;
         }
+        note_current(&gateway);
         let stream_ms = stream_ms(&catalog);
         command::set_stream_ms(&mut gateway.origins.register.lock(), stream_ms);
         for pool in &pools {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,8 @@
     /// It is of use where many gateways start long before callers arrive: few of them then read the store. When all
     /// gateways have lost their state at once, callers wait for it.
     pub discovery_ms: u64,
+    /// Whether the whole fleet starts for the first time. Otherwise the store may have lost what was written before.
+    pub is_first_start: bool,
     /// Whether a dispatcher grants permits for pools of few slots.
     pub permits: Permits,
     /// The limits of clients.
@@ -124,11 +126,14 @@
 /// The longest time without progress that can be set, in milliseconds.
 const STALL_MAX_MS: u64 = 60_000;
 
+/// The value of `[store] start` at the first start of the whole fleet.
+const FIRST_START: &str = "first";
+
 /// The bytes of a megabyte.
 const MEGABYTE: f64 = 1e6;
 
 /// The keys of the settings file.
-pub const KEYS: [Key; 27] = [
+pub const KEYS: [Key; 28] = [
     Key::new(
         "instance",
         "name",
@@ -230,6 +235,13 @@
         Some("0ms"),
         "How long a starting gateway listens for others before it reads the store.",
     ),
+    Key::new(
+        "store",
+        "start",
+        Kind::Choice(&[FIRST_START, "again"]),
+        Some("again"),
+        "Whether the whole fleet starts for the first time, so that the store cannot have lost anything.",
+    ),
     Key::new(
         "limits",
         "grace",
@@ -339,6 +351,7 @@
             memory_bytes: (values.fraction("instance", "memory_mb")? * MEGABYTE) as usize,
             store_address: values.address("store", "address")?,
             discovery_ms: values.number("store", "listen")?,
+            is_first_start: values.text("store", "start")? == FIRST_START,
             permits: Permits::parse(&values.text("admission", "permits")?),
             clients: Clients {
                 connections: values.fraction("clients", "connections")? as usize,
--- a/crates/gateway/tests/builds.rs
+++ b/crates/gateway/tests/builds.rs
@@ -19,7 +19,7 @@
 use harness::{announcement, exchange, header, looks_complete, wait_until_serving};
 use rstest::rstest;
 use sardinemux_core::catalog::Definition;
-use sardinemux_core::origin::Epoch;
+use sardinemux_core::origin::{self, Epoch};
 use sardinemux_core::roster::Announcement;
 use sardinemux_gateway::settings::Settings;
 use sardinemux_gateway::source::{Fact, Member, Topic};
@@ -30,6 +30,9 @@
 /// The time limit for what gateways do by themselves. It ends a failing test; no result depends on it.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// The number of streams at each build before the store loses one: more than the users allow to go on at another build.
+const LOST_STREAMS: usize = 3;
+
 fn definition() -> Definition {
     let mut definition = harness::definition();
     for route in &mut definition.routes {
@@ -361,3 +364,64 @@
     }
     assert_eq!(former.request_count(), begun);
 }
+
+/// Without a record, a stream at a build whose join the store has lost looks like one that began at the base.
+#[tokio::test]
+async fn verify_stream_at_a_build_that_the_store_lost_does_not_go_on_at_the_base() {
+    let former = MockTarget::start(Behaviour::Stream).await;
+    let other = MockTarget::start(Behaviour::Stream).await;
+    let store = Store::default();
+    store.begin_era();
+    store.put(Topic::Operators, "config", Some(catalog_of(definition())));
+    put(&store, listed("t0", &former, "v1", false));
+    let base = Fact::Builds {
+        epoch: Epoch {
+            base: Some("v1".into()),
+            builds: vec!["v1".into()],
+        },
+        written: store.era(),
+    };
+    store.put(Topic::Builds, "p", Some(base));
+    let copy = store.copy();
+    put(&store, listed("t1", &other, "v2", true));
+    let gateway = Gateway::start(&store, "g0").await;
+    let until = time::Instant::now() + PATIENCE;
+    let mut begun = [Vec::new(), Vec::new()];
+    for number in 0.. {
+        assert!(time::Instant::now() < until, "{begun:?}");
+        if begun.iter().all(|ids| ids.len() >= LOST_STREAMS) {
+            break;
+        }
+        let before = [former.request_count(), other.request_count()];
+        let id = format!("r{number}");
+        // A stream that may begin at either build begins at the target of the near zone.
+        gateway.stream(&id, "").await;
+        if other.request_count() > before[1] {
+            begun[1].push(id);
+        } else if former.request_count() > before[0] {
+            begun[0].push(id);
+        }
+    }
+    store.restore(copy);
+    gateway.kill();
+    let before = former.request_count();
+    let gateway = Gateway::start(&store, "g1").await;
+    let is_lasting = |id: &&String| {
+        let stream = origin::stream_id("o1", id.as_bytes());
+        !origin::may_begin_at_recent(stream)
+    };
+    let lasting = begun[0].iter().filter(is_lasting);
+    let lasting: Vec<&String> = lasting.rev().take(LOST_STREAMS).collect();
+    assert_eq!(lasting.len(), LOST_STREAMS);
+    for id in &lasting {
+        let answer = gateway.take_up(id).await;
+        assert!(looks_complete(&answer), "{id}: {answer}");
+    }
+    for id in &begun[1] {
+        let headers = format!("last-event-id: 2\r\nx-resumes: {id}\r\n");
+        let answer = gateway.stream(&format!("{id}-again"), &headers).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{id}: {answer}");
+    }
+    assert_eq!(former.request_count(), before + lasting.len());
+    gateway.kill();
+}
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -66,6 +66,13 @@
     }
 }
 
+/// What a store held at some time.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    version: u64,
+    topics: IndexMap<Topic, IndexMap<SmolStr, Entry>>,
+}
+
 /// An in-memory store.
 #[derive(Clone, Debug, Default)]
 pub struct Store(Arc<Mutex<State>>);
@@ -85,6 +92,32 @@
         topic.insert(key.into(), entry);
     }
 
+    /// States an era from now on.
+    pub fn begin_era(&self) {
+        self.0.lock().era = Some(1);
+    }
+
+    /// Returns a copy of what the store holds.
+    pub fn copy(&self) -> Copy {
+        let state = self.0.lock();
+        Copy {
+            version: state.version,
+            topics: state.topics.clone(),
+        }
+    }
+
+    /// Comes back from a copy, in a later era.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.0.lock();
+        let era = state.era.map(|era| era + 1);
+        state.era = era;
+        state.version = copy.version;
+        state.topics = copy.topics;
+        for entry in state.topics.values_mut().flat_map(IndexMap::values_mut) {
+            entry.position = entry.position.in_era(era);
+        }
+    }
+
     /// Returns the era, if the store states one.
     pub fn era(&self) -> Era {
         self.0.lock().era
--- a/crates/gateway/tests/support/harness.rs
+++ b/crates/gateway/tests/support/harness.rs
@@ -131,6 +131,7 @@
         memory_bytes: 256_000_000,
         clients: Clients::default(),
         discovery_ms: 0,
+        is_first_start: false,
         store_address: address(4),
         permits: sardinemux_gateway::settings::Permits::Off,
         bounds: Bounds {
