Give patches of the catalogue only for versions that both gateways have held

A key that had moved to another organisation and back ran under the wrong one.

Cause: a gateway built patches for any version since its oldest one. One that had skipped a version left out what had changed in it and back since.

A patch is now given only for a version that was held here, by its number and a fingerprint of its contents, and taken only if it leads to the fingerprint that its sender states. Gateways of earlier builds get patches for versions that were held, and are asked for whole catalogues. All additions are in appendices.

Before: the three cases of verify_change_that_the_sender_skipped_does_not_stay_in_force failed.

--- a/crates/core/tests/patch.rs
+++ b/crates/core/tests/patch.rs
@@ -3,7 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use proptest::prelude::*;
-use sardinemux_core::catalog::patch::History;
+use sardinemux_core::catalog::patch::{fingerprint, Held, History};
 use sardinemux_core::catalog::{Definition, Organisation, Route};
 
 fn definition(version: u64, routes: &[(u8, u64)], organisations: &[(u8, u8)]) -> Definition {
@@ -25,6 +25,21 @@
     }
 }
 
+fn held(definition: &Definition) -> Held {
+    Held {
+        version: definition.version,
+        fingerprint: fingerprint(definition),
+    }
+}
+
+/// What a gateway of an earlier build tells of the version that it holds.
+fn unnamed(version: u64) -> Held {
+    Held {
+        version,
+        fingerprint: None,
+    }
+}
+
 /// Sorts routes and organisations by name, as their order carries no meaning.
 fn sorted(mut definition: Definition) -> Definition {
     definition
@@ -63,9 +78,10 @@
         }
         let newest = versions.last().unwrap();
         for (index, oldest) in versions.iter().enumerate() {
-            let patch = history.patch_since(oldest.version, newest).unwrap();
+            let patch = history.patch_since(held(oldest), newest).unwrap();
             for base in &versions[index..] {
                 let result = patch.apply(base).unwrap();
+                prop_assert!(patch.leads_to(&result));
                 prop_assert_eq!(sorted(result), sorted(newest.clone()));
             }
             for older in &versions[..index] {
@@ -73,6 +89,48 @@
             }
         }
     }
+
+    /// What changed in a version that the sender has skipped and back since would stay in force.
+    #[test]
+    fn verify_patch_is_given_only_for_what_both_have_held(
+        versions in versions(),
+        skipped in prop::collection::vec(any::<bool>(), 8),
+    ) {
+        let newest = versions.last().unwrap();
+        let is_held = |index: usize| index == 0 || index + 1 == versions.len() || !skipped[index];
+        let mut history = History::default();
+        let mut previous = Definition::default();
+        for (_, version) in versions.iter().enumerate().filter(|(index, _)| is_held(*index)) {
+            history.record(&previous, version);
+            previous = version.clone();
+        }
+        for (index, base) in versions.iter().enumerate() {
+            for peer in [held(base), unnamed(base.version)] {
+                let patch = history.patch_since(peer, newest);
+                prop_assert_eq!(patch.is_some(), is_held(index));
+                // A receiver that goes on to a version which the sender has skipped must notice.
+                for (patch, later) in patch.iter().flat_map(|it| versions[index..].iter().map(move |later| (it, later))) {
+                    let result = patch.apply(later).unwrap();
+                    prop_assert_eq!(patch.leads_to(&result), sorted(result.clone()) == sorted(newest.clone()));
+                }
+            }
+        }
+    }
+
+    /// A version that is given out again with other contents after a restore of the store is not the one that was held.
+    #[test]
+    fn verify_fingerprint_tells_contents_apart(versions in versions()) {
+        for left in &versions {
+            for right in &versions {
+                let right = Definition { version: left.version, ..right.clone() };
+                let is_same = sorted(left.clone()) == sorted(right.clone());
+                prop_assert_eq!(fingerprint(left) == fingerprint(&right), is_same);
+                let mut history = History::default();
+                history.record(&Definition::default(), left);
+                prop_assert_eq!(history.patch_since(held(&right), left).is_some(), is_same);
+            }
+        }
+    }
 }
 
 /// Guards against patches that grow with the catalogue: of 200 routes, one changes and one is removed.
@@ -87,7 +145,7 @@
     let mut history = History::default();
     history.record(&Definition::default(), &previous);
     history.record(&previous, &current);
-    let patch = history.patch_since(4, &current).unwrap();
+    let patch = history.patch_since(held(&previous), &current).unwrap();
     assert_eq!(patch.routes.len(), 1);
     assert_eq!(patch.dropped_routes, ["r9"]);
     assert!(patch.organisations.is_empty());
@@ -101,10 +159,14 @@
     let current = definition(9, &[(1, 1)], &[]);
     let mut history = History::default();
     history.record(&Definition::default(), &current);
-    assert!(history.patch_since(0, &current).is_none());
-    assert!(history.patch_since(8, &current).is_none());
-    assert!(history.patch_since(10, &current).is_none());
-    assert!(history.patch_since(9, &current).unwrap().routes.is_empty());
+    assert!(history.patch_since(unnamed(0), &current).is_none());
+    assert!(history.patch_since(unnamed(8), &current).is_none());
+    assert!(history.patch_since(unnamed(10), &current).is_none());
+    assert!(history
+        .patch_since(unnamed(9), &current)
+        .unwrap()
+        .routes
+        .is_empty());
 }
 
 /// A catalogue with more names than a history usually keeps goes to each gateway as a whole at each change.
@@ -133,6 +195,8 @@
     for pair in versions.windows(2) {
         history.record(&pair[0], &pair[1]);
     }
-    let patch = history.patch_since(3, &versions[3]).unwrap();
+    let patch = history
+        .patch_since(held(&versions[2]), &versions[3])
+        .unwrap();
     assert_eq!(patch.routes.len(), 1);
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -40,6 +40,7 @@
     catalog: u64,
     compares_catalogs: bool,
     learns_catalogs: bool,
+    checks_patches: bool,
     role: Role,
     /// Whether it takes part in permits.
     takes_permits: bool,
@@ -152,6 +153,7 @@
                     catalog: 0,
                     compares_catalogs: false,
                     learns_catalogs: false,
+                    checks_patches: false,
                     role: Role::None,
                     takes_permits: false,
                 };
@@ -172,6 +174,7 @@
             catalog: report.catalog,
             compares_catalogs: report.compares_catalogs,
             learns_catalogs: report.learns_catalogs,
+            checks_patches: report.checks_patches,
             role: report.role,
             takes_permits: report.takes_permits,
         };
@@ -338,6 +341,12 @@
         contact.standing(topic).newest.era
     }
 
+    /// Returns whether the gateway at an address gives patches only for catalogues that it has held.
+    pub fn checks_patches(&self, address: SocketAddr) -> bool {
+        let mut contacts = self.contacts.values();
+        contacts.any(|contact| contact.address == address && contact.checks_patches)
+    }
+
     /// Returns the client that calls a gateway for one topic. The topic's clients for other gateways are dropped.
     pub fn client(&mut self, address: SocketAddr, topic: Topic) -> Arc<Client> {
         self.clients.retain(|(other_address, other_topic), _| {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Method, Request, Response, StatusCode};
+use sardinemux_core::catalog::patch::Held;
 use sardinemux_core::position::{Era, Position};
 use sardinemux_core::uplink::LARGE_BYTES;
 use serde::{Deserialize, Serialize};
@@ -26,9 +27,9 @@
 use crate::hop;
 use crate::prelude::*;
 use crate::relay::Update;
-use crate::replication;
+use crate::replication::{self, View};
 use crate::reply::{self, Body};
-use crate::source::{Batch, Topic};
+use crate::source::{Batch, Fact, Topic};
 use crate::uplink;
 use crate::whole::Whole;
 
@@ -79,6 +80,9 @@
     reads_rollouts: bool,
     /// Whether the sender of a query reads compressed answers.
     reads_compressed: bool,
+    /// In a query, the fingerprint of the catalogue that the sender has in force; in an answer, that of the catalogue to which the patch
+    /// in it leads.
+    fingerprint: Option<u64>,
 }
 
 /// The answer to a query.
@@ -114,21 +118,27 @@
     scope: Scope,
     progress: &Progress,
 ) -> Result<Update> {
-    let era = gateway.members.lock().era(address, topic);
-    let since = {
+    let (era, checks_patches) = {
+        let members = gateway.members.lock();
+        (members.era(address, topic), members.checks_patches(address))
+    };
+    let (since, is_whole_due) = {
         let views = gateway.views.lock();
-        let log = views.get(&topic).map(|view| &view.log);
-        let position = log
-            .filter(|log| log.has_snapshot())
-            .map(|log| log.position());
+        let view = views.get(&topic);
+        let position = view.and_then(View::since);
         // Only the complete list replaces entries of an earlier era.
-        position.filter(|position| position.era >= era && scope != Scope::Whole)
+        let position = position.filter(|it| it.era >= era && scope != Scope::Whole);
+        (position, view.is_some_and(View::is_whole_due))
+    };
+    // A gateway of an earlier build may give a patch for a version that it has never held.
+    let held = match scope == Scope::Whole || is_whole_due || !checks_patches {
+        true => Held::default(),
+        false => gateway.history.lock().latest(),
     };
-    let catalog = gateway.catalog.read().version();
     let query = Query {
         topic,
         since,
-        catalog: if scope == Scope::Whole { 0 } else { catalog },
+        catalog: held.version,
         waits: scope == Scope::Changes { waits: true },
         id: rand::random(),
     };
@@ -137,6 +147,7 @@
         era: since.and_then(|since| since.era),
         reads_rollouts: true,
         reads_compressed: true,
+        fingerprint: held.fingerprint,
     };
     let query = appendix::encode(&query, &appendix).context(EncodeSnafu)?;
     let request = Request::post("/news")
@@ -171,11 +182,21 @@
     let (answer, appendix): (Answer, Option<Appendix>) = answer.context(DecodeSnafu { address })?;
     snafu::ensure!(answer.id == id, MismatchSnafu { address });
     reply.accept();
-    let era = appendix.unwrap_or_default().era;
-    Ok(Update {
-        batch: answer.update.batch.in_era(era),
-        ..answer.update
-    })
+    Ok(complete_update(
+        answer.update,
+        &appendix.unwrap_or_default(),
+    ))
+}
+
+/// Adds to an update what the appendix of its answer states.
+fn complete_update(update: Update, appendix: &Appendix) -> Update {
+    let mut batch = update.batch.in_era(appendix.era);
+    for entry in &mut batch.entries {
+        if let Some(Fact::Patch(patch)) = &mut entry.fact {
+            Arc::make_mut(patch).result = appendix.fingerprint;
+        }
+    }
+    Update { batch, ..update }
 }
 
 /// Returns the changes that answer a query.
@@ -183,8 +204,13 @@
 /// If there are none, the query allows a delay and this gateway follows the store, waits for some, at most for
 /// [`LONG_POLL_TIMEOUT`].
 ///
-/// `era` is the era of the positions in the query; `None` if its sender is of a build that does not state it.
-async fn wait_for_update(gateway: &Gateway, query: Query, era: Option<Era>) -> Update {
+/// The appendix of the query is missing if its sender is of a build that has none.
+async fn wait_for_update(gateway: &Gateway, query: Query, appendix: Option<Appendix>) -> Update {
+    let era = appendix.map(|it| it.era);
+    let peer = Held {
+        version: query.catalog,
+        fingerprint: appendix.and_then(|it| it.fingerprint),
+    };
     let until = time::Instant::now() + LONG_POLL_TIMEOUT;
     loop {
         let (found, position, is_following, mut changed) = {
@@ -193,8 +219,9 @@
             let era = era.unwrap_or(view.log.position().era);
             let since = query.since.map(|since| since.in_era(era));
             let found = view.log.changes_since(since);
+            let changed = view.log.subscribe();
             let position = Position::new(view.log.position().era, 0);
-            (found, position, view.is_following(), view.log.subscribe())
+            (found, position, view.is_following(), changed)
         };
         let (is_complete, mut batch) = match found {
             Some(found) => found,
@@ -208,7 +235,7 @@
                 (false, Batch { entries, position })
             }
         };
-        replication::substitute_patches(gateway, &mut batch, query.catalog);
+        replication::substitute_patches(gateway, &mut batch, peer);
         return Update {
             is_following,
             is_complete,
@@ -254,10 +281,10 @@
     query: Query,
     appendix: Option<Appendix>,
 ) -> Result<Response<Body>> {
-    let era = appendix.map(|it| it.era);
+    let stated = appendix;
     let appendix = appendix.unwrap_or_default();
     let encode = |update| encode_update(query, update, appendix.reads_rollouts);
-    let update = wait_for_update(gateway, query, era).await;
+    let update = wait_for_update(gateway, query, stated).await;
     let position = Position::new(update.batch.position.era, 0);
     let bytes = encode(update)?;
     if bytes.len() < LARGE_BYTES {
@@ -272,7 +299,7 @@
         return Ok(Response::new(reply::full_body(encode(nothing(position))?)));
     };
     // More may have changed while others were sent.
-    let bytes = encode(wait_for_update(gateway, query, era).await)?;
+    let bytes = encode(wait_for_update(gateway, query, stated).await)?;
     let compressed = appendix
         .reads_compressed
         .then(|| compression::compress(&bytes));
@@ -305,8 +332,13 @@
     if !reads_rollouts {
         replication::hide_rollouts(&mut update.batch);
     }
+    let patches = update.batch.entries.iter().map(|entry| match &entry.fact {
+        Some(Fact::Patch(patch)) => patch.result,
+        _ => None,
+    });
     let appendix = Appendix {
         era: update.batch.position.era,
+        fingerprint: patches.flatten().next(),
         ..Appendix::default()
     };
     let answer = Answer {
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
+use sardinemux_core::catalog::patch::Held;
 use sardinemux_core::catalog::Catalog;
 use sardinemux_core::position::Position;
 use sardinemux_core::readers::ReaderState;
@@ -49,6 +50,8 @@
     /// The number of suspensions of the process before the last successful call to the store, or to a gateway that
     /// follows it. If there have been more since then, the entries may be out of date.
     pub(crate) refreshed_suspensions: u64,
+    /// Whether the complete list is to be requested from another gateway, as changes cannot be relied on.
+    is_whole_due: bool,
     /// The pools whose rollout is ordered, by the key of their entry.
     pub(crate) ordered: IndexMap<SmolStr, SmolStr>,
     /// The evacuated availability zones, by the key of their entry.
@@ -75,6 +78,17 @@
         }
     }
 
+    /// Returns the position after which another gateway is asked for changes; `None` if the complete list is.
+    pub fn since(&self) -> Option<Position> {
+        let has_base = self.log.has_snapshot() && !self.is_whole_due;
+        has_base.then(|| self.log.position())
+    }
+
+    /// Returns whether another gateway is asked for all entries as they are, as changes have not led to what it holds.
+    pub fn is_whole_due(&self) -> bool {
+        self.is_whole_due
+    }
+
     /// Returns whether this gateway reads the store, and its calls succeed.
     pub fn is_following(&self) -> bool {
         self.reader_state() == ReaderState::Following
@@ -222,7 +236,8 @@
 
 /// Applies entries from another gateway.
 ///
-/// Nothing is applied if the batch holds a patch that does not fit the catalogue in force.
+/// Nothing is applied if the batch holds a patch that does not lead from the catalogue in force to that of the sender. The complete list
+/// is requested next then.
 pub fn apply_peer_batch(gateway: &Gateway, topic: Topic, news: Update) {
     let Update {
         is_following,
@@ -230,6 +245,7 @@
         mut batch,
     } = news;
     if !resolve_patches(gateway, &mut batch) {
+        with_view(gateway, topic, |view| view.is_whole_due = true);
         return;
     }
     let now_ms = gateway.now_ms();
@@ -238,6 +254,7 @@
         if is_following {
             view.last_contact_ms = now_ms;
         }
+        view.is_whole_due &= !is_complete;
         view.log.apply(&batch, is_complete, false)
     });
     apply_changes(gateway, topic, changes);
@@ -358,11 +375,10 @@
     *current = Arc::new(catalog);
 }
 
-/// Replaces the catalogue in a batch by a patch, for a gateway that has version `peer_version` in force.
+/// Replaces the catalogue in a batch by a patch, for a gateway that has the catalogue `peer` in force.
 ///
-/// The complete catalogue stays where it is not the one in force here, or where the history does not reach back to
-/// `peer_version`.
-pub fn substitute_patches(gateway: &Gateway, batch: &mut Batch, peer_version: u64) {
+/// The complete catalogue stays where it is not the one in force here, or where that of the peer was never in force here.
+pub fn substitute_patches(gateway: &Gateway, batch: &mut Batch, peer: Held) {
     let catalog = gateway.catalog();
     for entry in &mut batch.entries {
         let is_current = match &entry.fact {
@@ -373,7 +389,7 @@
             true => gateway
                 .history
                 .lock()
-                .patch_since(peer_version, catalog.definition()),
+                .patch_since(peer, catalog.definition()),
             false => None,
         };
         if let Some(patch) = patch {
@@ -393,8 +409,7 @@
 
 /// Replaces each catalogue patch in a batch by the catalogue that results from it.
 ///
-/// Returns `false` if a patch does not fit the version in force. The batch is not applied then, so that the entries are
-/// requested again.
+/// Returns `false` if a patch does not lead from the version in force to that of its sender.
 fn resolve_patches(gateway: &Gateway, batch: &mut Batch) -> bool {
     let catalog = gateway.catalog();
     let mut is_resolved = true;
@@ -403,10 +418,11 @@
             return true;
         };
         let definition = patch.apply(catalog.definition());
+        let definition = definition.filter(|definition| patch.leads_to(definition));
         if definition.is_none() {
             log::warn!(
                 version = patch.version, since = patch.since, held = catalog.version();
-                "cannot apply a catalogue patch to the version in force; ignoring the batch"
+                "a catalogue patch does not lead from the version in force to that of its sender; requesting the complete list"
             );
         }
         is_resolved &= definition.is_some();
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -71,6 +71,9 @@
     /// Whether it reads the version of the catalogue in the answers to requests that it passes on. It is in the appendix.
     #[serde(skip)]
     pub learns_catalogs: bool,
+    /// Whether it gives patches only for catalogues that it has held, and states to which catalogue they lead. It is in the appendix.
+    #[serde(skip)]
+    pub checks_patches: bool,
     /// What it does for the collection of requests in flight. It is in the appendix.
     #[serde(skip)]
     pub role: Role,
@@ -90,6 +93,7 @@
     catalog: u64,
     compares_catalogs: bool,
     learns_catalogs: bool,
+    checks_patches: bool,
     role: Role,
     takes_permits: bool,
 }
@@ -106,6 +110,7 @@
         catalog: report.catalog,
         compares_catalogs: report.compares_catalogs,
         learns_catalogs: report.learns_catalogs,
+        checks_patches: report.checks_patches,
         role: report.role,
         takes_permits: report.takes_permits,
     };
@@ -123,6 +128,7 @@
     report.catalog = appendix.catalog;
     report.compares_catalogs = appendix.compares_catalogs;
     report.learns_catalogs = appendix.learns_catalogs;
+    report.checks_patches = appendix.checks_patches;
     report.role = appendix.role;
     report.takes_permits = appendix.takes_permits;
     for (standing, era) in [
@@ -169,6 +175,7 @@
         catalog,
         compares_catalogs: true,
         learns_catalogs: true,
+        checks_patches: true,
         role,
         takes_permits,
     }
--- a/crates/gateway/tests/former.rs
+++ b/crates/gateway/tests/former.rs
@@ -11,13 +11,17 @@
 use harness::{announcement, settings};
 use hyper::Request;
 use indexmap::IndexMap;
+use rstest::rstest;
+use sardinemux_core::catalog::Catalog;
 use sardinemux_core::collection::Role;
 use sardinemux_core::origin::{Epoch, Stored};
 use sardinemux_core::position::Position;
 use sardinemux_core::readers::ReaderState;
 use sardinemux_gateway::client::{Client, Limits, Progress};
 use sardinemux_gateway::members::Standing;
+use sardinemux_gateway::peers::{self, Scope};
 use sardinemux_gateway::prelude::*;
+use sardinemux_gateway::replication;
 use sardinemux_gateway::reports::{self, Report};
 use sardinemux_gateway::source::{Fact, Member, Topic};
 use sardinemux_gateway::supplement::{self, Supplement};
@@ -94,6 +98,25 @@
     }
 }
 
+fn report(member: Member) -> Report {
+    Report {
+        member,
+        is_stopping: false,
+        zone: "z1".into(),
+        followed_ms: 5,
+        link_mbps: 9,
+        operators: Standing::default(),
+        targets: Standing::default(),
+        running: IndexMap::new(),
+        catalog: 44,
+        compares_catalogs: true,
+        learns_catalogs: true,
+        checks_patches: true,
+        role: Role::Collector,
+        takes_permits: true,
+    }
+}
+
 /// A report that either build cannot read leaves its gateway unknown to the others.
 #[test]
 fn verify_reports_are_read_by_either_build() {
@@ -102,23 +125,14 @@
         newest: Position::new(era, version),
     };
     let report = Report {
-        member: member(),
-        is_stopping: false,
-        zone: "z1".into(),
-        followed_ms: 5,
-        link_mbps: 9,
         operators: standing(Some(3), 120),
         targets: standing(Some(2), 7),
         running: [("t0".into(), 4)].into_iter().collect(),
-        catalog: 44,
-        compares_catalogs: true,
-        learns_catalogs: true,
-        role: Role::Collector,
-        takes_permits: true,
+        ..report(member())
     };
     let bytes = reports::encode(&report).unwrap();
     let read = reports::decode(&bytes).unwrap();
-    assert!(read.takes_permits);
+    assert!(read.takes_permits && read.checks_patches);
     assert_eq!(read.operators, report.operators);
     assert_eq!(read.targets, report.targets);
     assert_eq!((read.catalog, read.role), (44, Role::Collector));
@@ -128,6 +142,7 @@
     let read = reports::decode(&rmp_serde::to_vec(&former).unwrap()).unwrap();
     assert_eq!(read.operators, standing(None, 120));
     assert_eq!((read.catalog, read.role), (0, Role::None));
+    assert!(!read.checks_patches);
     assert_eq!(read.running, report.running);
 }
 
@@ -204,3 +219,34 @@
         reply.accept();
     }
 }
+
+/// A gateway of an earlier build gives patches for versions that it has never held.
+#[rstest]
+#[case::same_build(true)]
+#[case::earlier_build(false)]
+#[tokio::test]
+async fn verify_patches_are_taken_only_from_gateways_that_check_them(#[case] checks_patches: bool) {
+    let sender = harness::spawn(settings(), harness::source(Vec::new(), true));
+    while sender.catalog().version() == 0 {
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    let follower = Gateway::new(settings(), harness::dialect()).unwrap();
+    replication::set_catalog(&follower, Catalog::new(harness::definition().into()));
+    let address = sender.settings.peer_address;
+    let name = "g1".into();
+    let report = Report {
+        checks_patches,
+        ..report(Member { name, address })
+    };
+    follower.members.lock().apply_report(&report, 0);
+    let scope = Scope::Changes { waits: false };
+    let progress = Progress::default();
+    let update = peers::fetch_update(&follower, address, Topic::Operators, scope, &progress);
+    let update = update.await.unwrap();
+    let fact = update.batch.entries[0].fact.as_ref().unwrap();
+    assert_eq!(matches!(fact, Fact::Patch(_)), checks_patches);
+    assert_eq!(matches!(fact, Fact::Catalog(_)), !checks_patches);
+    replication::apply_peer_batch(&follower, Topic::Operators, update);
+    let view = follower.views.lock()[&Topic::Operators].clone();
+    assert!(view.since().is_some() && !view.is_whole_due());
+}
--- a/crates/gateway/tests/replication.rs
+++ b/crates/gateway/tests/replication.rs
@@ -12,11 +12,11 @@
 use futures_util::FutureExt;
 use harness::{announcement, dialect, settings};
 use rstest::rstest;
-use sardinemux_core::catalog::{Definition, Route};
+use sardinemux_core::catalog::{Definition, Organisation, Route, Share};
 use sardinemux_core::roster::query;
 use sardinemux_gateway::prelude::*;
 use sardinemux_gateway::relay::Update;
-use sardinemux_gateway::replication;
+use sardinemux_gateway::replication::{self, View};
 use sardinemux_gateway::source::{self, Batch, Entry, Fact, Topic};
 use tokio::time::{self, Instant};
 
@@ -171,14 +171,17 @@
     let since = {
         let views = follower.views.lock();
         let view = views.get(&Topic::Operators);
-        view.map(|view| view.log.position())
+        view.and_then(View::since)
     };
     let (is_complete, mut batch) = {
         let mut views = peer.views.lock();
         let view = views.entry(Topic::Operators).or_default();
-        view.log.changes_since(since).unwrap()
+        let changes = view.log.changes_since(since);
+        let (is_complete, batch) = changes.unwrap_or_default();
+        (is_complete, batch)
     };
-    replication::substitute_patches(peer, &mut batch, follower.catalog().version());
+    let held = follower.history.lock().latest();
+    replication::substitute_patches(peer, &mut batch, held);
     Update {
         is_following: true,
         is_complete,
@@ -209,3 +212,72 @@
     assert!(catalog.route("test.example", "/r300/").is_some());
     assert!(catalog.route("test.example", "/r299/").is_some());
 }
+
+/// A catalogue in which the key `k` belongs to an organisation, or to none, and a route leads to a pool.
+fn owned(version: u64, organisation: Option<&str>, pool: &str) -> Definition {
+    let mut definition = definition(version, 2);
+    definition.routes[0].shares = vec![Share {
+        pool: pool.into(),
+        weight: 1,
+    }];
+    definition.organisations = ["o1", "o2"]
+        .into_iter()
+        .map(|name| Organisation {
+            name: name.into(),
+            keys: (organisation == Some(name))
+                .then(|| "k".into())
+                .into_iter()
+                .collect(),
+            priority: None,
+        })
+        .collect();
+    definition
+}
+
+/// A sender that has skipped a version knows nothing of what changed in it and back.
+#[rstest]
+#[case::key_added_and_dropped((None, "p"), (Some("o2"), "p"))]
+#[case::key_moved_and_back((Some("o1"), "p"), (Some("o2"), "p"))]
+#[case::route_moved_and_back((None, "p"), (None, "q"))]
+fn verify_change_that_the_sender_skipped_does_not_stay_in_force(
+    #[case] usual: (Option<&str>, &str),
+    #[case] between: (Option<&str>, &str),
+) {
+    let (sender, follower) = (gateway(), gateway());
+    let first = owned(1, usual.0, usual.1);
+    apply_catalog(&sender, first.clone());
+    apply_catalog(&follower, first);
+    apply_catalog(&follower, owned(13, between.0, between.1));
+    apply_catalog(&sender, owned(15, usual.0, usual.1));
+    let news = read_from_peer(&sender, &follower);
+    replication::apply_peer_batch(&follower, Topic::Operators, news);
+    let catalog = follower.catalog();
+    assert_eq!(catalog.version(), 15);
+    let owner = catalog.organisation_by_key("k");
+    assert_eq!(owner.map(|it| it.name.as_str()), usual.0);
+    let route = catalog.route("test.example", "/r0/").unwrap();
+    assert_eq!(route.shares[0].pool, usual.1);
+}
+
+/// A patch of a build that does not state to what it leads may leave changes out.
+#[test]
+fn verify_patch_without_a_stated_result_is_not_applied() {
+    let (sender, follower) = (gateway(), gateway());
+    for gateway in [&sender, &follower] {
+        apply_catalog(gateway, owned(1, Some("o1"), "p"));
+    }
+    apply_catalog(&sender, owned(15, None, "p"));
+    let mut news = read_from_peer(&sender, &follower);
+    for entry in &mut news.batch.entries {
+        let Some(Fact::Patch(patch)) = &mut entry.fact else {
+            continue;
+        };
+        Arc::make_mut(patch).result = None;
+    }
+    replication::apply_peer_batch(&follower, Topic::Operators, news);
+    assert_eq!(follower.catalog().version(), 1);
+    let views = follower.views.lock();
+    let view = views.get(&Topic::Operators).unwrap();
+    assert!(view.is_whole_due());
+    assert_eq!(view.since(), None);
+}
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -84,6 +84,7 @@
             catalog: 0,
             compares_catalogs: self.role.is_some(),
             learns_catalogs: self.role.is_some(),
+            checks_patches: self.role.is_some(),
             role: self.role.unwrap_or_default(),
             takes_permits: self.role.is_some(),
         };
--- a/crates/gateway/tests/uplink.rs
+++ b/crates/gateway/tests/uplink.rs
@@ -170,6 +170,7 @@
             catalog: 0,
             compares_catalogs: true,
             learns_catalogs: true,
+            checks_patches: true,
             role: Role::None,
             takes_permits: false,
         };
