Take no late changes that bring back an entry which has gone

Changes that another gateway had sent before a later complete list arrived from the store were applied after it, as the entry was not known. A target that had come and gone in between was listed again, and an evacuation in force, until the next complete list; no caller is known to have seen it.

An entry without a predecessor that is no later than the log counts as removed, unless it stands in a complete list that is no earlier than the log. verify_late_changes_do_not_bring_back_an_entry_that_has_gone failed before.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -93,7 +93,8 @@
     /// A complete list (`is_complete`) also removes the keys that it lacks, unless it is older than the log. These
     /// removals are among the returned entries and get the flag `may_return`.
     ///
-    /// A batch of an earlier era is dropped, and so are changes of a later one: only the complete list replaces what was
+    /// An entry without a predecessor that is no later than the log was removed meanwhile, unless the list is complete and no earlier than
+    /// the log. A batch of an earlier era is dropped, and so are changes of a later one: only the complete list replaces what was
     /// known before. A catalogue is never replaced by one of a lower version, which an older copy of the store may hold.
     pub fn apply(&mut self, batch: &Batch, is_complete: bool, may_return: bool) -> Vec<Change> {
         let (known, era) = (self.position.era, batch.position.era);
@@ -107,13 +108,19 @@
         }
         let is_restored = is_new_era && known.is_some();
         let mut entries = Vec::new();
-        if is_complete && (batch.position >= self.position || !self.has_snapshot) {
+        let replaces = is_complete && (batch.position >= self.position || !self.has_snapshot);
+        if replaces {
             entries.extend(self.find_unlisted(batch, may_return || is_restored));
         }
+        let is_unseen = |entry: &Entry| replaces || entry.position > self.position;
         for entry in &batch.entries {
             let held = self.entries.get(&entry.key);
             let is_later = || has_later_catalog(held, entry);
-            if held.is_none_or(|held| held.position < entry.position || is_later()) {
+            let is_news = match held {
+                Some(held) => held.position < entry.position || is_later(),
+                None => is_unseen(entry),
+            };
+            if is_news {
                 entries.push(keep_newer_catalog(held, entry.clone()));
             }
         }
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -165,3 +165,16 @@
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].entry.fact, Some(catalog(5)));
 }
+
+/// Changes that were on their way while a later complete list arrived must not bring back what that list lacks.
+#[test]
+fn verify_late_changes_do_not_bring_back_an_entry_that_has_gone() {
+    let mut log = Log::default();
+    log.apply(&batch(vec![entry("a", 4, true)], 4), true, false);
+    log.apply(&batch(vec![entry("a", 4, true)], 10), true, false);
+    let late = batch(vec![entry("b", 5, true)], 6);
+    assert!(log.apply(&late, false, false).is_empty());
+    assert!(log.apply(&late, true, false).is_empty());
+    let next = batch(vec![entry("b", 11, true)], 11);
+    assert_eq!(changed_keys(&log.apply(&next, false, false)), ["b"]);
+}
