Request the complete list where changes have not led to that of their sender

A gateway that reads the complete list never learns of an entry that came and went before; to a follower that has it, it sent changes without the removal. The follower kept using the target, or kept the zone evacuated. No caller is known to have seen it.

Answers now tell the sum of the keys that their sender holds, in the appendix. A follower that has no more changes than the sender, and other keys, requests the complete list, at most every two seconds, and counts that in gateway_differing_lists_total. verify_entry_that_came_and_went_unseen_by_the_sender_does_not_stay failed before.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -105,6 +105,8 @@
     pub slow_targets: IntGauge,
     /// Entries from the first list of a new era of the store, by topic.
     pub restored_entries: IntCounterVec,
+    /// How often a list differed from that of the gateway that sent its changes.
+    pub differing_lists: IntCounter,
     /// The number of reports received from other gateways and applied.
     pub peer_reports: IntCounter,
     /// The number of log lines dropped because the writer could not keep up.
@@ -267,6 +269,10 @@
                     "Entries from the first list of a new era of the store",
                     &["topic"],
                 )?,
+                differing_lists: IntCounter::new(
+                    "gateway_differing_lists_total",
+                    "Lists that differed from that of the gateway that sent their changes",
+                )?,
                 peer_reports: IntCounter::new(
                     "gateway_peer_reports_total",
                     "Reports of other gateways taken in",
@@ -346,6 +352,7 @@
             Box::new(metrics.without_room.clone()),
             Box::new(metrics.slow_targets.clone()),
             Box::new(metrics.restored_entries.clone()),
+            Box::new(metrics.differing_lists.clone()),
             Box::new(metrics.peer_reports.clone()),
             Box::new(metrics.dropped_log_lines.clone()),
             Box::new(metrics.longest_busy_s.clone()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,7 +26,7 @@
 };
 use crate::hop;
 use crate::prelude::*;
-use crate::relay::Update;
+use crate::relay::{Holdings, Update};
 use crate::replication::{self, View};
 use crate::reply::{self, Body};
 use crate::source::{Batch, Fact, Topic};
@@ -83,6 +83,8 @@
     /// In a query, the fingerprint of the catalogue that the sender has in force; in an answer, that of the catalogue to which the patch
     /// in it leads.
     fingerprint: Option<u64>,
+    /// In an answer, what the list of the sender holds: the version of its position and the sum of its keys.
+    holdings: Option<(u64, u64)>,
 }
 
 /// The answer to a query.
@@ -148,6 +150,7 @@
         reads_rollouts: true,
         reads_compressed: true,
         fingerprint: held.fingerprint,
+        holdings: None,
     };
     let query = appendix::encode(&query, &appendix).context(EncodeSnafu)?;
     let request = Request::post("/news")
@@ -196,7 +199,15 @@
             Arc::make_mut(patch).result = appendix.fingerprint;
         }
     }
-    Update { batch, ..update }
+    let holdings = appendix.holdings.map(|(version, keys)| Holdings {
+        position: Position::new(appendix.era, version),
+        keys,
+    });
+    Update {
+        batch,
+        holdings,
+        ..update
+    }
 }
 
 /// Returns the changes that answer a query.
@@ -213,15 +224,14 @@
     };
     let until = time::Instant::now() + LONG_POLL_TIMEOUT;
     loop {
-        let (found, position, is_following, mut changed) = {
+        let (found, holdings, is_following, mut changed) = {
             let mut views = gateway.views.lock();
             let view = views.entry(query.topic).or_default();
             let era = era.unwrap_or(view.log.position().era);
             let since = query.since.map(|since| since.in_era(era));
             let found = view.log.changes_since(since);
             let changed = view.log.subscribe();
-            let position = Position::new(view.log.position().era, 0);
-            (found, position, view.is_following(), changed)
+            (found, view.log.holdings(), view.is_following(), changed)
         };
         let (is_complete, mut batch) = match found {
             Some(found) => found,
@@ -232,6 +242,7 @@
             }
             None => {
                 let entries = Vec::new();
+                let position = Position::new(holdings.position.era, 0);
                 (false, Batch { entries, position })
             }
         };
@@ -240,6 +251,7 @@
             is_following,
             is_complete,
             batch,
+            holdings: Some(holdings),
         };
     }
 }
@@ -336,9 +348,11 @@
         Some(Fact::Patch(patch)) => patch.result,
         _ => None,
     });
+    let holdings = update.holdings;
     let appendix = Appendix {
         era: update.batch.position.era,
         fingerprint: patches.flatten().next(),
+        holdings: holdings.map(|it| (it.position.version, it.keys)),
         ..Appendix::default()
     };
     let answer = Answer {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 //! gateway can get the entries from a different one at any time.
 
 use indexmap::IndexMap;
+use sardinemux_core::hash;
 use sardinemux_core::position::Position;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -24,6 +25,18 @@
     pub is_complete: bool,
     /// The entries and the position up to which they are complete.
     pub batch: Batch,
+    /// What the sender's list holds in all. Gateways tell it beside the update; those of earlier builds do not.
+    #[serde(skip)]
+    pub holdings: Option<Holdings>,
+}
+
+/// What a log holds in all, by which a follower notices that changes have not made its list the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holdings {
+    /// The position up to which changes were applied.
+    pub position: Position,
+    /// The sum of the hashes of the keys that are listed.
+    pub keys: u64,
 }
 
 /// An entry that changed a log.
@@ -83,6 +96,25 @@
         self.entries.is_empty()
     }
 
+    /// Returns what the log holds in all.
+    pub fn holdings(&self) -> Holdings {
+        let listed = self.entries.values().filter(|entry| entry.fact.is_some());
+        let hashes = listed.map(|entry| hash::digest(&[entry.key.as_bytes()]));
+        Holdings {
+            position: self.position,
+            keys: hashes.fold(0, u64::wrapping_add),
+        }
+    }
+
+    /// Returns whether the list differs from that of another gateway, which has no fewer changes. That one may never have seen an entry
+    /// come and go, and leaves its removal out.
+    pub fn differs_from(&self, other: Holdings) -> bool {
+        let own = self.holdings();
+        let is_comparable =
+            own.position.era == other.position.era && own.position <= other.position;
+        self.has_snapshot && is_comparable && own.keys != other.keys
+    }
+
     /// Returns a receiver that is notified when entries change or a complete list is applied.
     pub fn subscribe(&self) -> watch::Receiver<Position> {
         self.changed.subscribe()
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -15,10 +15,13 @@
 use sardinemux_core::roster::{command, query, Announcement};
 
 use crate::prelude::*;
-use crate::relay::{Change, Log, Update};
+use crate::relay::{Change, Holdings, Log, Update};
 use crate::rollouts;
 use crate::source::{self, Batch, Entry, Fact, Topic, UNKNOWN_KEY};
 
+/// The time between two requests for complete lists because of differences, in milliseconds.
+const WHOLE_INTERVAL_MS: u64 = 2_000;
+
 /// What a gateway of an earlier build gets in place of the order of a rollout. It may pass that on to one of this build.
 const HIDDEN_ROLLOUT: &str = "the order of a rollout, which this build does not know";
 
@@ -52,6 +55,8 @@
     pub(crate) refreshed_suspensions: u64,
     /// Whether the complete list is to be requested from another gateway, as changes cannot be relied on.
     is_whole_due: bool,
+    /// When a complete list was last requested for that reason, in milliseconds.
+    whole_ms: Option<u64>,
     /// The pools whose rollout is ordered, by the key of their entry.
     pub(crate) ordered: IndexMap<SmolStr, SmolStr>,
     /// The evacuated availability zones, by the key of their entry.
@@ -237,12 +242,13 @@
 /// Applies entries from another gateway.
 ///
 /// Nothing is applied if the batch holds a patch that does not lead from the catalogue in force to that of the sender. The complete list
-/// is requested next then.
+/// is requested next then, and also if the list still differs from that of the sender.
 pub fn apply_peer_batch(gateway: &Gateway, topic: Topic, news: Update) {
     let Update {
         is_following,
         is_complete,
         mut batch,
+        holdings,
     } = news;
     if !resolve_patches(gateway, &mut batch) {
         with_view(gateway, topic, |view| view.is_whole_due = true);
@@ -250,16 +256,36 @@
     }
     let now_ms = gateway.now_ms();
     gateway.note_era(batch.position.era);
-    let changes = with_view(gateway, topic, |view| {
+    let (changes, differs) = with_view(gateway, topic, |view| {
         if is_following {
             view.last_contact_ms = now_ms;
         }
+        let changes = view.log.apply(&batch, is_complete, false);
         view.is_whole_due &= !is_complete;
-        view.log.apply(&batch, is_complete, false)
+        (changes, note_differences(view, holdings, now_ms))
     });
+    if differs {
+        log::warn!(
+            topic = topic.name(), version = batch.position.version;
+            "the list differs from that of the gateway that has sent its changes; requesting the complete list"
+        );
+        gateway.metrics.differing_lists.inc();
+    }
     apply_changes(gateway, topic, changes);
 }
 
+/// Has the complete list requested if the list differs from what another gateway holds. Returns whether it does.
+fn note_differences(view: &mut View, holdings: Option<Holdings>, now_ms: u64) -> bool {
+    let is_recent = |at_ms| now_ms.saturating_sub(at_ms) < WHOLE_INTERVAL_MS;
+    let differs = holdings.is_some_and(|holdings| view.log.differs_from(holdings));
+    if !differs || view.whole_ms.is_some_and(is_recent) {
+        return false;
+    }
+    view.is_whole_due = true;
+    view.whole_ms = Some(now_ms);
+    true
+}
+
 fn apply_changes(gateway: &Gateway, topic: Topic, changes: Vec<Change>) {
     let restored = changes.iter().filter(|change| change.is_restored).count();
     let counter = &gateway.metrics.restored_entries;
--- a/crates/gateway/tests/former.rs
+++ b/crates/gateway/tests/former.rs
@@ -246,6 +246,7 @@
     let fact = update.batch.entries[0].fact.as_ref().unwrap();
     assert_eq!(matches!(fact, Fact::Patch(_)), checks_patches);
     assert_eq!(matches!(fact, Fact::Catalog(_)), !checks_patches);
+    assert!(update.holdings.is_some());
     replication::apply_peer_batch(&follower, Topic::Operators, update);
     let view = follower.views.lock()[&Topic::Operators].clone();
     assert!(view.since().is_some() && !view.is_whole_due());
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -178,3 +178,24 @@
     let next = batch(vec![entry("b", 11, true)], 11);
     assert_eq!(changed_keys(&log.apply(&next, false, false)), ["b"]);
 }
+
+/// A list is compared only with one that has no fewer changes, of the same era.
+#[rstest]
+#[case::extra_key(&["a", "b"], Position::from(9), true)]
+#[case::same_keys(&["a"], Position::from(9), false)]
+#[case::other_is_behind(&["a", "b"], Position::from(4), false)]
+#[case::other_era(&["a", "b"], Position::new(Some(1), 9), false)]
+fn verify_lists_differ_only_where_they_must_be_the_same(
+    #[case] other: &[&str],
+    #[case] position: Position,
+    #[case] expected: bool,
+) {
+    let mut log = Log::default();
+    log.apply(&batch(vec![entry("a", 1, true)], 5), true, false);
+    log.apply(&batch(vec![entry("c", 5, false)], 5), false, false);
+    let mut peer = Log::default();
+    let entries = other.iter().map(|key| entry(key, 1, true)).collect();
+    let listed = Batch { entries, position };
+    peer.apply(&listed.in_era(position.era), true, false);
+    assert_eq!(log.differs_from(peer.holdings()), expected);
+}
--- a/crates/gateway/tests/replication.rs
+++ b/crates/gateway/tests/replication.rs
@@ -173,12 +173,12 @@
         let view = views.get(&Topic::Operators);
         view.and_then(View::since)
     };
-    let (is_complete, mut batch) = {
+    let (is_complete, mut batch, holdings) = {
         let mut views = peer.views.lock();
         let view = views.entry(Topic::Operators).or_default();
         let changes = view.log.changes_since(since);
         let (is_complete, batch) = changes.unwrap_or_default();
-        (is_complete, batch)
+        (is_complete, batch, view.log.holdings())
     };
     let held = follower.history.lock().latest();
     replication::substitute_patches(peer, &mut batch, held);
@@ -186,6 +186,7 @@
         is_following: true,
         is_complete,
         batch,
+        holdings: Some(holdings),
     }
 }
 
@@ -281,3 +282,37 @@
     assert!(view.is_whole_due());
     assert_eq!(view.since(), None);
 }
+
+fn evacuation(key: &str, version: u64, is_present: bool) -> Entry {
+    Entry {
+        key: key.into(),
+        fact: is_present.then(|| Fact::Evacuated(key.into())),
+        position: version.into(),
+        may_return: false,
+    }
+}
+
+/// A sender that never saw an entry come and go cannot tell that it has gone.
+#[test]
+fn verify_entry_that_came_and_went_unseen_by_the_sender_does_not_stay() {
+    let (sender, follower) = (gateway(), gateway());
+    let apply = |gateway: &Gateway, entries, version: u64, is_complete| {
+        let position = version.into();
+        let batch = Batch { entries, position };
+        replication::apply_store_batch(gateway, Topic::Operators, batch, is_complete);
+    };
+    for gateway in [&sender, &follower] {
+        apply(gateway, vec![evacuation("z1", 4, true)], 4, true);
+    }
+    apply(&follower, vec![evacuation("z2", 5, true)], 5, false);
+    apply(&sender, vec![evacuation("z1", 4, true)], 10, true);
+    for _ in 0..2 {
+        let news = read_from_peer(&sender, &follower);
+        replication::apply_peer_batch(&follower, Topic::Operators, news);
+    }
+    let views = follower.views.lock();
+    let view = views.get(&Topic::Operators).unwrap();
+    let zones: Vec<_> = view.evacuated.values().map(|it| it.zone.as_str()).collect();
+    assert_eq!(zones, ["z1"]);
+    assert!(view.since().is_some());
+}
