Take a gateway's own cut from the store for no outage of the store

A gateway took any time in which its calls had failed for an outage of the store, unless another one said otherwise, and kept all targets that the next list lacked for 2.5 s from that list. Alone, or cut off together with the others, it used targets that had left, and told its followers that they might return, for good.

An outage takes the entries of most targets, and a cut hides the few that have left: targets stay only in pools that lack half of theirs or more, at most until 2.8 s after the last failed call, and until another gateway is known to have followed the store for 2.5 s. Each follower applies the same rules to what it is told. Removals are marked as undoable only while they are. Messages are as before.

--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -26,7 +26,7 @@
 
 /// The longest delay while at most [`FULL_RATE_READERS`] fail, in milliseconds: a part of the two seconds within which
 /// changes must be known.
-const RETRY_DELAY_MAX_MS: u64 = 800;
+pub const RETRY_DELAY_MAX_MS: u64 = 800;
 
 /// The number of failing readers of one availability zone that retry at the full rate. With more of them, each retries
 /// less often, so that the rate of calls during an outage of the store does not grow with the number of gateways.
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -3,6 +3,7 @@
 //! Each router keeps its own roster. The requests that other routers have in flight are known from their reports or,
 //! where those are missing, from the load that targets state in their answers.
 
+pub mod absence;
 pub mod command;
 pub mod query;
 mod reported;
@@ -11,6 +12,7 @@
 use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
+use self::absence::Absence;
 use crate::leaving;
 use crate::speed;
 use crate::target::{self, Key, Target};
@@ -27,9 +29,13 @@
     pub load_multiple: f64,
     /// The number of requests added to the multiple, so that the bound of an idle pool is not zero.
     pub load_slack: f64,
-    /// How long a target stays in use that is not listed while the platform's list is being filled again after an
-    /// outage, in milliseconds. Live targets are listed again within two seconds.
+    /// The longest time for which a target stays in use that the platform's list lacks after an outage, in milliseconds.
     pub relist_ms: u64,
+    /// The time after the return of the platform's store in which live targets are listed again, in milliseconds.
+    pub returned_ms: u64,
+    /// The share of a pool's targets that the list lacks after an outage in which their entries have expired, from 0 to 1. Fewer
+    /// have left.
+    pub lapse_share: f64,
     /// How long a target stays unused that an older copy of the list brings back, unless it is announced anew, in
     /// milliseconds. A live target writes its entry every second or so, and the entry of a dead one expires in this time.
     pub restored_ms: u64,
@@ -58,6 +64,8 @@
             load_multiple: 1.4,
             load_slack: 2.0,
             relist_ms: 2_500,
+            returned_ms: 2_000,
+            lapse_share: 0.5,
             restored_ms: 4_000,
             backoff_ms: 400,
             backoff_max_ms: 4_000,
@@ -111,8 +119,8 @@
     pub(crate) rejected_until_ms: u64,
     /// Until when the target gets no request, as only an older copy of the list has it, in milliseconds.
     pub(crate) restored_until_ms: u64,
-    /// Since when the target is no longer listed, while it stays in use after an outage of the list.
-    pub(crate) missing_since_ms: Option<u64>,
+    /// Until when the target stays in use although it is no longer listed.
+    pub(crate) absence: Option<Absence>,
     /// Whether another process answered at the target's address.
     pub(crate) is_address_taken: bool,
     /// The requests that this router has in flight on the target.
--- a/crates/core/src/roster/command.rs
+++ b/crates/core/src/roster/command.rs
@@ -3,6 +3,7 @@
 use indexmap::{IndexMap, IndexSet};
 use smol_str::SmolStr;
 
+use super::absence::{Absence, Cause};
 use super::{
     query, Announcement, BrittleNotice, Brittleness, Condition, Evidence, LimitNotice, Pause,
     RemoteLoad, Removed, Report, Roster, Shares, Statement,
@@ -59,7 +60,7 @@
     let key = put_target(roster, target, lifetime);
     let condition = roster.conditions.entry(key).or_default();
     condition.lifetime = lifetime;
-    condition.missing_since_ms = None;
+    condition.absence = None;
     condition.restored_until_ms = 0;
     if cold_ms > 0 {
         condition.cold_until_ms = condition
@@ -138,7 +139,8 @@
     };
     let lifetime = query::lifetime(roster, key).unwrap_or_default();
     if announcement.lifetime < lifetime {
-        remove_target(roster, &id, true, now_ms);
+        let absence = Absence::after_restore(&roster.settings, now_ms);
+        remove_target(roster, &id, Some(absence), now_ms);
         return;
     }
     let was_leaving = query::target(roster, key).is_some_and(|target| target.leaving);
@@ -146,21 +148,42 @@
     apply_announcement(roster, announcement, now_ms);
 }
 
-/// Removes a target that the platform's list no longer contains.
-///
-/// While the list is being filled again after an outage (`is_relisting`), the target stays in use for the time that
-/// [`Settings::relist_ms`](super::Settings::relist_ms) states.
-pub fn remove_target(roster: &mut Roster, id: &str, is_relisting: bool, now_ms: u64) {
-    if !is_relisting {
+/// Removes a target that the platform's list no longer contains. With an `absence`, it stays in use for the time stated there.
+pub fn remove_target(roster: &mut Roster, id: &str, absence: Option<Absence>, now_ms: u64) {
+    let Some(absence) = absence else {
         drop_target(roster, id, now_ms);
         return;
-    }
+    };
     let key = roster.table.key(id);
     if let Some(condition) = key.and_then(|key| roster.conditions.get_mut(&key)) {
-        condition.missing_since_ms.get_or_insert(now_ms);
+        condition.absence.get_or_insert(absence);
     }
 }
 
+/// Removes the targets that stay in use after an outage of the platform's store, as that was available. Returns their ids.
+pub fn remove_lapsed(roster: &mut Roster, now_ms: u64) -> Vec<SmolStr> {
+    drop_absent(roster, |absence| absence.cause == Cause::Outage, now_ms)
+}
+
+/// Removes the unlisted targets that still are in use and are `selected`. Returns their ids.
+fn drop_absent(
+    roster: &mut Roster,
+    selected: impl Fn(Absence) -> bool,
+    now_ms: u64,
+) -> Vec<SmolStr> {
+    let is_selected = |condition: &Condition| condition.absence.is_some_and(&selected);
+    let found = roster
+        .table
+        .iter()
+        .filter(|(key, _)| roster.conditions.get(key).is_some_and(is_selected))
+        .map(|(_, target)| target.id.clone());
+    let found: Vec<SmolStr> = found.collect();
+    for id in &found {
+        drop_target(roster, id, now_ms);
+    }
+    found
+}
+
 fn drop_target(roster: &mut Roster, id: &str, now_ms: u64) {
     let Some(key) = roster.table.key(id) else {
         return;
@@ -190,24 +213,6 @@
     }
 }
 
-/// Removes every target that a complete list does not contain, as [`remove_target`] does.
-pub fn retain_listed(
-    roster: &mut Roster,
-    listed: &IndexSet<SmolStr>,
-    is_relisting: bool,
-    now_ms: u64,
-) {
-    let unlisted: Vec<SmolStr> = roster
-        .table
-        .iter()
-        .filter(|(_, target)| !listed.contains(&target.id))
-        .map(|(_, target)| target.id.clone())
-        .collect();
-    for id in unlisted {
-        remove_target(roster, &id, is_relisting, now_ms);
-    }
-}
-
 /// Sets the availability zones that get no new requests.
 ///
 /// The targets of a zone that is no longer evacuated count as cold for the `cold_ms` of their pool, since they may have
@@ -646,19 +651,7 @@
     let settings = roster.settings;
     let oldest_ms = (now_ms + 1).saturating_sub(settings.report_ttl_ms);
     roster.reported.remove_older_than(oldest_ms);
-    let is_expired = |condition: &Condition| {
-        let since_ms = condition.missing_since_ms;
-        since_ms.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= settings.relist_ms)
-    };
-    let expired: Vec<SmolStr> = roster
-        .table
-        .iter()
-        .filter(|(key, _)| roster.conditions.get(key).is_some_and(is_expired))
-        .map(|(_, target)| target.id.clone())
-        .collect();
-    for id in &expired {
-        drop_target(roster, id, now_ms);
-    }
+    let expired = drop_absent(roster, |absence| now_ms >= absence.until_ms, now_ms);
     remove_expired_conditions(roster, now_ms);
     let Roster {
         table,
--- a/crates/core/src/roster/query.rs
+++ b/crates/core/src/roster/query.rs
@@ -96,8 +96,8 @@
         return false;
     };
     let is_expired = condition
-        .missing_since_ms
-        .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= roster.settings.relist_ms);
+        .absence
+        .is_some_and(|absence| now_ms >= absence.until_ms);
     !target.leaving
         && !has_stated_leaving(roster, key)
         && !condition.is_address_taken
--- a/crates/core/tests/pauses.rs
+++ b/crates/core/tests/pauses.rs
@@ -71,7 +71,7 @@
                 let id = format!("t{index}");
                 let lapses = is_away && (index + (now_ms / LAPSE_MS.0) as usize).is_multiple_of(2);
                 match (lapses, query::key(roster, &id).is_some()) {
-                    (true, true) => command::remove_target(roster, &id, false, now_ms),
+                    (true, true) => command::remove_target(roster, &id, None, now_ms),
                     (false, false) => {
                         command::apply_announcement(roster, announce(index), now_ms);
                     }
@@ -183,8 +183,8 @@
         Shares::default(),
         0
     ));
-    command::remove_target(&mut roster, "t0", false, 10);
-    command::remove_target(&mut roster, "t1", false, 10);
+    command::remove_target(&mut roster, "t0", None, 10);
+    command::remove_target(&mut roster, "t1", None, 10);
     command::note_pause(&mut roster, key, 90_000, 20);
     assert!(command::note_leaving(&mut roster, leaving, 20));
     command::remove_expired(&mut roster, 80_000);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -196,6 +196,14 @@
             .collect()
     }
 
+    /// Marks the removals of keys that are `selected` as final: their targets do not return.
+    pub fn settle(&mut self, selected: impl Fn(&SmolStr) -> bool) {
+        let entries = self.entries.values_mut();
+        for entry in entries.filter(|entry| entry.may_return && selected(&entry.key)) {
+            entry.may_return = false;
+        }
+    }
+
     /// Drops the older half of the removals if there are more than [`REMOVALS_MAX`].
     fn prune_removals(&mut self) {
         let removals = self.entries.values().filter(|entry| entry.fact.is_none());
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -2,17 +2,20 @@
 //! gateways.
 //!
 //! After an outage of the store, a gateway reads the complete list again. Entries of live targets may have expired
-//! during the outage, so targets that are missing from that list stay in use for a short time.
+//! during the outage, so that the targets of a pool that lacks most of them stay in use for a short time
+//! ([`absence`](sardinemux_core::roster::absence)).
 
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
+use parking_lot::MutexGuard;
 use sardinemux_core::catalog::patch::Held;
 use sardinemux_core::catalog::Catalog;
 use sardinemux_core::position::Position;
 use sardinemux_core::readers::ReaderState;
 use sardinemux_core::rollout::Order;
-use sardinemux_core::roster::{command, query, Announcement};
+use sardinemux_core::roster::absence::{self, Absence};
+use sardinemux_core::roster::{command, query, Announcement, Roster, Settings};
 
 use crate::prelude::*;
 use crate::relay::{Change, Holdings, Log, Update};
@@ -25,6 +28,10 @@
 /// What a gateway of an earlier build gets in place of the order of a rollout. It may pass that on to one of this build.
 const HIDDEN_ROLLOUT: &str = "the order of a rollout, which this build does not know";
 
+/// How long it is assumed that the store is available after another gateway has reported so, in milliseconds: several periods of
+/// reports.
+const PROOF_TTL_MS: u64 = 1_500;
+
 /// How long an evacuation stays in force that a store which came back from an older copy lacks, in milliseconds: the time in
 /// which operators write again what the copy lacks.
 const RESTORED_MS: u64 = 4_000;
@@ -43,11 +50,15 @@
     /// Whether the pending call to the store is overdue. It may still succeed, but until then the entries may be out of
     /// date, and another gateway must read the store.
     is_overdue: bool,
-    /// Whether another gateway has followed the store throughout the current outage. If so, the store is available and
-    /// only the connection of this gateway to it has failed.
-    is_own_outage: bool,
-    /// Whether the next complete list is the first after an outage of the store itself.
+    /// When a call to the store last failed, in milliseconds.
+    failed_ms: Option<u64>,
+    /// When another gateway last reported that it has followed the store for longer than entries take to return, or than the
+    /// current outage, in milliseconds. The store was available then, and only the path of this gateway to it has failed.
+    proven_ms: Option<u64>,
+    /// Whether the next complete list is the first after an outage that may be one of the store itself.
     is_relisting: bool,
+    /// Until when removals may be undone as entries may have expired, in milliseconds; `None` if there are none.
+    undoable_until_ms: Option<u64>,
     /// When the store, or another gateway that follows it, last answered, in milliseconds.
     pub(crate) last_contact_ms: u64,
     /// The number of suspensions of the process before the last successful call to the store, or to a gateway that
@@ -94,6 +105,12 @@
         self.is_whole_due
     }
 
+    /// Returns whether another gateway has lately been known to follow the store.
+    fn is_store_proven(&self, now_ms: u64) -> bool {
+        let is_recent = |at_ms| now_ms.saturating_sub(at_ms) < PROOF_TTL_MS;
+        self.proven_ms.is_some_and(is_recent)
+    }
+
     /// Returns whether this gateway reads the store, and its calls succeed.
     pub fn is_following(&self) -> bool {
         self.reader_state() == ReaderState::Following
@@ -117,14 +134,14 @@
         view.is_overdue = false;
         view.following_since_ms.get_or_insert(now_ms);
         if let Some(since_ms) = view.failing_since_ms.take() {
-            view.is_relisting = !view.is_own_outage;
+            let is_own_outage = view.is_store_proven(now_ms);
+            view.is_relisting = !is_own_outage;
             let away_ms = now_ms.saturating_sub(since_ms);
             log::info!(
-                topic = topic.name(), away_ms = away_ms, is_own_outage = view.is_own_outage;
+                topic = topic.name(), away_ms = away_ms, is_own_outage = is_own_outage;
                 "store regained"
             );
         }
-        view.is_own_outage = false;
     });
 }
 
@@ -171,14 +188,52 @@
     since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
 }
 
+/// Applies the report of another gateway that it has followed the store for `followed_ms` without a failed call. Targets that stay
+/// in use as their entries may have expired are removed if that shows that the store was available.
+pub fn apply_followed_time(gateway: &Gateway, followed_ms: u64) {
+    let now_ms = gateway.now_ms();
+    let ends = with_view(gateway, Topic::Targets, |view| {
+        note_peer_following(view, followed_ms, now_ms);
+        view.undoable_until_ms.is_some() && view.is_store_proven(now_ms)
+    });
+    if ends {
+        remove_lapsed(gateway);
+    }
+}
+
 /// Records for how long another gateway has followed the store without a failed call, in milliseconds. This tells an
 /// outage of the store from a failed connection of this gateway.
-pub fn note_peer_following(view: &mut View, following_ms: u64, now_ms: u64) {
-    if let Some(since_ms) = view.failing_since_ms {
-        view.is_own_outage |= following_ms > now_ms.saturating_sub(since_ms);
+pub fn note_peer_following(view: &mut View, followed_ms: u64, now_ms: u64) {
+    let outage_ms = view.failing_since_ms.map(|it| now_ms.saturating_sub(it));
+    if absence::is_store_proven(&Settings::default(), followed_ms, outage_ms) {
+        view.proven_ms = Some(now_ms);
+    }
+}
+
+/// Removes the targets that stay in use as their entries may have expired. The followers of this gateway are told no more that they
+/// may return.
+fn remove_lapsed(gateway: &Gateway) {
+    let now_ms = gateway.now_ms();
+    let mut roster = gateway.roster.lock();
+    let removed = command::remove_lapsed(&mut roster, now_ms);
+    with_view(gateway, Topic::Targets, |view| {
+        view.log.settle(|key| removed.contains(key));
+    });
+    for id in removed {
+        log::info!(target_id:% = id; "target has left, as the store was available to others");
     }
 }
 
+/// Marks the removals of targets as final once the time is over in which entries that have expired return.
+pub fn settle_removals(gateway: &Gateway, now_ms: u64) {
+    with_view(gateway, Topic::Targets, |view| {
+        if view.undoable_until_ms.is_some_and(|it| now_ms >= it) {
+            view.undoable_until_ms = None;
+            view.log.settle(|_| true);
+        }
+    });
+}
+
 /// Records that the pending call to the store for a topic has not been answered within `limit`.
 ///
 /// Unlike a failed call this is no outage: if the answer comes, the topic is watched on from where it is.
@@ -211,6 +266,7 @@
         view.watch_position = None;
         view.is_overdue = false;
         view.following_since_ms = None;
+        view.failed_ms = Some(now_ms);
         if view.failing_since_ms.is_none() {
             view.failing_since_ms = Some(now_ms);
             log::warn!(topic = topic.name(), error:% = error; "store lost");
@@ -228,15 +284,45 @@
 /// A gateway without any entry of the topic ignores a complete list without entries, and reads the list again. If an
 /// exchanged answer passed for that list, the changes since its version would leave out the entries.
 pub fn apply_store_batch(gateway: &Gateway, topic: Topic, batch: Batch, is_complete: bool) {
-    let changes = with_view(gateway, topic, |view| {
+    let roster = lock_roster(gateway, topic);
+    let (changes, failed_ms) = with_view(gateway, topic, |view| {
         if is_complete && batch.entries.is_empty() && view.log.is_empty() {
-            return Vec::new();
+            return (Vec::new(), None);
         }
         view.watch_position = Some(batch.position);
         let may_return = is_complete && std::mem::take(&mut view.is_relisting);
-        view.log.apply(&batch, is_complete, may_return)
+        let mut changes = view.log.apply(&batch, is_complete, may_return);
+        if let Some(roster) = &roster {
+            settle_left(roster, view, &mut changes, gateway.now_ms());
+        }
+        (changes, view.failed_ms)
     });
-    apply_changes(gateway, topic, changes);
+    drop(roster);
+    apply_changes(gateway, topic, changes, failed_ms);
+}
+
+/// Locks the roster if the entries of `topic` change it. It is locked before the views are.
+fn lock_roster(gateway: &Gateway, topic: Topic) -> Option<MutexGuard<'_, Roster>> {
+    (topic == Topic::Targets).then(|| gateway.roster.lock())
+}
+
+/// Marks those removals among `changes` as final whose targets have left, although the store may have been away.
+fn settle_left(roster: &Roster, view: &mut View, changes: &mut [Change], now_ms: u64) {
+    let is_doubtful = |change: &Change| change.entry.may_return && !change.is_restored;
+    let unlisted = changes.iter().filter(|change| is_doubtful(change));
+    let unlisted: IndexSet<SmolStr> = unlisted.map(|change| change.entry.key.clone()).collect();
+    let lapsed = match view.is_store_proven(now_ms) {
+        true => IndexSet::new(),
+        false => absence::find_lapsed(roster, &unlisted),
+    };
+    let left = |key: &SmolStr| unlisted.contains(key) && !lapsed.contains(key);
+    view.log.settle(left);
+    for change in changes.iter_mut() {
+        change.entry.may_return &= !left(&change.entry.key);
+    }
+    if changes.iter().any(|change| change.entry.may_return) {
+        view.undoable_until_ms = Some(now_ms + Settings::default().relist_ms);
+    }
 }
 
 /// Applies entries from another gateway.
@@ -256,14 +342,19 @@
     }
     let now_ms = gateway.now_ms();
     gateway.note_era(batch.position.era);
+    let roster = lock_roster(gateway, topic);
     let (changes, differs) = with_view(gateway, topic, |view| {
         if is_following {
             view.last_contact_ms = now_ms;
         }
-        let changes = view.log.apply(&batch, is_complete, false);
+        let mut changes = view.log.apply(&batch, is_complete, false);
+        if let Some(roster) = &roster {
+            settle_left(roster, view, &mut changes, now_ms);
+        }
         view.is_whole_due &= !is_complete;
         (changes, note_differences(view, holdings, now_ms))
     });
+    drop(roster);
     if differs {
         log::warn!(
             topic = topic.name(), version = batch.position.version;
@@ -271,7 +362,7 @@
         );
         gateway.metrics.differing_lists.inc();
     }
-    apply_changes(gateway, topic, changes);
+    apply_changes(gateway, topic, changes, None);
 }
 
 /// Has the complete list requested if the list differs from what another gateway holds. Returns whether it does.
@@ -286,7 +377,8 @@
     true
 }
 
-fn apply_changes(gateway: &Gateway, topic: Topic, changes: Vec<Change>) {
+/// Applies the changes of a log. `failed_ms` is the time of the last call to the store that failed, if this gateway has read them there.
+fn apply_changes(gateway: &Gateway, topic: Topic, changes: Vec<Change>, failed_ms: Option<u64>) {
     let restored = changes.iter().filter(|change| change.is_restored).count();
     let counter = &gateway.metrics.restored_entries;
     counter
@@ -300,7 +392,7 @@
     }
     match topic {
         Topic::Operators => apply_operators(gateway, changes),
-        Topic::Targets => apply_targets(gateway, changes),
+        Topic::Targets => apply_targets(gateway, changes, failed_ms),
         // The others are read on demand, and are not relayed.
         Topic::Members | Topic::Quarantine | Topic::Builds | Topic::Origins => {}
     }
@@ -475,7 +567,7 @@
     command::set_evacuated(&mut roster, zones, cold_ms, now_ms);
 }
 
-fn apply_targets(gateway: &Gateway, changes: Vec<Change>) {
+fn apply_targets(gateway: &Gateway, changes: Vec<Change>, failed_ms: Option<u64>) {
     let now_ms = gateway.now_ms();
     for Change { entry, is_restored } in changes {
         let mut roster = gateway.roster.lock();
@@ -488,7 +580,7 @@
                     key:% = entry.key, version = entry.position.version, reason:% = reason;
                     "cannot decode the entry of a target; removing the target"
                 );
-                command::remove_target(&mut roster, &entry.key, false, now_ms);
+                command::remove_target(&mut roster, &entry.key, None, now_ms);
             }
             Some(_) => {}
             None => {
@@ -496,14 +588,20 @@
                     target_id:% = entry.key, version = entry.position.version, may_return = entry.may_return;
                     "target is no longer listed"
                 );
-                command::remove_target(&mut roster, &entry.key, entry.may_return, now_ms);
+                let settings = Settings::default();
+                let absence = match is_restored {
+                    true => Absence::after_restore(&settings, now_ms),
+                    false => Absence::after_outage(&settings, failed_ms, now_ms),
+                };
+                let absence = entry.may_return.then_some(absence);
+                command::remove_target(&mut roster, &entry.key, absence, now_ms);
             }
         }
     }
 }
 
 fn apply_announcement(
-    roster: &mut sardinemux_core::roster::Roster,
+    roster: &mut Roster,
     announcement: Announcement,
     is_restored: bool,
     now_ms: u64,
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -585,11 +585,7 @@
     };
     gateway.metrics.peer_reports.inc();
     let now_ms = gateway.now_ms();
-    {
-        let mut views = gateway.views.lock();
-        let view = views.entry(Topic::Targets).or_default();
-        replication::note_peer_following(view, report.followed_ms, now_ms);
-    }
+    replication::apply_followed_time(gateway, report.followed_ms);
     let is_new = {
         let mut members = gateway.members.lock();
         match report.is_stopping {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -340,6 +340,7 @@
         self.idle_connections.lock().prune(is_known);
         drop(roster);
         crate::replication::remove_unconfirmed(self);
+        crate::replication::settle_removals(self, now_ms);
         self.idle_hops.lock().prune(|_| true);
         let catalog = self.catalog();
         let mut reach = self.reach.lock();
