--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -31,8 +31,8 @@
     pub load_slack: f64,
     /// The longest time for which a target stays in use that the platform's list lacks after an outage, in milliseconds.
     pub relist_ms: u64,
-    /// The time after the return of the platform's store in which live targets are listed again, in milliseconds.
-    pub returned_ms: u64,
+    /// The time after the return of the platform's store in which live targets write their entries again, in milliseconds.
+    pub rewrite_ms: u64,
     /// The share of a pool's targets that the list lacks after an outage in which their entries have expired, from 0 to 1. Fewer
     /// have left.
     pub lapse_share: f64,
@@ -64,7 +64,7 @@
             load_multiple: 1.4,
             load_slack: 2.0,
             relist_ms: 2_500,
-            returned_ms: 2_000,
+            rewrite_ms: 2_000,
             lapse_share: 0.5,
             restored_ms: 4_000,
             backoff_ms: 400,
--- a/crates/core/src/roster/absence.rs
+++ b/crates/core/src/roster/absence.rs
@@ -6,7 +6,7 @@
 //!
 //! - An outage takes the entries of most targets, so that targets of a pool stay in use only if the list lacks at least
 //!   [`Settings::lapse_share`] of those that were in use.
-//! - They stay until the smaller of `max(list, last failed call + retry delay) + returned_ms` and `list + relist_ms`.
+//! - They stay until the smaller of `max(list, last failed call + retry delay) + rewrite_ms` and `list + relist_ms`.
 //! - They are removed as soon as another router is known to have followed the store for [`Settings::relist_ms`].
 
 use indexmap::{IndexMap, IndexSet};
@@ -47,8 +47,8 @@
     /// assert_eq!(absence.until_ms, 12_100);
     /// ```
     pub fn after_outage(settings: &Settings, failed_ms: Option<u64>, now_ms: u64) -> Self {
-        let returned_ms = failed_ms.map_or(now_ms, |failed_ms| failed_ms + RETRY_DELAY_MAX_MS);
-        let until_ms = returned_ms.max(now_ms) + settings.returned_ms;
+        let return_ms = failed_ms.map_or(now_ms, |failed_ms| failed_ms + RETRY_DELAY_MAX_MS);
+        let until_ms = return_ms.max(now_ms) + settings.rewrite_ms;
         Self {
             cause: Cause::Outage,
             until_ms: until_ms.min(now_ms + settings.relist_ms),
@@ -66,12 +66,33 @@
 
 /// Returns whether the store was available to another router that has followed it for `followed_ms` without a failed call: for longer
 /// than entries take to return, or than the outage that this router has seen, if one lasts.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::roster::{absence, Settings};
+///
+/// let settings = Settings::default();
+/// assert!(absence::is_store_proven(&settings, settings.relist_ms, None));
+/// assert!(absence::is_store_proven(&settings, 900, Some(800)));
+/// assert!(!absence::is_store_proven(&settings, 700, Some(800)));
+/// ```
 pub fn is_store_proven(settings: &Settings, followed_ms: u64, outage_ms: Option<u64>) -> bool {
     followed_ms >= settings.relist_ms || outage_ms.is_some_and(|outage_ms| followed_ms > outage_ms)
 }
 
 /// Returns those of the `unlisted` targets whose entries may have expired during an outage of the store: the targets of the pools that
 /// lack [`Settings::lapse_share`] of their targets or more.
+///
+/// # Examples
+///
+/// ```
+/// use indexmap::IndexSet;
+/// use sardinemux_core::roster::{absence, Roster};
+///
+/// let unlisted = IndexSet::from(["e1".into()]);
+/// assert!(absence::find_lapsed(&Roster::default(), &unlisted).is_empty());
+/// ```
 pub fn find_lapsed(roster: &Roster, unlisted: &IndexSet<SmolStr>) -> IndexSet<SmolStr> {
     let in_use = || {
         let targets = roster.table.iter().filter(|(key, target)| {
--- a/crates/core/tests/absence.rs
+++ b/crates/core/tests/absence.rs
@@ -97,6 +97,6 @@
         let read_ms = failed_ms + delay_ms;
         let absence = Absence::after_outage(&settings, Some(failed_ms), read_ms);
         prop_assert!(absence.until_ms < failed_ms + IN_TOUCH_MS);
-        prop_assert!(absence.until_ms >= read_ms + settings.returned_ms);
+        prop_assert!(absence.until_ms >= read_ms + settings.rewrite_ms);
     }
 }
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -15,7 +15,7 @@
 use sardinemux_core::readers::ReaderState;
 use sardinemux_core::rollout::Order;
 use sardinemux_core::roster::absence::{self, Absence};
-use sardinemux_core::roster::{command, query, Announcement, Roster, Settings};
+use sardinemux_core::roster::{self, command, query, Announcement, Roster};
 
 use crate::prelude::*;
 use crate::relay::{Change, Holdings, Log, Update};
@@ -205,7 +205,7 @@
 /// outage of the store from a failed connection of this gateway.
 pub fn note_peer_following(view: &mut View, followed_ms: u64, now_ms: u64) {
     let outage_ms = view.failing_since_ms.map(|it| now_ms.saturating_sub(it));
-    if absence::is_store_proven(&Settings::default(), followed_ms, outage_ms) {
+    if absence::is_store_proven(&roster::Settings::default(), followed_ms, outage_ms) {
         view.proven_ms = Some(now_ms);
     }
 }
@@ -321,7 +321,7 @@
         change.entry.may_return &= !left(&change.entry.key);
     }
     if changes.iter().any(|change| change.entry.may_return) {
-        view.undoable_until_ms = Some(now_ms + Settings::default().relist_ms);
+        view.undoable_until_ms = Some(now_ms + roster::Settings::default().relist_ms);
     }
 }
 
@@ -588,7 +588,7 @@
                     target_id:% = entry.key, version = entry.position.version, may_return = entry.may_return;
                     "target is no longer listed"
                 );
-                let settings = Settings::default();
+                let settings = roster::Settings::default();
                 let absence = match is_restored {
                     true => Absence::after_restore(&settings, now_ms),
                     false => Absence::after_outage(&settings, failed_ms, now_ms),
