Link documents as the checks ask for

cargo doc failed on a link to a private constant, as the delay between calls to the store has become public, and on a link with a redundant target.

--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -9,8 +9,8 @@
 //!
 //! The store may come back from an older copy, without a build that has joined since and without the latest records. A gateway
 //! that knows more writes both again, and has streams recorded meanwhile. One that may not know of the last join, as it has
-//! started or was out of touch, sees from the era in which an epoch was written that it may lack a build. It holds the base for
-//! a [`Doubt`] until no stream of the time before can be taken up: a missing record says nothing of where a stream began.
+//! started or was out of touch, sees from the era in which an epoch was written that it may lack a build. It holds the base
+//! in doubt until no stream of the time before can be taken up: a missing record says nothing of where a stream began.
 //!
 //! Most streams are still taken up then. While a join is so recent that a copy may lack it, only one stream in
 //! [`RECENT_STREAMS`], chosen by its id, begins at the new build, and all others at the first build of the epoch. Those can have
--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -24,7 +24,7 @@
 /// The shortest delay after a first failed call, in milliseconds; doubled with each further failed call in a row.
 const RETRY_DELAY_MS: u64 = 100;
 
-/// The longest delay while at most [`FULL_RATE_READERS`] fail, in milliseconds: a part of the two seconds within which
+/// The longest delay while at most two readers of an availability zone fail, in milliseconds: a part of the two seconds within which
 /// changes must be known.
 pub const RETRY_DELAY_MAX_MS: u64 = 800;
 
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -3,7 +3,7 @@
 //!
 //! After an outage of the store, a gateway reads the complete list again. Entries of live targets may have expired
 //! during the outage, so that the targets of a pool that lacks most of them stay in use for a short time
-//! ([`absence`](sardinemux_core::roster::absence)).
+//! ([`absence`]).
 
 use std::time::Duration;
 
