Review case 15: streams of a silent gateway are refused after a join

Cause: a stream that begins while there is one build has no record. Once another build has joined, the epoch has no base, and the stream counts as one of an unknown build.

--- a/review/support-3/support.rs
+++ b/review/support-3/support.rs
@@ -26,6 +26,7 @@
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 const SIGKILL: i32 = 9;
+const SIGSTOP: i32 = 19;
 
 /// After this time a case gives up; it has 120 s.
 const TIME_MAX: Duration = Duration::from_secs(105);
@@ -1019,6 +1020,12 @@
         matches!(read_head(&mut BufReader::new(stream)), Ok(Some(answer)) if answer.status() == 200)
     }
 
+    /// Stops the process for good, without a word to anyone, like a machine that loses its power.
+    pub fn stop(&self) {
+        // SAFETY: a plain call of the C library; the process is a child that has not been waited for.
+        unsafe { kill(self.child.id() as i32, SIGSTOP) };
+    }
+
     /// Returns whether the process still runs.
     pub fn is_alive(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
