Wait for the ended stand-ins of the review cases 11 to 15

Cause: killed stand-ins were not waited for at the end of a case.

Change: the shared support waits for them. Replicas can leave out the framing of their answers.

--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -44,6 +44,7 @@
             events: 48,
             event_ms: 25,
             event_bytes: 300,
+            is_unframed: false,
         };
         Replica::start(kind, &store, runs.clone(), &record)
     };
--- a/review/15/case.rs
+++ b/review/15/case.rs
@@ -87,6 +87,7 @@
             events: 90,
             event_ms: 80,
             event_bytes: 30,
+            is_unframed: false,
         };
         Replica::start(kind, &store, runs.clone(), &record)
     };
--- a/review/support-3/support.rs
+++ b/review/support-3/support.rs
@@ -20,6 +20,7 @@
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn connect(fd: i32, address: *const u8, length: u32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
 }
 
 /// The processes that the case has started and not ended yet.
@@ -34,8 +35,11 @@
 /// Ends the case and all processes that it started.
 pub fn exit(code: i32) -> ! {
     for pid in CHILDREN.lock().unwrap().drain(..) {
-        // SAFETY: a plain call of the C library; the process is a child that has not been waited for.
-        unsafe { kill(pid as i32, SIGKILL) };
+        // SAFETY: plain calls of the C library; the process is a child that has not been waited for.
+        unsafe {
+            kill(pid as i32, SIGKILL);
+            waitpid(pid as i32, std::ptr::null_mut(), 0);
+        }
     }
     std::process::exit(code)
 }
@@ -708,6 +712,8 @@
     pub event_ms: u64,
     /// The bytes of filling in each event.
     pub event_bytes: usize,
+    /// Whether answers have neither a length nor chunks and end with their channel.
+    pub is_unframed: bool,
 }
 
 impl Kind {
@@ -749,6 +755,7 @@
             events,
             event_ms,
             event_bytes,
+            is_unframed,
             ..
         } = &kind;
         let child = Command::new(program)
@@ -760,6 +767,7 @@
                 &events.to_string(),
                 &event_ms.to_string(),
                 &event_bytes.to_string(),
+                if *is_unframed { "unframed" } else { "chunks" },
             ])
             .stdout(Stdio::piped())
             .spawn();
@@ -823,6 +831,7 @@
     let number = |index: usize| arguments[index].parse::<u64>().unwrap_or(0);
     let (id, version) = (arguments[2].clone(), arguments[3].clone());
     let (events, event_ms, event_bytes) = (number(5), number(6), number(7) as usize);
+    let is_unframed = arguments[8] == "unframed";
     let listener = TcpListener::bind(("127.0.0.1", number(4) as u16));
     let Ok(listener) = listener else {
         std::process::exit(1)
@@ -831,7 +840,15 @@
     for stream in listener.incoming().flatten() {
         let (id, version) = (id.clone(), version.clone());
         thread::spawn(move || {
-            let _ = serve_replica(stream, &id, &version, events, event_ms, event_bytes);
+            let _ = serve_replica(
+                stream,
+                &id,
+                &version,
+                events,
+                event_ms,
+                event_bytes,
+                is_unframed,
+            );
         });
     }
     std::process::exit(0)
@@ -844,6 +861,7 @@
     events: u64,
     event_ms: u64,
     event_bytes: usize,
+    is_unframed: bool,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
@@ -862,11 +880,12 @@
         println!("{id} {version} runs {request_id} after event {last}");
         let head = format!("HTTP/1.1 200 OK\r\nSardinemux-Request-Id: {request_id}\r\nSardinemux-Response-Stamp: {id}.{version}\r\n");
         if request.path().starts_with("/plan") || request.path().starts_with("/draft") {
+            let framing = match is_unframed {
+                true => "Connection: close",
+                false => "Transfer-Encoding: chunked",
+            };
             writer.write_all(
-                format!(
-                    "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-                )
-                .as_bytes(),
+                format!("{head}Content-Type: text/event-stream\r\n{framing}\r\n\r\n").as_bytes(),
             )?;
             for number in last + 1..=events {
                 thread::sleep(Duration::from_millis(event_ms));
@@ -874,10 +893,19 @@
                     "id: {number}\ndata: {version} {}\n\n",
                     "t".repeat(event_bytes)
                 );
-                writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+                let piece = match is_unframed {
+                    true => event,
+                    false => format!("{:x}\r\n{event}\r\n", event.len()),
+                };
+                writer.write_all(piece.as_bytes())?;
+            }
+            if !is_unframed {
+                writer.write_all(b"0\r\n\r\n")?;
             }
-            writer.write_all(b"0\r\n\r\n")?;
             println!("{id} {version} has completed {request_id}");
+            if is_unframed {
+                return Ok(());
+            }
         } else {
             thread::sleep(Duration::from_millis(15));
             let body = "b".repeat(800);
