Review case 15: a second attempt states what is left of the time budget

Cause: requesters stated their whole time budget again when they took a stream up.

Change: they state what is left of it.

--- a/review/15/case.rs
+++ b/review/15/case.rs
@@ -9,13 +9,16 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use support::{Gateway, Kind, Record, Replica, Store};
 
 /// The streams that run when replicas of a second version are listed.
 const STREAMS: usize = 44;
 
+/// The time budget of a requester, of which a second attempt has what is left.
+const BUDGET_MS: u64 = 12_000;
+
 /// The new streams at the other gateway.
 const NEW: usize = 20;
 
@@ -30,12 +33,17 @@
 const KILLED: usize = 0;
 const OTHER: usize = 2;
 
-fn open(address: SocketAddr, id: &str, fields: &str) -> Option<BufReader<TcpStream>> {
+fn open(
+    address: SocketAddr,
+    id: &str,
+    fields: &str,
+    budget_ms: u64,
+) -> Option<BufReader<TcpStream>> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
     stream
         .set_read_timeout(Some(Duration::from_secs(12)))
         .ok()?;
-    let request = support::request("POST", "/plan/a", id, 12_000);
+    let request = support::request("POST", "/plan/a", id, budget_ms);
     let request = request.replacen("Api-Key", &format!("{fields}Api-Key"), 1);
     stream.write_all(request.as_bytes()).ok()?;
     Some(BufReader::new(stream))
@@ -46,9 +54,10 @@
     address: SocketAddr,
     id: &str,
     fields: &str,
+    budget_ms: u64,
     record: &Record,
 ) -> (u16, Vec<(u64, String)>, bool) {
-    let Some(mut reader) = open(address, id, fields) else {
+    let Some(mut reader) = open(address, id, fields, budget_ms) else {
         return (0, Vec::new(), false);
     };
     record.note(&format!(
@@ -111,13 +120,16 @@
             let record = record.clone();
             thread::spawn(move || {
                 let id = format!("stream-{index}");
-                let (status, events, is_whole) = ask(killed, &id, "", &record);
+                let begun = Instant::now();
+                let (status, events, is_whole) = ask(killed, &id, "", BUDGET_MS, &record);
                 let last = events.last().map_or(0, |(number, _)| *number);
                 if status != 200 || is_whole || last == 0 {
                     return None;
                 }
+                let left_ms = BUDGET_MS.saturating_sub(begun.elapsed().as_millis() as u64);
                 let fields = format!("Last-Event-Id: {last}\r\nResumes: {id}\r\n");
-                let (status, rest, _) = ask(other, &format!("{id}-again"), &fields, &record);
+                let (status, rest, _) =
+                    ask(other, &format!("{id}-again"), &fields, left_ms, &record);
                 let versions: BTreeSet<&String> = rest.iter().map(|(_, version)| version).collect();
                 Some(status == 200 && versions.len() == 1)
             })
@@ -140,7 +152,9 @@
         .map(|index| {
             thread::sleep(Duration::from_millis(20));
             let record = record.clone();
-            thread::spawn(move || ask(other, &format!("new-{index}"), "", &record).0 == 200)
+            thread::spawn(move || {
+                ask(other, &format!("new-{index}"), "", BUDGET_MS, &record).0 == 200
+            })
         })
         .collect();
     let resumed: Vec<bool> = requesters
