Review case 15: add replicas within the share of the site

Cause: two replicas were added to three, a share of 0.67, where the largest scale_out of the site is 0.25.

--- a/review/15/case.rs
+++ b/review/15/case.rs
@@ -103,7 +103,7 @@
         };
         Replica::start(kind, &store, runs.clone(), &record)
     };
-    let mut replicas: Vec<Replica> = (0..3)
+    let mut replicas: Vec<Replica> = (0..8)
         .map(|index| replica(format!("i-former-{index}"), FORMER))
         .collect();
     thread::sleep(Duration::from_millis(300));
