Resume streams of a lost gateway after another build has joined

A gateway fell silent 0.3 s before a second build was listed, and 0 of its 44 streams went on at the other gateway, where all 20 new ones began.

Cause: streams are recorded only while there are several builds, and the epoch forgot its base at the join, so that a missing record said nothing.

Change: a join keeps the base as the epoch's former base. Until that ends by a write, streams begin elsewhere only if their id allows it, so that all others without a record began there. After a restore only a gateway in touch believes it.

The test of the gateways failed before, with 503 for 20 s.

--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -3,9 +3,15 @@
 //!
 //! The store holds the [`Epoch`] of each pool: the builds at which streams may begin. While that is one build, it is the
 //! base, and no stream is recorded: a stream without a record began there. A further build joins the epoch before any
-//! stream begins at it. From then on there is no base, each stream is recorded, and one without a record cannot go on, as
-//! its build is not known. Once all builds but one have been absent for longer than a stream can be resumed, that one is the
-//! base of the next epoch.
+//! stream begins at it. From then on there is no base, and each stream is recorded. Once all builds but one have been absent for
+//! longer than a stream can be resumed, that one is the base of the next epoch.
+//!
+//! A gateway that is lost before it hears of the new build leaves streams without records. The epoch therefore keeps its
+//! [former base](Epoch::former_base) until no stream from before the join can be taken up. Meanwhile only one stream in
+//! [`RECENT_STREAMS`], chosen by its id, begins at another build, so that all others without a record began at the former base.
+//! Afterwards, and where too few targets of the former base are left for that, a stream without a record cannot go on, as its
+//! build is not known. As the end of the former base is a write as well, a gateway that reads the epoch needs to know neither when
+//! the build joined nor what the others have listed since.
 //!
 //! The store may come back from an older copy, without a build that has joined since and without the latest records. A gateway
 //! that knows more writes both again, and has streams recorded meanwhile. One that may not know of the last join, as it has
@@ -103,6 +109,10 @@
     pub base: Option<SmolStr>,
     /// The builds at which streams may begin.
     pub builds: Vec<SmolStr>,
+    /// The base before other builds joined, at which all streams begin for which [`may_begin_at_recent`] is false. It travels beside
+    /// the epoch, as gateways of earlier builds read an epoch without it.
+    #[serde(skip)]
+    pub former_base: Option<SmolStr>,
 }
 
 /// An epoch as it lies in the store.
@@ -207,7 +217,9 @@
     /// When builds other than the first one of the epoch have joined it, as far as known here, in milliseconds.
     joined: IndexMap<SmolStr, u64>,
     /// The only build of the epoch, while that has no base.
-    sole: Option<Sole>,
+    sole: Option<Since>,
+    /// The former base of the epoch.
+    former_base: Option<Since>,
     /// The epoch of an earlier era of the store, until the store holds it again.
     kept: Option<Epoch>,
     /// The base that the store states and that is not certain.
@@ -218,9 +230,9 @@
     current_ms: Option<u64>,
 }
 
-/// A build that has been the only one of an epoch without a base.
+/// A build, and since when what is said of it has held as far as known here.
 #[derive(Clone, Debug)]
-struct Sole {
+struct Since {
     build: SmolStr,
     since_ms: u64,
 }
@@ -255,6 +267,8 @@
     restart_ms: u64,
     /// Whether the fleet starts for the first time, so that there was no epoch before.
     is_first_start: bool,
+    /// Whether all known gateways begin streams at the former base of an epoch.
+    keeps_former_base: bool,
 }
 
 impl Register {
--- a/crates/core/src/origin/command.rs
+++ b/crates/core/src/origin/command.rs
@@ -5,7 +5,8 @@
 use crate::position::{Era, Position};
 
 use super::{
-    query, Doubt, Epoch, Knowledge, Known, Origin, Pool, Presence, Register, Sighting, Sole, Stored,
+    query, Doubt, Epoch, Knowledge, Known, Origin, Pool, Presence, Register, Sighting, Since,
+    Stored,
 };
 
 /// The latest era in which a store cannot have come back from a copy. Stores count from zero or one.
@@ -52,6 +53,11 @@
     register.settings.stream_ms = stream_ms;
 }
 
+/// Sets whether all known gateways, this one among them, begin streams at the former base of an epoch. Otherwise no epoch keeps one.
+pub fn set_keeps_former_base(register: &mut Register, keeps_former_base: bool) {
+    register.keeps_former_base = keeps_former_base;
+}
+
 /// Records that the fleet starts for the first time: where the store holds no epoch, there was none before.
 pub fn note_first_start(register: &mut Register) {
     register.is_first_start = true;
@@ -193,25 +199,25 @@
         let base = stored.epoch.base.take_if(|_| is_earlier || is_rebuilt);
         let since_ms = now_ms;
         state.doubt = base.map(|base| Doubt { base, since_ms });
+        // The store may have lost the write that ended it.
+        stored
+            .epoch
+            .former_base
+            .take_if(|_| is_earlier || is_rebuilt);
     }
     let epoch = stored.as_ref().map(|stored| &stored.epoch);
     date_builds(state, epoch.unwrap_or(&Epoch::default()), now_ms);
     state.epoch = stored.map_or(Knowledge::Absent { era, is_first }, Knowledge::Stored);
 }
 
-/// Notes which builds of an epoch have just joined it, and since when it has had one build without a base.
+/// Notes which builds of an epoch have just joined it, and since when it has had its former base, or one build without a base.
 fn date_builds(state: &mut Pool, epoch: &Epoch, now_ms: u64) {
-    let former = state.sole.take();
-    state.sole = match (&epoch.base, epoch.builds.as_slice()) {
-        (None, [build]) => {
-            let former = former.filter(|sole| sole.build == *build);
-            Some(former.unwrap_or_else(|| Sole {
-                build: build.clone(),
-                since_ms: now_ms,
-            }))
-        }
+    let sole = match (&epoch.base, epoch.builds.as_slice()) {
+        (None, [build]) => Some(build),
         _ => None,
     };
+    date(&mut state.sole, sole, now_ms);
+    date(&mut state.former_base, epoch.former_base.as_ref(), now_ms);
     let later = epoch.builds.iter().skip(1);
     state
         .joined
@@ -221,19 +227,40 @@
     }
 }
 
+/// Replaces a build, and notes the time if it is another one.
+fn date(known: &mut Option<Since>, build: Option<&SmolStr>, now_ms: u64) {
+    if known.as_ref().map(|it| &it.build) == build {
+        return;
+    }
+    *known = build.map(|build| Since {
+        build: build.clone(),
+        since_ms: now_ms,
+    });
+}
+
 /// Returns whether an epoch has all builds of another one, and states no base that the other does not.
 fn covers(epoch: &Epoch, other: &Epoch) -> bool {
     let has_builds = other
         .builds
         .iter()
         .all(|build| epoch.builds.contains(build));
-    has_builds && (epoch.base.is_none() || epoch.base == other.base)
+    let (base, other_base) = (unrecorded_base(epoch), unrecorded_base(other));
+    has_builds
+        && (epoch.base.is_none() || epoch.base == other.base)
+        && (base.is_none() || base == other_base)
+}
+
+/// Returns the build at which streams without a record began that may not begin at a recent build.
+fn unrecorded_base(epoch: &Epoch) -> Option<&SmolStr> {
+    epoch.base.as_ref().or(epoch.former_base.as_ref())
 }
 
 /// Returns the epoch with the builds of both. It has a base only if both have the same.
 fn union(epoch: &Epoch, other: &Epoch) -> Epoch {
     let mut joined = epoch.clone();
     joined.base = joined.base.filter(|base| other.base.as_ref() == Some(base));
+    let former = unrecorded_base(epoch).filter(|base| unrecorded_base(other) == Some(base));
+    joined.former_base = former.filter(|_| joined.base.is_none()).cloned();
     for build in &other.builds {
         if !joined.builds.contains(build) {
             joined.builds.push(build.clone());
@@ -349,14 +376,14 @@
     }
 }
 
-/// Returns the epoch that follows when builds join: its streams are recorded, and there is no base. An epoch that had all of
-/// them is written anew as it is.
+/// Returns the epoch that follows when builds join: its streams are recorded, and its base is the former one. An epoch that had all
+/// of them is written anew as it is.
 pub(super) fn join(epoch: &Epoch, joining: Vec<SmolStr>) -> Epoch {
     let mut joined = epoch.clone();
     for build in joining {
         if !joined.builds.contains(&build) {
             joined.builds.push(build);
-            joined.base = None;
+            joined.former_base = joined.base.take().or(joined.former_base);
         }
     }
     joined
--- a/crates/core/src/origin/query.rs
+++ b/crates/core/src/origin/query.rs
@@ -6,7 +6,7 @@
 
 use super::{
     command, may_begin_at_recent, Contact, Doubt, Epoch, Knowledge, Origin, Pool, Presence,
-    Proposal, Register, Settings, Sighting, Sole, Stored,
+    Proposal, Register, Settings, Sighting, Since, Stored,
 };
 
 /// What a gateway that is to take up a stream has to find out about its build.
@@ -25,7 +25,12 @@
 
 /// Returns the epoch of a pool as it was last known.
 pub fn epoch<'a>(register: &'a Register, pool: &str) -> Option<&'a Stored> {
-    match &register.pools.get(pool)?.epoch {
+    stored(&register.pools.get(pool)?.epoch)
+}
+
+/// Returns what the store held of an epoch.
+pub(super) fn stored(epoch: &Knowledge) -> Option<&Stored> {
+    match epoch {
         Knowledge::Stored(stored) => Some(stored),
         Knowledge::None | Knowledge::Absent { .. } => None,
     }
@@ -65,20 +70,45 @@
 }
 
 /// Returns how to find the build of a stream that is not known here.
-pub fn search(register: &Register, pool: &str) -> Search {
+pub fn search(register: &Register, pool: &str, stream: u64) -> Search {
     match epoch(register, pool) {
-        Some(stored) if stored.epoch.base.is_none() => Search::Record,
+        Some(stored) if stored.epoch.base.is_some() => Search::Epoch,
+        Some(_) if former_base(register, pool, stream).is_none() => Search::Record,
         _ => Search::Epoch,
     }
 }
 
+/// Returns the former base of a pool if a stream can have begun nowhere else, with or without a record.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::origin::{command, query, Epoch, Register, Settings, Stored};
+///
+/// let mut register = Register::new(Settings::default(), 0);
+/// command::set_keeps_former_base(&mut register, true);
+/// let builds = vec!["v1".into(), "v2".into()];
+/// let epoch = Epoch { base: None, builds, former_base: Some("v1".into()) };
+/// let stored = Stored { epoch, position: 1.into(), written: None };
+/// command::note_epoch(&mut register, &"p".into(), Some(stored), None, 0);
+/// assert_eq!(query::former_base(&register, "p", 1).unwrap(), "v1");
+/// assert!(query::former_base(&register, "p", 4).is_none());
+/// ```
+pub fn former_base<'a>(register: &'a Register, pool: &str, stream: u64) -> Option<&'a SmolStr> {
+    if !register.keeps_former_base || may_begin_at_recent(stream) {
+        return None;
+    }
+    epoch(register, pool)?.epoch.former_base.as_ref()
+}
+
 /// Returns the base of a pool that is in doubt, as the store may have lost the join of another build.
 pub fn doubtful_base<'a>(register: &'a Register, pool: &str) -> Option<&'a SmolStr> {
     let doubt = register.pools.get(pool)?.doubt.as_ref()?;
     Some(&doubt.base)
 }
 
-/// Returns the build at which a stream without a record began: the base, or a base in doubt if the stream can have begun nowhere else.
+/// Returns the build at which a stream without a record began: the base, or a former base or one in doubt if the stream can have begun
+/// nowhere else.
 ///
 /// # Examples
 ///
@@ -87,7 +117,7 @@
 /// use sardinemux_core::position::Position;
 ///
 /// let mut register = Register::new(Settings::default(), 0);
-/// let epoch = Epoch { base: Some("v1".into()), builds: vec!["v1".into()] };
+/// let epoch = Epoch { base: Some("v1".into()), builds: vec!["v1".into()], ..Epoch::default() };
 /// let stored = Stored { epoch, position: Position::new(Some(2), 1), written: Some(1) };
 /// command::note_epoch(&mut register, &"p".into(), Some(stored), Some(2), 0);
 /// assert!(query::unrecorded_build(&register, "p", 1, 0).is_none());
@@ -101,6 +131,7 @@
     now_ms: u64,
 ) -> Option<SmolStr> {
     let base = epoch(register, pool)?.epoch.base.clone();
+    let base = base.or_else(|| former_base(register, pool, stream).cloned());
     let doubt = register.pools.get(pool)?.doubt.as_ref();
     let is_settled =
         |doubt: &Doubt| now_ms.saturating_sub(doubt.since_ms) >= register.settings.doubt_ms;
@@ -123,7 +154,7 @@
 /// };
 ///
 /// let mut register = Register::new(Settings::default(), 0);
-/// let epoch = Epoch { base: Some("v1".into()), builds: vec!["v1".into()] };
+/// let epoch = Epoch { base: Some("v1".into()), builds: vec!["v1".into()], ..Epoch::default() };
 /// let stored = Stored { epoch, position: 1.into(), written: None };
 /// command::note_epoch(&mut register, &"p".into(), Some(stored), None, 0);
 /// let present = [Presence { build: "v1".into(), slots: 4 }];
@@ -201,10 +232,17 @@
             let is_open = |(build, sighting): &&(&SmolStr, &Sighting)| {
                 stored.epoch.builds.contains(build) && sighting.absent_at.is_none()
             };
-            let open: Vec<_> = listed.iter().filter(is_open).copied().collect();
-            let lasting = match may_begin_at_recent(stream) {
-                true => None,
-                false => lasting_builds(state, &stored.epoch, &open, &register.settings, now_ms),
+            let mut open: Vec<_> = listed.iter().filter(is_open).copied().collect();
+            let former_base = stored.epoch.former_base.as_ref();
+            let lasting = match (may_begin_at_recent(stream), former_base) {
+                (true, _) => None,
+                (false, Some(former_base)) => {
+                    open.retain(|(build, _)| *build == former_base);
+                    None
+                }
+                (false, None) => {
+                    lasting_builds(state, &stored.epoch, &open, &register.settings, now_ms)
+                }
             };
             let open = lasting.unwrap_or(open).into_iter();
             open.map(|(build, _)| build.clone()).collect()
@@ -259,17 +297,30 @@
                 [build] => Some(build.clone()).filter(|_| *is_first),
                 _ => None,
             };
-            (Epoch { base, builds }, Position::new(*era, 0))
+            let epoch = Epoch {
+                base,
+                builds,
+                ..Epoch::default()
+            };
+            (epoch, Position::new(*era, 0))
         }
         Knowledge::Stored(stored) if is_unwritten(register, pool, stored, now_ms) => {
             (stored.epoch.clone(), stored.position)
         }
         Knowledge::Stored(stored) => {
             let joining = joining(register, pool, &stored.epoch, &listed, now_ms);
-            let epoch = match joining.is_empty() {
+            let is_unchanged = joining.is_empty();
+            let settled = || settle(register, pool, &stored.epoch, now_ms);
+            let mut epoch = match joining.is_empty() {
                 false => command::join(&stored.epoch, joining),
-                true => settle(register, pool, &stored.epoch, now_ms)?,
+                true => settled().unwrap_or_else(|| stored.epoch.clone()),
             };
+            let former_base = epoch.former_base.take();
+            epoch.former_base = former_base
+                .filter(|build| keeps_former_base(register, pool, &listed, build, now_ms));
+            if is_unchanged && epoch == stored.epoch {
+                return None;
+            }
             (epoch, stored.position)
         }
     };
@@ -280,6 +331,26 @@
     })
 }
 
+/// Returns whether an epoch keeps its former base, or gets it from a join: streams from before the join may still be taken up, and its
+/// targets have room for most of the streams that begin.
+fn keeps_former_base(
+    register: &Register,
+    pool: &Pool,
+    listed: &[Listed<'_>],
+    former_base: &SmolStr,
+    now_ms: u64,
+) -> bool {
+    let settings = &register.settings;
+    let since_ms = pool.former_base.as_ref().map_or(now_ms, |it| it.since_ms);
+    let is_needed = now_ms.saturating_sub(since_ms) < settings.stream_ms;
+    let slots: u32 = listed.iter().map(|(_, sighting)| sighting.slots).sum();
+    let own = listed.iter().filter(|(build, _)| *build == former_base);
+    let own_slots: u32 = own.map(|(_, sighting)| sighting.slots).sum();
+    let is_enough =
+        own_slots > 0 && f64::from(own_slots) >= settings.first_slots_min * f64::from(slots);
+    register.keeps_former_base && is_needed && is_enough
+}
+
 /// Returns whether an epoch must be written as it is known: the store lacks a part of it, or was written in an earlier era, so that
 /// gateways which start believe it late.
 fn is_unwritten(register: &Register, pool: &Pool, stored: &Stored, now_ms: u64) -> bool {
@@ -337,7 +408,7 @@
     };
     let builds: Vec<SmolStr> = epoch.builds.iter().filter(is_present).cloned().collect();
     let stream_ms = register.settings.stream_ms;
-    let is_old = |sole: &Sole| now_ms.saturating_sub(sole.since_ms) >= stream_ms;
+    let is_old = |sole: &Since| now_ms.saturating_sub(sole.since_ms) >= stream_ms;
     let is_sole = pool.sole.as_ref().is_some_and(is_old);
     if builds.is_empty() || builds.len() == epoch.builds.len() && !is_sole {
         return None;
@@ -346,5 +417,11 @@
         [build] => Some(build.clone()),
         _ => None,
     };
-    Some(Epoch { base, builds })
+    let former_base = epoch.former_base.clone();
+    let former_base = former_base.filter(|build| base.is_none() && builds.contains(build));
+    Some(Epoch {
+        base,
+        builds,
+        former_base,
+    })
 }
--- a/crates/core/tests/origin.rs
+++ b/crates/core/tests/origin.rs
@@ -24,6 +24,9 @@
 
 const END: u64 = u64::MAX;
 
+/// The time for which a gateway is down that does not come back, in milliseconds.
+const GONE: u64 = 60_000;
+
 /// A stream that may begin at a build whose join the store may still lose, and one that may not.
 const RECENT: u64 = 4;
 const LASTING: u64 = 5;
@@ -41,6 +44,7 @@
     lapse: None,
     restore: None,
     patience_ms: 0,
+    silence_ms: 0,
 };
 
 /// A third build while two others serve; the first one leaves.
@@ -117,6 +121,32 @@
     }
 }
 
+/// Gateways fall silent for good before another build is listed, so that their streams have no records.
+const SILENT: Scenario = Scenario {
+    builds: &[(0, END, 8), (8_000, END, 2)],
+    kills: &[(7_700, 0.5, GONE)],
+    silence_ms: 4_800,
+    ..RELEASE
+};
+
+/// A third build joins before those streams are taken up.
+const SILENT_JOINS: Scenario = Scenario {
+    builds: &[(0, END, 8), (8_000, END, 2), (9_500, END, 2)],
+    ..SILENT
+};
+
+/// All other gateways start again after the join.
+const SILENT_STARTS: Scenario = Scenario {
+    kills: &[(7_700, 0.5, GONE), (9_800, 1.0, 500)],
+    ..SILENT
+};
+
+/// The store comes back from a copy without the join.
+const SILENT_RESTORE: Scenario = Scenario {
+    restore: Some((9_800, 7_000)),
+    ..SILENT
+};
+
 const fn large(scenario: Scenario) -> Scenario {
     Scenario {
         gateways: 100,
@@ -175,6 +205,10 @@
 #[case::replaced("replaced, a third is cut off", replacing(Lapse::Cut, 0.33))]
 #[case::taken_back("taken back, the store loses the join", TAKEN_BACK)]
 #[case::survivor_frozen("taken back, one stands still", surviving(Lapse::Freeze))]
+#[case::silent("silent before a join", SILENT)]
+#[case::silent_joins("silent before two joins", SILENT_JOINS)]
+#[case::silent_starts("silent before a join, the others start again", SILENT_STARTS)]
+#[case::silent_restore("silent before a join, the store loses it", SILENT_RESTORE)]
 #[case::survivor_cut("taken back, one is cut off", surviving(Lapse::Cut))]
 #[case::large_frozen(
     "joining, a third of 100 stands still",
@@ -225,6 +259,7 @@
     let epoch = Epoch {
         base: base.map(SmolStr::from),
         builds: builds.iter().map(|build| SmolStr::from(*build)).collect(),
+        ..Epoch::default()
     };
     let position = version.into();
     Some(Stored {
@@ -544,6 +579,150 @@
     assert_eq!(query::epochs(&register).count(), 0);
 }
 
+fn after_join(register: &mut Register, former_base: Option<&str>, version: u64, now_ms: u64) {
+    let mut joined = at(None, &["v1", "v2"], 1, version);
+    joined
+        .iter_mut()
+        .for_each(|it| it.epoch.former_base = former_base.map(SmolStr::from));
+    note(register, joined, 1, now_ms);
+}
+
+fn unrecorded(register: &Register, now_ms: u64) -> [Option<SmolStr>; 2] {
+    [LASTING, RECENT].map(|stream| query::unrecorded_build(register, "p", stream, now_ms))
+}
+
+/// The gateway of a stream was lost before it heard of the join, and this one has started after it.
+#[rstest]
+#[case::kept(true, Some("v1"))]
+#[case::with_gateways_of_an_earlier_build(false, None)]
+fn verify_stream_without_a_record_is_not_refused_after_a_join(
+    #[case] keeps_former_base: bool,
+    #[case] expected: Option<&str>,
+) {
+    let mut register = Register::new(Settings::default(), 0);
+    command::set_keeps_former_base(&mut register, keeps_former_base);
+    after_join(&mut register, Some("v1"), 2, 0);
+    observe(&mut register, &["v1", "v2"], 0);
+    assert_eq!(
+        unrecorded(&register, 0),
+        [expected.map(SmolStr::from), None]
+    );
+    assert_eq!(query::open_builds(&register, "p", LASTING, 0), ["v1"]);
+    assert_eq!(query::open_builds(&register, "p", RECENT, 0), ["v1", "v2"]);
+}
+
+/// A stream that can have begun at a build that joined must not go on at the former base.
+#[rstest]
+#[case::kept(4, 8, 0, true, Some("v1"))]
+#[case::few_slots(3, 8, 0, true, None)]
+#[case::no_slots(0, 0, 0, true, None)]
+#[case::gateway_of_an_earlier_build(4, 8, 0, false, None)]
+#[case::old(4, 8, 30_000, true, None)]
+fn verify_former_base_ends_before_streams_begin_elsewhere(
+    #[case] slots: u32,
+    #[case] all_slots: u32,
+    #[case] age_ms: u64,
+    #[case] keeps_former_base: bool,
+    #[case] expected: Option<&str>,
+) {
+    let mut register = Register::new(Settings::default(), 0);
+    command::set_keeps_former_base(&mut register, true);
+    after_join(&mut register, Some("v1"), 2, 0);
+    command::set_keeps_former_base(&mut register, keeps_former_base);
+    let presence = |build: &str, slots| Presence {
+        build: build.into(),
+        slots,
+    };
+    let present = [presence("v1", slots), presence("v2", all_slots - slots)];
+    command::observe(&mut register, &"p".into(), &present, age_ms);
+    assert_eq!(query::open_builds(&register, "p", LASTING, age_ms), ["v1"]);
+    let proposals = query::proposals(&register, age_ms);
+    let proposed = proposals.first().map(|it| it.epoch.former_base.as_deref());
+    assert_eq!(proposed.unwrap_or(Some("v1")), expected);
+    if expected.is_none() {
+        after_join(&mut register, None, 3, age_ms);
+        assert_eq!(unrecorded(&register, age_ms), [None, None]);
+    }
+}
+
+/// The former base must outlive a second join and a build that comes back, and end when its targets leave.
+#[test]
+fn verify_former_base_is_that_of_the_first_join() {
+    let settings = Settings::default();
+    let mut register = Register::new(settings, 0);
+    command::set_keeps_former_base(&mut register, true);
+    after_join(&mut register, Some("v1"), 2, 0);
+    observe(&mut register, &["v1", "v2"], 0);
+    let mut now_ms = 0;
+    while now_ms <= settings.absent_ms {
+        now_ms += 100;
+        observe(&mut register, &["v1"], now_ms);
+    }
+    observe(&mut register, &["v1", "v2"], now_ms);
+    let returned = query::proposals(&register, now_ms)[0].epoch.clone();
+    assert_eq!(returned.builds, ["v1", "v2"]);
+    assert_eq!(returned.former_base.as_deref(), Some("v1"));
+    let presence = |build: &str, slots| Presence {
+        build: build.into(),
+        slots,
+    };
+    let present = [presence("v1", 8), presence("v2", 4), presence("v3", 2)];
+    command::observe(&mut register, &"p".into(), &present, now_ms);
+    let joined = query::proposals(&register, now_ms)[0].epoch.clone();
+    assert_eq!(joined.builds, ["v1", "v2", "v3"]);
+    assert_eq!(joined.former_base.as_deref(), Some("v1"));
+    command::observe(&mut register, &"p".into(), &present[1..], now_ms);
+    let left = query::proposals(&register, now_ms)[0].epoch.clone();
+    assert_eq!((left.base, left.former_base), (None, None));
+}
+
+/// A copy of the store may lack the join, or the end of the former base.
+#[rstest]
+#[case::without_the_join(true, Some("v1"), at(Some("v1"), &["v1"], 2, 1), Some("v1"))]
+#[case::after_the_end(true, None, with_former_base(2), None)]
+#[case::another_base(true, Some("v1"), at(Some("v0"), &["v0"], 2, 1), None)]
+#[case::out_of_touch(false, Some("v1"), with_former_base(2), None)]
+fn verify_former_base_is_believed_after_a_restore_only_where_it_is_certain(
+    #[case] is_in_touch: bool,
+    #[case] known: Option<&str>,
+    #[case] copy: Option<Stored>,
+    #[case] expected: Option<&str>,
+) {
+    let mut register = Register::new(Settings::default(), 0);
+    command::set_keeps_former_base(&mut register, true);
+    observe(&mut register, &["v1", "v2"], 0);
+    after_join(&mut register, known, 3, 0);
+    if is_in_touch {
+        command::note_current(&mut register, Some(1), 4_000);
+    }
+    note(&mut register, copy, 2, 4_000);
+    let expected = expected.map(SmolStr::from);
+    assert_eq!(unrecorded(&register, 4_000), [expected.clone(), None]);
+    observe(&mut register, &["v1", "v2"], 5_100);
+    let proposals = query::proposals(&register, 5_100);
+    assert_eq!(proposals[0].epoch.base, None);
+    assert_eq!(proposals[0].epoch.former_base, expected);
+}
+
+fn with_former_base(era: u32) -> Option<Stored> {
+    let mut stored = at(None, &["v1", "v2"], era, 2);
+    stored
+        .iter_mut()
+        .for_each(|it| it.epoch.former_base = Some("v1".into()));
+    stored
+}
+
+/// A gateway that has started after a restore cannot know whether the former base had ended.
+#[test]
+fn verify_former_base_of_an_earlier_era_is_not_believed_after_a_start() {
+    let mut register = Register::new(Settings::default(), 0);
+    command::set_keeps_former_base(&mut register, true);
+    note(&mut register, with_former_base(2), 2, 0);
+    assert_eq!(unrecorded(&register, 0), [None, None]);
+    let proposal = &query::proposals(&register, 5_000)[0];
+    assert_eq!(proposal.epoch.former_base, None);
+}
+
 /// A stream at a build whose join gets lost must not look like one of the base.
 #[rstest]
 #[case::fresh(8, 4_000, &["v1"])]
@@ -621,6 +800,7 @@
         epoch: Epoch {
             base: Some("v1".into()),
             builds: vec!["v1".into()],
+            ..Epoch::default()
         },
         position: 1.into(),
         written: None,
@@ -652,6 +832,7 @@
         epoch: Epoch {
             base: Some("v1".into()),
             builds: vec!["v1".into()],
+            ..Epoch::default()
         },
         position: 1.into(),
         written: None,
--- a/crates/core/tests/support/streams.rs
+++ b/crates/core/tests/support/streams.rs
@@ -54,6 +54,8 @@
     pub restore: Option<(u64, u64)>,
     /// How long callers come again with a stream that is refused, in milliseconds.
     pub patience_ms: u64,
+    /// How long callers wait at a gateway that was killed before they take up their streams, in milliseconds.
+    pub silence_ms: u64,
 }
 
 /// What callers saw.
@@ -121,6 +123,12 @@
     next_id: u64,
 }
 
+fn started(now_ms: u64) -> Register {
+    let mut register = Register::new(Settings::default(), now_ms);
+    command::set_keeps_former_base(&mut register, true);
+    register
+}
+
 fn name(build: usize) -> SmolStr {
     format!("v{build}").into()
 }
@@ -367,7 +375,7 @@
         if self.policy == Policy::Memory {
             return None;
         }
-        let plan = query::search(&self.gateways[index].register, POOL);
+        let plan = query::search(&self.gateways[index].register, POOL, stream.id);
         let has_epochs = matches!(self.policy, Policy::Epochs | Policy::Credulous);
         if has_epochs && plan == Search::Epoch {
             if !self.read_epoch(index, now_ms) {
@@ -380,6 +388,10 @@
             if let Some(base) = &epoch.epoch.base {
                 return Some(base.clone());
             }
+            let register = &self.gateways[index].register;
+            if let Some(former_base) = query::former_base(register, POOL, stream.id) {
+                return Some(former_base.clone());
+            }
         }
         self.outcome.calls += 1;
         let is_reached = self.reaches_store(index, now_ms);
@@ -434,12 +446,13 @@
 
     fn kill(&mut self, share: f64, for_ms: u64, now_ms: u64) {
         for index in 0..self.gateways.len() {
-            if !self.random.random_bool(share) || self.lapse(index, now_ms).is_some() {
+            let is_down = self.gateways[index].back_ms > now_ms;
+            if !self.random.random_bool(share) || self.lapse(index, now_ms).is_some() || is_down {
                 continue;
             }
             let back_ms = now_ms + for_ms + self.random.random_range(0..300);
             self.gateways[index] = Gateway {
-                register: Register::new(Settings::default(), back_ms),
+                register: started(back_ms),
                 back_ms,
                 is_read: false,
                 written_ms: 0,
@@ -454,7 +467,8 @@
             let broken: Vec<Stream> = broken;
             for mut stream in broken {
                 stream.broken_ms = now_ms;
-                let at_ms = now_ms + self.random.random_range(100..3_500);
+                let at_ms =
+                    now_ms + self.scenario.silence_ms + self.random.random_range(100..3_500);
                 self.broken.push((at_ms, stream));
             }
         }
@@ -565,7 +579,7 @@
 
 /// Runs a scenario with a seed.
 pub fn run(scenario: Scenario, policy: Policy, seed: u64) -> Outcome {
-    let mut register = Register::new(Settings::default(), 0);
+    let mut register = started(0);
     command::note_first_start(&mut register);
     let gateways = (0..scenario.gateways).map(|_| Gateway {
         register: register.clone(),
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -44,6 +44,8 @@
     role: Role,
     /// Whether it takes part in permits.
     takes_permits: bool,
+    /// Whether it begins streams at the former base of an epoch; `None` if it has never sent a report.
+    keeps_former_base: Option<bool>,
 }
 
 impl Contact {
@@ -156,6 +158,7 @@
                     checks_patches: false,
                     role: Role::None,
                     takes_permits: false,
+                    keeps_former_base: None,
                 };
                 self.contacts.insert(name, contact);
             }
@@ -177,6 +180,7 @@
             checks_patches: report.checks_patches,
             role: report.role,
             takes_permits: report.takes_permits,
+            keeps_former_base: Some(report.keeps_former_base),
         };
         let former = self.contacts.insert(report.member.name.clone(), contact);
         former.is_none_or(|former| former.last_report_ms.is_none())
@@ -347,6 +351,12 @@
         contacts.any(|contact| contact.address == address && contact.checks_patches)
     }
 
+    /// Returns whether all other gateways that have sent a report begin streams at the former base of an epoch.
+    pub fn keep_former_bases(&self) -> bool {
+        let mut contacts = self.contacts.values();
+        contacts.all(|contact| contact.keeps_former_base != Some(false))
+    }
+
     /// Returns the client that calls a gateway for one topic. The topic's clients for other gateways are dropped.
     pub fn client(&mut self, address: SocketAddr, topic: Topic) -> Arc<Client> {
         self.clients.retain(|(other_address, other_topic), _| {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -218,7 +218,7 @@
         if let Some(known) = query::known(&register, stream) {
             return ("known", Some(continuation(known)));
         }
-        query::search(&register, &inbound.pool)
+        query::search(&register, &inbound.pool, stream)
     };
     let is_stated = inbound.resumes.is_some();
     if plan == Search::Record && is_stated {
@@ -244,6 +244,9 @@
     if !is_stated {
         return ("unknown", None);
     }
+    if let Some(build) = former_base(gateway, &inbound.pool, stream) {
+        return ("former_base", Some(based(build)));
+    }
     if plan != Search::Record {
         if let Some(origin) = read_record(gateway, stream).await {
             return ("record", Some(continuation(&origin)));
@@ -277,6 +280,11 @@
     query::epoch(&register, pool)?.epoch.base.clone()
 }
 
+fn former_base(gateway: &Gateway, pool: &str, stream: u64) -> Option<SmolStr> {
+    let register = gateway.origins.register.lock();
+    query::former_base(&register, pool, stream).cloned()
+}
+
 /// Returns what this gateway knows of how current its list of targets is.
 fn contact(gateway: &Gateway) -> Contact {
     let now_ms = gateway.now_ms();
@@ -380,9 +388,14 @@
 
 fn note_epoch(gateway: &Gateway, pool: &SmolStr, stored: Option<Stored>, era: Era) {
     let now_ms = gateway.now_ms();
-    let (builds, base) = stored.as_ref().map_or_else(Default::default, |stored| {
-        let base = stored.epoch.base.clone().unwrap_or_default();
-        (stored.epoch.builds.join(","), base)
+    let (builds, base, former_base) = stored.as_ref().map_or_else(Default::default, |stored| {
+        let Epoch {
+            base,
+            builds,
+            former_base,
+        } = stored.epoch.clone();
+        let (base, former_base) = (base.unwrap_or_default(), former_base.unwrap_or_default());
+        (builds.join(","), base, former_base)
     });
     let has_epoch = stored.is_some();
     let (is_news, doubtful) = {
@@ -400,7 +413,7 @@
         );
     }
     if has_epoch {
-        log::info!(pool:% = pool, builds:% = builds, base:% = base; "builds of a pool");
+        log::info!(pool:% = pool, builds:% = builds, base:% = base, former_base:% = former_base; "builds of a pool");
         *gateway.origins.changed_ms.lock() = Some(now_ms);
     }
     gateway.origins.changes.send_modify(|count| *count += 1);
@@ -435,8 +448,12 @@
             continue;
         }
         note_current(&gateway);
-        let stream_ms = stream_ms(&catalog);
-        command::set_stream_ms(&mut gateway.origins.register.lock(), stream_ms);
+        let keeps_former_base = gateway.members.lock().keep_former_bases();
+        {
+            let mut register = gateway.origins.register.lock();
+            command::set_stream_ms(&mut register, stream_ms(&catalog));
+            command::set_keeps_former_base(&mut register, keeps_former_base);
+        }
         for pool in &pools {
             observe(&gateway, pool);
         }
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -80,6 +80,9 @@
     /// Whether it takes part in permits. It is in the appendix.
     #[serde(skip)]
     pub takes_permits: bool,
+    /// Whether it begins streams at the former base of an epoch. It is in the appendix.
+    #[serde(skip)]
+    pub keeps_former_base: bool,
 }
 
 /// The appendix of a report.
@@ -96,6 +99,7 @@
     checks_patches: bool,
     role: Role,
     takes_permits: bool,
+    keeps_former_base: bool,
 }
 
 /// Returns the datagram of a report.
@@ -113,6 +117,7 @@
         checks_patches: report.checks_patches,
         role: report.role,
         takes_permits: report.takes_permits,
+        keeps_former_base: report.keeps_former_base,
     };
     appendix::encode(report, &appendix)
 }
@@ -131,6 +136,7 @@
     report.checks_patches = appendix.checks_patches;
     report.role = appendix.role;
     report.takes_permits = appendix.takes_permits;
+    report.keeps_former_base = appendix.keeps_former_base;
     for (standing, era) in [
         (&mut report.operators, appendix.operators),
         (&mut report.targets, appendix.targets),
@@ -178,6 +184,7 @@
         checks_patches: true,
         role,
         takes_permits,
+        keeps_former_base: true,
     }
 }
 
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -71,11 +71,14 @@
 }
 
 /// The appendix of a supplement with positions.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
 struct Appendix {
     /// The era of the positions.
     era: Era,
+    /// The former bases of the epochs in the supplement, by their pools.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    former_bases: Vec<(SmolStr, SmolStr)>,
 }
 
 /// Returns whether a datagram is a supplement.
@@ -98,7 +101,8 @@
 /// Returns the datagram of a supplement whose positions are of an era. One that cannot be encoded is logged and left out.
 pub fn encode_in_era(supplement: &Supplement, era: Era) -> Option<Vec<u8>> {
     let mut bytes = encode(supplement)?;
-    match rmp_serde::to_vec_named(&Appendix { era }) {
+    let former_bases = former_bases(supplement);
+    match rmp_serde::to_vec_named(&Appendix { era, former_bases }) {
         Ok(appendix) => bytes.extend(appendix),
         Err(error) => {
             log::warn!(error:% = error; "failed to encode the era of a supplement; sent without it")
@@ -107,14 +111,31 @@
     Some(bytes)
 }
 
+fn former_bases(supplement: &Supplement) -> Vec<(SmolStr, SmolStr)> {
+    let Supplement::Builds { epochs, .. } = supplement else {
+        return Vec::new();
+    };
+    let former_bases = epochs.iter().filter_map(|(pool, stored)| {
+        let former_base = stored.epoch.former_base.clone()?;
+        Some((pool.clone(), former_base))
+    });
+    former_bases.collect()
+}
+
 /// Returns the supplement in a datagram, and the era of its positions.
 ///
 /// # Errors
 ///
 /// The decoder's error, also for a kind of supplement that this version does not know.
 pub fn decode(bytes: &[u8]) -> std::result::Result<(Supplement, Era), rmp_serde::decode::Error> {
-    let (supplement, appendix) = appendix::decode(bytes.get(1..).unwrap_or_default())?;
-    let Appendix { era } = appendix.unwrap_or_default();
+    let (mut supplement, appendix) = appendix::decode(bytes.get(1..).unwrap_or_default())?;
+    let Appendix { era, former_bases } = appendix.unwrap_or_default();
+    if let Supplement::Builds { epochs, .. } = &mut supplement {
+        for (pool, stored) in epochs {
+            let stated = former_bases.iter().find(|(name, _)| name == pool);
+            stored.epoch.former_base = stated.map(|(_, build)| build.clone());
+        }
+    }
     Ok((supplement, era))
 }
 
--- a/crates/gateway/tests/builds.rs
+++ b/crates/gateway/tests/builds.rs
@@ -283,6 +283,56 @@
     gateway.kill();
 }
 
+/// The gateway of the streams is lost before the other build is listed.
+#[tokio::test]
+async fn verify_streams_of_a_lost_gateway_go_on_after_another_build_has_joined() {
+    let first = MockTarget::start(Behaviour::BreakStream).await;
+    let same = MockTarget::start(Behaviour::Stream).await;
+    let other = MockTarget::start(Behaviour::Stream).await;
+    let store = Store::default();
+    store.put(Topic::Operators, "config", Some(catalog_of(definition())));
+    put(&store, listed("t0", &first, "v1", true));
+    let lost = Gateway::start(&store, "g0").await;
+    let gateway = Gateway::start(&store, "g1").await;
+    let ids: Vec<String> = (0..16).map(|number| format!("r{number}")).collect();
+    for id in &ids {
+        let answer = lost.stream(id, "").await;
+        assert!(!looks_complete(&answer), "{answer}");
+    }
+    lost.kill();
+    store.put(Topic::Targets, "t0", None);
+    put(&store, listed("t1", &same, "v1", false));
+    put(&store, listed("t2", &other, "v2", true));
+    // A stream at the other build shows that it has joined.
+    let until = time::Instant::now() + PATIENCE;
+    for number in 0.. {
+        gateway.stream(&format!("n{number}"), "").await;
+        if other.request_count() > 0 {
+            break;
+        }
+        assert!(time::Instant::now() < until);
+    }
+    let is_lasting = |id: &&String| {
+        let stream = origin::stream_id("o1", id.as_bytes());
+        !origin::may_begin_at_recent(stream)
+    };
+    let (lasting, recent): (Vec<_>, Vec<_>) = ids.iter().partition(is_lasting);
+    assert!(lasting.len() > LOST_STREAMS && !recent.is_empty());
+    let before = resumptions(&same);
+    for id in &lasting {
+        let answer = gateway.take_up(id).await;
+        assert!(looks_complete(&answer), "{id}: {answer}");
+    }
+    for id in recent {
+        let headers = format!("last-event-id: 2\r\nx-resumes: {id}\r\n");
+        let answer = gateway.stream(&format!("{id}-again"), &headers).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{id}: {answer}");
+    }
+    assert_eq!(resumptions(&same), before + lasting.len());
+    assert_eq!(resumptions(&other), 0);
+    gateway.kill();
+}
+
 /// How a gateway is out of step while a target of another build joins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OutOfStep {
@@ -347,6 +397,7 @@
     let epoch = Epoch {
         base: None,
         builds: vec!["v1".into(), "v2".into()],
+        ..Epoch::default()
     };
     let joined = Fact::Builds {
         epoch,
@@ -378,6 +429,7 @@
         epoch: Epoch {
             base: Some("v1".into()),
             builds: vec!["v1".into()],
+            ..Epoch::default()
         },
         written: store.era(),
     };
--- a/crates/gateway/tests/former.rs
+++ b/crates/gateway/tests/former.rs
@@ -114,6 +114,7 @@
         checks_patches: true,
         role: Role::Collector,
         takes_permits: true,
+        keeps_former_base: true,
     }
 }
 
@@ -132,7 +133,7 @@
     };
     let bytes = reports::encode(&report).unwrap();
     let read = reports::decode(&bytes).unwrap();
-    assert!(read.takes_permits && read.checks_patches);
+    assert!(read.takes_permits && read.checks_patches && read.keeps_former_base);
     assert_eq!(read.operators, report.operators);
     assert_eq!(read.targets, report.targets);
     assert_eq!((read.catalog, read.role), (44, Role::Collector));
@@ -142,7 +143,7 @@
     let read = reports::decode(&rmp_serde::to_vec(&former).unwrap()).unwrap();
     assert_eq!(read.operators, standing(None, 120));
     assert_eq!((read.catalog, read.role), (0, Role::None));
-    assert!(!read.checks_patches);
+    assert!(!read.checks_patches && !read.keeps_former_base);
     assert_eq!(read.running, report.running);
 }
 
@@ -152,6 +153,7 @@
     let epoch = Epoch {
         base: None,
         builds: vec!["v1".into(), "v2".into()],
+        former_base: Some("v1".into()),
     };
     let stored = Stored {
         epoch: epoch.clone(),
@@ -163,8 +165,16 @@
         epochs: vec![("p".into(), stored)],
     };
     let bytes = supplement::encode_in_era(&supplement, Some(3)).unwrap();
-    let (_, era) = supplement::decode(&bytes).unwrap();
+    let (read, era) = supplement::decode(&bytes).unwrap();
     assert_eq!(era, Some(3));
+    let Supplement::Builds { epochs, .. } = read else {
+        panic!("{read:?}");
+    };
+    assert_eq!(epochs[0].1.epoch, epoch);
+    let epoch = Epoch {
+        former_base: None,
+        ..epoch
+    };
     let former: FormerSupplement = rmp_serde::from_slice(&bytes[1..]).unwrap();
     let version = 9;
     let epochs = vec![("p".into(), FormerStored { epoch, version })];
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -87,6 +87,7 @@
             checks_patches: self.role.is_some(),
             role: self.role.unwrap_or_default(),
             takes_permits: self.role.is_some(),
+            keeps_former_base: true,
         };
         let bytes = match self.role {
             Some(_) => reports::encode(&report).unwrap(),
--- a/crates/gateway/tests/uplink.rs
+++ b/crates/gateway/tests/uplink.rs
@@ -173,6 +173,7 @@
             checks_patches: true,
             role: Role::None,
             takes_permits: false,
+            keeps_former_base: false,
         };
         let bytes = reports::encode(&report).unwrap();
         loop {
