Keep records of streams until they are confirmed as written

The gateway that writes records was killed 0.15 s before a second build was listed, then that of the streams, and 0 of 44 streams went on, where all 20 new ones began.

Cause: records were sent once, by datagram, to the first in rank, which others take for live for a second after it is killed. What was sent was taken for held.

Change: an outbox in core keeps each record until a writer confirms that it is written, sends it to the next in rank without a confirmation or as soon as the writer is known as lost, and has it written here after two. It is bounded; losses are logged and counted. Gateways of the former build get the datagrams that they know, once.

The test of the gateways failed before where the writer was killed, with 503 for 20 s.

--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -27,6 +27,7 @@
 //! build can have joined after the stream began there.
 
 pub mod command;
+pub mod outbox;
 pub mod query;
 
 use std::collections::VecDeque;
@@ -263,6 +264,8 @@
     pools: IndexMap<SmolStr, Pool>,
     streams: IndexMap<u64, Known>,
     outbox: VecDeque<Origin>,
+    /// The number of records that were dropped, as there were too many.
+    lost: usize,
     /// When a gateway was last seen to start, in milliseconds.
     restart_ms: u64,
     /// Whether the fleet starts for the first time, so that there was no epoch before.
--- a/crates/core/src/origin/command.rs
+++ b/crates/core/src/origin/command.rs
@@ -346,6 +346,12 @@
         .len()
         .saturating_sub(register.settings.streams_max);
     register.outbox.drain(..excess);
+    register.lost += excess;
+}
+
+/// Returns the number of records that were dropped since the last call, as there were too many.
+pub fn take_lost(register: &mut Register) -> usize {
+    std::mem::take(&mut register.lost)
 }
 
 /// Keeps a stream; the one that was kept first goes if there are too many or it has expired.
@@ -365,15 +371,17 @@
 /// Queues the records of the streams that began here without one and may still be running.
 fn queue_pending(register: &mut Register, pool: &SmolStr, now_ms: u64) {
     let stream_ms = register.settings.stream_ms;
+    let mut due = Vec::new();
     for known in register.streams.values_mut() {
         if !known.is_pending || known.origin.pool != *pool {
             continue;
         }
         known.is_pending = false;
         if now_ms.saturating_sub(known.at_ms) <= stream_ms {
-            register.outbox.push_back(known.origin.clone());
+            due.push(known.origin.clone());
         }
     }
+    queue_records(register, due);
 }
 
 /// Returns the epoch that follows when builds join: its streams are recorded, and its base is the former one. An epoch that had all
--- a/crates/core/src/origin/query.rs
+++ b/crates/core/src/origin/query.rs
@@ -50,6 +50,11 @@
     register.settings.record_ttl_ms()
 }
 
+/// Returns the longest time from the beginning of a stream in which its caller may take it up, in milliseconds.
+pub fn stream_ms(register: &Register) -> u64 {
+    register.settings.stream_ms
+}
+
 /// Returns when a gateway was last seen to start, in milliseconds.
 pub fn restart_ms(register: &Register) -> u64 {
     register.restart_ms
--- a/crates/core/src/readers.rs
+++ b/crates/core/src/readers.rs
@@ -171,10 +171,28 @@
     readers.into_iter().min_by_key(preference)
 }
 
-/// Returns the first in rank of the gateways that follow the store, in whatever availability zone.
-pub fn choose_first_reader<'a>(gateways: impl Iterator<Item = Peer<'a>>) -> Option<Peer<'a>> {
+/// Returns the names of the gateways that follow the store, in whatever availability zone, by their rank.
+///
+/// # Examples
+///
+/// ```
+/// use sardinemux_core::readers::{self, Peer, ReaderState};
+///
+/// let peer = |name, link_mbps, state| {
+///     Peer { name, zone: "z1", link_mbps, state, newest: 1.into() }
+/// };
+/// let peers = [
+///     peer("g1", 10, ReaderState::Following),
+///     peer("g2", 100, ReaderState::Following),
+///     peer("g3", 100, ReaderState::Idle),
+/// ];
+/// assert_eq!(readers::rank_readers(peers.into_iter()), ["g2", "g1"]);
+/// ```
+pub fn rank_readers<'a>(gateways: impl Iterator<Item = Peer<'a>>) -> Vec<&'a str> {
     let readers = gateways.filter(|peer| peer.state == ReaderState::Following);
-    readers.min_by_key(Peer::rank)
+    let mut readers: Vec<Peer<'a>> = readers.collect();
+    readers.sort_by_key(Peer::rank);
+    readers.into_iter().map(|peer| peer.name).collect()
 }
 
 /// Returns a peer to ask for the complete snapshot of a topic, or `None` if no peer has an entry.
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -46,6 +46,7 @@
     takes_permits: bool,
     /// Whether it begins streams at the former base of an epoch; `None` if it has never sent a report.
     keeps_former_base: Option<bool>,
+    confirms_records: bool,
 }
 
 impl Contact {
@@ -159,6 +160,7 @@
                     role: Role::None,
                     takes_permits: false,
                     keeps_former_base: None,
+                    confirms_records: false,
                 };
                 self.contacts.insert(name, contact);
             }
@@ -181,6 +183,7 @@
             role: report.role,
             takes_permits: report.takes_permits,
             keeps_former_base: Some(report.keeps_former_base),
+            confirms_records: report.confirms_records,
         };
         let former = self.contacts.insert(report.member.name.clone(), contact);
         former.is_none_or(|former| former.last_report_ms.is_none())
@@ -204,6 +207,12 @@
         self.contacts.get(name).is_some_and(|it| it.learns_catalogs)
     }
 
+    /// Returns whether a gateway confirms the records of streams that it gets.
+    pub fn confirms_records(&self, name: &str) -> bool {
+        let contact = self.contacts.get(name);
+        contact.is_some_and(|contact| contact.confirms_records)
+    }
+
     /// Returns the gateways that have sent a report within the silence timeout, as those through which requests may be sent.
     pub fn candidates(&self, now_ms: u64) -> impl Iterator<Item = Candidate<'_>> {
         let recent = self
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -73,6 +73,9 @@
     /// Streams that callers take up, by how their build was found (`known`, `base`, `record`) or why it was not (`unknown`,
     /// `store`, `timeout`).
     pub resumptions: IntCounterVec,
+    /// Records of streams, by what was done with them: `sent` to a writer, `written` to the store, dropped as `lost` (too many) or as
+    /// `expired` (their streams cannot be taken up any more).
+    pub stream_records: IntCounterVec,
     /// Requests with a held prompt part, by outcome: `refused` or `trial`.
     pub quarantined: IntCounterVec,
     /// The number of prompt parts that are held.
@@ -203,6 +206,11 @@
                     "Streams that callers take up",
                     &["outcome"],
                 )?,
+                stream_records: counters(
+                    "gateway_stream_records_total",
+                    "Records of where streams began",
+                    &["outcome"],
+                )?,
                 quarantined: counters(
                     "gateway_quarantined_total",
                     "Requests with a held prompt part",
@@ -336,6 +344,7 @@
             Box::new(metrics.store_calls.clone()),
             Box::new(metrics.hops.clone()),
             Box::new(metrics.resumptions.clone()),
+            Box::new(metrics.stream_records.clone()),
             Box::new(metrics.quarantined.clone()),
             Box::new(metrics.held_parts.clone()),
             Box::new(metrics.suspected_crashes.clone()),
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -27,7 +27,9 @@
 use crate::store_writes;
 use crate::supplement::{self, Supplement};
 
-pub use record::{receive as receive_records, run as record_streams, take_datagrams};
+pub use record::{
+    receive as receive_records, receive_confirmation, run as record_streams, take_datagrams,
+};
 
 /// The interval at which the listed builds are observed and changes of epochs are proposed.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/origins/record.rs
+++ b/crates/gateway/src/origins/record.rs
@@ -1,11 +1,14 @@
-//! The records of streams: gateways send them to the one of those that read the store which is first in rank. It writes them
-//! there in batches, and removes them once no caller can take up the streams any more.
+//! The records of streams: gateways send them to those of the gateways that read the store which are first in rank, and keep them
+//! until they are confirmed. Writers write them there in batches, and remove them once no caller can take up the streams any more.
+//!
+//! Decisions are made in [`sardinemux_core::origin::outbox`].
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use sardinemux_core::origin::outbox::{Outbox, Sender, Writer};
 use sardinemux_core::origin::{command, query, Origin};
 use sardinemux_core::position::Position;
 use sardinemux_core::readers::{self, Peer};
@@ -23,6 +26,9 @@
 /// The longest time without a check for records to remove.
 const REMOVAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The longest time without a check whether the writer of a record was lost.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The largest number of records in one write. With the removals beside them, it fits into a transaction of 100 entries.
 const RECORDS_MAX: usize = 75;
 
@@ -38,13 +44,11 @@
 /// The delay before the records of other processes are listed again.
 const ADOPTION_RETRY_DELAY: Duration = Duration::from_secs(5);
 
-/// The delay before a failed write is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
-
-/// The records that wait to be sent to other gateways.
+/// The records that are not known to be written, and what is to be sent to other gateways.
 #[derive(Debug, Default)]
 pub(super) struct Records {
-    outgoing: Mutex<Vec<(SocketAddr, Vec<Origin>)>>,
+    outbox: Mutex<Outbox>,
+    outgoing: Mutex<Vec<(SocketAddr, Supplement)>>,
     /// Wakes the task that sends datagrams.
     pub(super) alarm: Notify,
     /// Wakes the task that passes records on or writes them.
@@ -54,22 +58,60 @@
 /// Takes the datagrams that are to be sent to other gateways.
 pub fn take_datagrams(gateway: &Gateway) -> Vec<(SocketAddr, Vec<u8>)> {
     let outgoing = std::mem::take(&mut *gateway.origins.records.outgoing.lock());
-    let datagrams = outgoing.into_iter().filter_map(|(address, origins)| {
-        let bytes = supplement::encode(&Supplement::Origins(origins))?;
-        Some((address, bytes))
-    });
+    let datagrams = outgoing
+        .into_iter()
+        .filter_map(|(address, supplement)| Some((address, supplement::encode(&supplement)?)));
     datagrams.collect()
 }
 
+fn send(gateway: &Gateway, address: SocketAddr, supplement: Supplement) {
+    let records = &gateway.origins.records;
+    records.outgoing.lock().push((address, supplement));
+    records.alarm.notify_one();
+}
+
 /// Queues the records of another gateway for the store.
-pub fn receive(gateway: &Gateway, origins: Vec<Origin>) {
-    command::queue_records(&mut gateway.origins.register.lock(), origins);
+pub fn receive(gateway: &Gateway, origins: Vec<Origin>, sender: Sender) {
+    if let Sender::Confirmed(address) = sender {
+        let streams = origins.iter().map(|origin| origin.stream).collect();
+        send(gateway, address, Supplement::Held(streams));
+    }
+    let ttl_ms = query::record_ttl_ms(&gateway.origins.register.lock());
+    let now_ms = gateway.now_ms();
+    let lost = {
+        let mut outbox = gateway.origins.records.outbox.lock();
+        outbox.add(origins, sender, ttl_ms, now_ms)
+    };
+    note_lost(gateway, lost);
     gateway.origins.records.queued.notify_one();
 }
 
-/// Returns the address of the gateway that writes the records of this one, or `None` if this gateway writes them itself: it is
-/// the first in rank of those that read the store, or knows no other that does.
-fn recorder(gateway: &Gateway) -> Option<SocketAddr> {
+/// Notes which records another gateway holds, or has written.
+pub fn receive_confirmation(gateway: &Gateway, streams: &[u64], is_written: bool) {
+    let now_ms = gateway.now_ms();
+    let mut outbox = gateway.origins.records.outbox.lock();
+    match is_written {
+        true => drop(outbox.confirm(streams)),
+        false => outbox.note_held(streams, now_ms),
+    }
+}
+
+fn count(gateway: &Gateway, outcome: &str, records: usize) {
+    let counter = &gateway.metrics.stream_records;
+    counter.with_label_values(&[outcome]).inc_by(records as u64);
+}
+
+/// Logs and counts records that were dropped.
+fn note_lost(gateway: &Gateway, lost: usize) {
+    if lost == 0 {
+        return;
+    }
+    count(gateway, "lost", lost);
+    log::error!(records = lost; "too many records of streams are not written; the oldest are dropped, and their streams may be refused");
+}
+
+/// Returns the gateways that write the records of this one: those that read the store and come before it in rank.
+fn writers(gateway: &Gateway) -> Vec<Writer> {
     let state = with_view(gateway, Topic::Targets, |view| view.reader_state());
     let settings = &gateway.settings;
     let me = Peer {
@@ -81,8 +123,48 @@
     };
     let members = gateway.members.lock();
     let peers = members.iter_recent(Topic::Targets, gateway.now_ms());
-    let chosen = readers::choose_first_reader(peers.chain([me]))?;
-    members.address(chosen.name)
+    let ranked = readers::rank_readers(peers.chain([me])).into_iter();
+    let before = ranked.take_while(|name| settings.name != *name);
+    let writer = |name: &str| Writer {
+        name: name.into(),
+        confirms: members.confirms_records(name),
+    };
+    before.map(writer).collect()
+}
+
+/// Moves the records of streams that have begun here, and need one, to the outbox.
+fn collect_own(gateway: &Gateway) {
+    let (records, lost, stream_ms) = {
+        let mut register = gateway.origins.register.lock();
+        let records = command::take_records(&mut register, usize::MAX);
+        let lost = command::take_lost(&mut register);
+        (records, lost, query::stream_ms(&register))
+    };
+    let now_ms = gateway.now_ms();
+    let dropped = {
+        let mut outbox = gateway.origins.records.outbox.lock();
+        outbox.add(records, Sender::Own, stream_ms, now_ms)
+    };
+    note_lost(gateway, lost + dropped);
+}
+
+/// Sends records to the gateway that writes them.
+fn send_records(gateway: &Gateway, writer: &str, records: &[Origin]) {
+    let (address, confirms) = {
+        let members = gateway.members.lock();
+        (members.address(writer), members.confirms_records(writer))
+    };
+    // One that is not known any more does not confirm them.
+    let Some(address) = address else { return };
+    count(gateway, "sent", records.len());
+    for records in records.chunks(DATAGRAM_RECORDS_MAX) {
+        let records = records.to_vec();
+        let supplement = match confirms {
+            true => Supplement::Records(records),
+            false => Supplement::Origins(records),
+        };
+        send(gateway, address, supplement);
+    }
 }
 
 /// When the records that this gateway has written or adopted were written, oldest first.
@@ -95,18 +177,29 @@
     let mut has_adopted = false;
     let mut last_write = Instant::now();
     loop {
-        let queued = gateway.origins.records.queued.notified();
-        // Both ends of the wait lead to the same check.
-        let _ = time::timeout(REMOVAL_INTERVAL, queued).await;
-        if let Some(address) = recorder(&gateway) {
-            send(&gateway, address);
-        } else {
-            time::sleep_until(last_write + WRITE_INTERVAL).await;
-        }
+        wait_for_due(&gateway, last_write).await;
+        collect_own(&gateway);
         let Ok(permit) = permits.clone().acquire_owned().await else {
             return;
         };
-        let records = command::take_records(&mut gateway.origins.register.lock(), RECORDS_MAX);
+        let records_max = match last_write.elapsed() >= WRITE_INTERVAL {
+            true => RECORDS_MAX,
+            false => 0,
+        };
+        let writers = writers(&gateway);
+        let now_ms = gateway.now_ms();
+        let due = {
+            let mut outbox = gateway.origins.records.outbox.lock();
+            outbox.take_due(&writers, records_max, now_ms)
+        };
+        for (writer, records) in &due.sent {
+            send_records(&gateway, writer, records);
+        }
+        if due.expired > 0 {
+            count(&gateway, "expired", due.expired);
+            log::warn!(records = due.expired; "records of streams were not written while the streams could be taken up; dropped");
+        }
+        let records = due.written;
         let ttl_ms = query::record_ttl_ms(&gateway.origins.register.lock());
         let ttl = Duration::from_millis(ttl_ms);
         let removals = {
@@ -135,7 +228,21 @@
     }
 }
 
-/// Writes records to the store and removes others. After a failure they are queued again.
+/// Waits until records are due, and until they may be written.
+async fn wait_for_due(gateway: &Gateway, last_write: Instant) {
+    let records = &gateway.origins.records;
+    let queued = records.queued.notified();
+    let next_due_ms = records.outbox.lock().next_due_ms();
+    let due_in = next_due_ms.map_or(REMOVAL_INTERVAL, |due_ms| {
+        let due_in = Duration::from_millis(due_ms.saturating_sub(gateway.now_ms()));
+        let pause = WRITE_INTERVAL.saturating_sub(last_write.elapsed());
+        due_in.max(pause).min(CHECK_INTERVAL)
+    });
+    // Both ends of the wait lead to the same check.
+    let _ = time::timeout(due_in, queued).await;
+}
+
+/// Writes records to the store and removes others, and tells those who sent the records.
 async fn write(
     gateway: Arc<Gateway>,
     source: Arc<Source>,
@@ -143,43 +250,36 @@
     records: Vec<Origin>,
     removals: Vec<u64>,
 ) {
-    match (source.record_origins)(records.clone(), removals.clone()).await {
+    let streams: Vec<u64> = records.iter().map(|origin| origin.stream).collect();
+    match (source.record_origins)(records, removals.clone()).await {
         Ok(()) => {
+            count(&gateway, "written", streams.len());
             let now = Instant::now();
-            let streams = records.iter().map(|origin| (now, origin.stream));
-            written.lock().extend(streams);
+            written
+                .lock()
+                .extend(streams.iter().map(|stream| (now, *stream)));
+            let senders = gateway.origins.records.outbox.lock().confirm(&streams);
+            for (sender, streams) in senders {
+                send(&gateway, sender, Supplement::Written(streams));
+            }
         }
         Err(error) => {
             log::warn!(
-                records = records.len(), error:% = error;
+                records = streams.len(), error:% = error;
                 "cannot record where streams began in the store; retrying"
             );
             let now = Instant::now();
-            let streams = removals.into_iter().map(|stream| (now, stream));
-            written.lock().extend(streams);
-            time::sleep(RETRY_DELAY).await;
-            command::queue_records(&mut gateway.origins.register.lock(), records);
+            let removals = removals.into_iter().map(|stream| (now, stream));
+            written.lock().extend(removals);
+            let now_ms = gateway.now_ms();
+            let mut outbox = gateway.origins.records.outbox.lock();
+            outbox.postpone(&streams, now_ms);
         }
     }
     // There may be more than one write holds.
     gateway.origins.records.queued.notify_one();
 }
 
-/// Sends all records to the gateway that writes them.
-fn send(gateway: &Gateway, address: SocketAddr) {
-    loop {
-        let mut register = gateway.origins.register.lock();
-        let records = command::take_records(&mut register, DATAGRAM_RECORDS_MAX);
-        drop(register);
-        if records.is_empty() {
-            return;
-        }
-        let outgoing = &gateway.origins.records.outgoing;
-        outgoing.lock().push((address, records));
-        gateway.origins.records.alarm.notify_one();
-    }
-}
-
 /// Returns whether enough records have expired that their removal is worth a call.
 fn has_due_removals(written: &VecDeque<(Instant, u64)>, ttl: Duration) -> bool {
     let due = written.get(REMOVALS_MAX - 1);
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -8,6 +8,7 @@
 
 use indexmap::IndexMap;
 use sardinemux_core::collection::{self, Candidate, Message, Number, Role};
+use sardinemux_core::origin::outbox::Sender;
 use sardinemux_core::position::Era;
 use sardinemux_core::reports;
 use sardinemux_core::roster::{self, command, query};
@@ -83,6 +84,9 @@
     /// Whether it begins streams at the former base of an epoch. It is in the appendix.
     #[serde(skip)]
     pub keeps_former_base: bool,
+    /// Whether it confirms the records of streams that it gets. It is in the appendix.
+    #[serde(skip)]
+    pub confirms_records: bool,
 }
 
 /// The appendix of a report.
@@ -100,6 +104,7 @@
     role: Role,
     takes_permits: bool,
     keeps_former_base: bool,
+    confirms_records: bool,
 }
 
 /// Returns the datagram of a report.
@@ -118,6 +123,7 @@
         role: report.role,
         takes_permits: report.takes_permits,
         keeps_former_base: report.keeps_former_base,
+        confirms_records: report.confirms_records,
     };
     appendix::encode(report, &appendix)
 }
@@ -137,6 +143,7 @@
     report.role = appendix.role;
     report.takes_permits = appendix.takes_permits;
     report.keeps_former_base = appendix.keeps_former_base;
+    report.confirms_records = appendix.confirms_records;
     for (standing, era) in [
         (&mut report.operators, appendix.operators),
         (&mut report.targets, appendix.targets),
@@ -185,6 +192,7 @@
         role,
         takes_permits,
         keeps_former_base: true,
+        confirms_records: true,
     }
 }
 
@@ -560,7 +568,18 @@
             },
             _,
         )) => hop::receive_news(gateway, name, pools),
-        Ok((Supplement::Origins(records), _)) => origins::receive_records(gateway, records),
+        Ok((Supplement::Origins(records), _)) => {
+            origins::receive_records(gateway, records, Sender::Unconfirmed);
+        }
+        Ok((Supplement::Records(records), _)) => {
+            origins::receive_records(gateway, records, Sender::Confirmed(sender));
+        }
+        Ok((Supplement::Held(streams), _)) => {
+            origins::receive_confirmation(gateway, &streams, false);
+        }
+        Ok((Supplement::Written(streams), _)) => {
+            origins::receive_confirmation(gateway, &streams, true);
+        }
         Ok((Supplement::Sum(sum), _)) => receive_sum(gateway, sum),
         Ok((Supplement::Speeds { is_sum, notices }, _)) => {
             speeds::receive(gateway, is_sum, &notices);
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -45,7 +45,7 @@
         /// The names of the pools; empty once the paths are back.
         pools: Vec<SmolStr>,
     },
-    /// Where streams began, to be recorded in the store by the recipient.
+    /// Where streams began, to be recorded in the store by the recipient, which confirms nothing.
     Origins(Vec<Origin>),
     /// The targets that stated in answers that they leave.
     Leaving(Vec<leaving::Notice>),
@@ -68,6 +68,12 @@
     /// Decisions of a dispatcher about requests of the recipient.
     #[serde(rename = "D")]
     PermitDecisions(permits::Decisions),
+    /// Where streams began, to be recorded in the store by the recipient, which confirms it.
+    Records(Vec<Origin>),
+    /// The streams whose records the sender has got and is to write.
+    Held(Vec<u64>),
+    /// The streams whose records the sender has written.
+    Written(Vec<u64>),
 }
 
 /// The appendix of a supplement with positions.
--- a/crates/gateway/tests/builds.rs
+++ b/crates/gateway/tests/builds.rs
@@ -72,8 +72,13 @@
 
 impl Gateway {
     async fn start(store: &Store, name: &str) -> Self {
+        Self::start_in(store, name, "z1").await
+    }
+
+    async fn start_in(store: &Store, name: &str, zone: &str) -> Self {
         let settings = Settings {
             name: name.into(),
+            zone: zone.into(),
             ..harness::settings()
         };
         let (callers, ready) = (settings.caller_address, settings.ready_address);
@@ -104,6 +109,18 @@
         .await
     }
 
+    /// Waits until a stream has begun at a target, which shows that its build has joined.
+    async fn wait_for_join(&self, target: &MockTarget) {
+        let until = time::Instant::now() + PATIENCE;
+        for number in 0.. {
+            self.stream(&format!("n{number}"), "").await;
+            if target.request_count() > 0 {
+                return;
+            }
+            assert!(time::Instant::now() < until);
+        }
+    }
+
     /// Takes up the stream that the request `id` began, after its second event, and again as long as it is refused.
     async fn take_up(&self, id: &str) -> String {
         let headers = format!("last-event-id: 2\r\nx-resumes: {id}\r\n");
@@ -303,15 +320,7 @@
     store.put(Topic::Targets, "t0", None);
     put(&store, listed("t1", &same, "v1", false));
     put(&store, listed("t2", &other, "v2", true));
-    // A stream at the other build shows that it has joined.
-    let until = time::Instant::now() + PATIENCE;
-    for number in 0.. {
-        gateway.stream(&format!("n{number}"), "").await;
-        if other.request_count() > 0 {
-            break;
-        }
-        assert!(time::Instant::now() < until);
-    }
+    gateway.wait_for_join(&other).await;
     let is_lasting = |id: &&String| {
         let stream = origin::stream_id("o1", id.as_bytes());
         !origin::may_begin_at_recent(stream)
@@ -333,6 +342,55 @@
     gateway.kill();
 }
 
+/// One of the gateways writes the records; which one depends on the names. Each reads the store for its zone, so that none notices at once that another is gone.
+#[rstest]
+#[case::first(0)]
+#[case::second(1)]
+#[case::third(2)]
+#[tokio::test]
+async fn verify_records_are_not_lost_with_a_gateway_that_was_just_killed(#[case] lost: usize) {
+    let first = MockTarget::start(Behaviour::BreakStream).await;
+    let same = MockTarget::start(Behaviour::Stream).await;
+    let other = MockTarget::start(Behaviour::Stream).await;
+    let store = Store::default();
+    store.put(Topic::Operators, "config", Some(catalog_of(definition())));
+    put(&store, listed("t0", &first, "v1", true));
+    let zones = ["z0", "z1", "z2"];
+    let mut gateways = Vec::new();
+    for zone in zones {
+        gateways.push(Gateway::start_in(&store, &format!("g-{zone}"), zone).await);
+    }
+    gateways.rotate_left(lost);
+    let [begun_in, taken_up_in] = [1, 2].map(|index| zones[(lost + index) % zones.len()]);
+    let taking_up = gateways.pop().unwrap();
+    let begun_at = gateways.pop().unwrap();
+    // The gateways agree on the one that writes.
+    time::sleep(Duration::from_millis(1_500)).await;
+    let ids: Vec<String> = (0..16).map(|number| format!("r{number}")).collect();
+    for id in &ids {
+        let answer = begun_at.stream(id, "").await;
+        assert!(!looks_complete(&answer), "{answer}");
+    }
+    gateways.pop().unwrap().kill();
+    store.put(Topic::Targets, "t0", None);
+    for (id, target, build, zone) in [
+        ("t1", &same, "v1", begun_in),
+        ("t2", &other, "v2", taken_up_in),
+    ] {
+        let mut announcement = listed(id, target, build, true);
+        announcement.target.zone = zone.into();
+        put(&store, announcement);
+    }
+    taking_up.wait_for_join(&other).await;
+    begun_at.kill();
+    for id in &ids {
+        let answer = taking_up.take_up(id).await;
+        assert!(looks_complete(&answer), "{id}: {answer}");
+    }
+    assert_eq!(resumptions(&other), 0);
+    taking_up.kill();
+}
+
 /// How a gateway is out of step while a target of another build joins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OutOfStep {
--- a/crates/gateway/tests/former.rs
+++ b/crates/gateway/tests/former.rs
@@ -115,6 +115,7 @@
         role: Role::Collector,
         takes_permits: true,
         keeps_former_base: true,
+        confirms_records: true,
     }
 }
 
@@ -133,7 +134,12 @@
     };
     let bytes = reports::encode(&report).unwrap();
     let read = reports::decode(&bytes).unwrap();
-    assert!(read.takes_permits && read.checks_patches && read.keeps_former_base);
+    assert!(
+        read.takes_permits
+            && read.checks_patches
+            && read.keeps_former_base
+            && read.confirms_records
+    );
     assert_eq!(read.operators, report.operators);
     assert_eq!(read.targets, report.targets);
     assert_eq!((read.catalog, read.role), (44, Role::Collector));
@@ -143,7 +149,7 @@
     let read = reports::decode(&rmp_serde::to_vec(&former).unwrap()).unwrap();
     assert_eq!(read.operators, standing(None, 120));
     assert_eq!((read.catalog, read.role), (0, Role::None));
-    assert!(!read.checks_patches && !read.keeps_former_base);
+    assert!(!read.checks_patches && !read.keeps_former_base && !read.confirms_records);
     assert_eq!(read.running, report.running);
 }
 
--- a/crates/gateway/tests/support/peer.rs
+++ b/crates/gateway/tests/support/peer.rs
@@ -88,6 +88,7 @@
             role: self.role.unwrap_or_default(),
             takes_permits: self.role.is_some(),
             keeps_former_base: true,
+            confirms_records: true,
         };
         let bytes = match self.role {
             Some(_) => reports::encode(&report).unwrap(),
--- a/crates/gateway/tests/uplink.rs
+++ b/crates/gateway/tests/uplink.rs
@@ -174,6 +174,7 @@
             role: Role::None,
             takes_permits: false,
             keeps_former_base: false,
+            confirms_records: false,
         };
         let bytes = reports::encode(&report).unwrap();
         loop {
