Record a hold or release although its recorders were just lost

Cause: a change was recorded by those gateways that were the first two in rank at one moment. One that was killed counts as live for a second.

Change: each gateway keeps the changes until lost recorders are known as silent, and records those that have come to fall to it. They are bounded; losses are logged and counted.

Measured: verify_hold_and_release_are_recorded_where_the_recorders_were_ just_lost failed before, as nothing was recorded for 20 s.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -80,6 +80,8 @@
     pub quarantined: IntCounterVec,
     /// The number of prompt parts that are held.
     pub held_parts: IntGauge,
+    /// Changes of held prompt parts that were dropped before they were recorded in the store.
+    pub lost_holds: IntCounter,
     /// Requests with shared prompt parts whose target crashed.
     pub suspected_crashes: IntCounter,
     /// Targets that stated that they leave, by source: an `answer`, or another `gateway`.
@@ -217,6 +219,10 @@
                     &["outcome"],
                 )?,
                 held_parts: IntGauge::new("gateway_held_parts", "Prompt parts that are held")?,
+                lost_holds: IntCounter::new(
+                    "gateway_lost_holds_total",
+                    "Changes of held prompt parts that were dropped before they were recorded",
+                )?,
                 suspected_crashes: IntCounter::new(
                     "gateway_suspected_crashes_total",
                     "Requests whose target crashed and whose prompt has shared parts",
@@ -347,6 +353,7 @@
             Box::new(metrics.stream_records.clone()),
             Box::new(metrics.quarantined.clone()),
             Box::new(metrics.held_parts.clone()),
+            Box::new(metrics.lost_holds.clone()),
             Box::new(metrics.suspected_crashes.clone()),
             Box::new(metrics.leaving_targets.clone()),
             Box::new(metrics.pauses.clone()),
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -42,6 +42,10 @@
 /// The largest number of changes that wait to be recorded in the store.
 const RECORDS_MAX: usize = 256;
 
+/// How long after lost recorders are known as silent the others look for changes that these have not recorded, in milliseconds: some
+/// rounds of reports.
+const RECORD_MARGIN_MS: u64 = 1_000;
+
 /// The largest addition to the `Retry-After` delay of a refused request, as a part of it, so that callers that were
 /// refused together do not return together.
 const RETRY_AFTER_SPREAD: f64 = 0.25;
@@ -58,10 +62,20 @@
     urgent: Vec<u64>,
     /// The contents of which the collectors are to be told at once.
     urgent_contents: Vec<u64>,
+    /// The latest changes of holds by their parts, while this gateway may have to record them in place of one that was lost.
+    unrecorded: IndexMap<u64, Unrecorded>,
     records: mpsc::Sender<Record>,
     receiver: Option<mpsc::Receiver<Record>>,
 }
 
+/// A change of a hold that this gateway has not recorded.
+#[derive(Clone, Copy, Debug)]
+struct Unrecorded {
+    is_held: bool,
+    /// When any recorder that was lost before the change is known as silent, in milliseconds.
+    end_ms: u64,
+}
+
 /// A change to be recorded in the store.
 type Record = (Held, bool);
 
@@ -73,6 +87,7 @@
             outbox: Outbox::default(),
             urgent: Vec::new(),
             urgent_contents: Vec::new(),
+            unrecorded: IndexMap::new(),
             records,
             receiver: Some(receiver),
         }
@@ -289,20 +304,54 @@
     gateway.quarantine_alarm.0.notify_one();
 }
 
-/// Has the state of a held part recorded in the store if this gateway is one of those that do so.
+/// Has the state of a held part recorded in the store, by this gateway if it is one of those that do so, or becomes one as others turn
+/// out to be lost.
 fn record(gateway: &Gateway, part: u64, is_held: bool) {
-    if rank(gateway, part) >= RECORDERS {
+    let peers = gateway.members.lock().names().count();
+    let silence_ms = reports::silence_timeout_ms(peers, false);
+    let change = Unrecorded {
+        is_held,
+        end_ms: gateway.now_ms() + silence_ms + RECORD_MARGIN_MS,
+    };
+    let lost = {
+        let unrecorded = &mut gateway.quarantine.lock().unrecorded;
+        unrecorded.shift_remove(&part);
+        unrecorded.insert(part, change);
+        let excess = unrecorded.len().saturating_sub(RECORDS_MAX);
+        unrecorded.drain(..excess).count()
+    };
+    if lost > 0 {
+        gateway.metrics.lost_holds.inc_by(lost as u64);
+        log::error!(changes = lost; "too many changes of held prompt parts are not recorded in the store; the oldest are dropped");
+    }
+    record_due(gateway);
+}
+
+/// Records the changes that fall to this gateway by now.
+fn record_due(gateway: &Gateway) {
+    let changes = gateway.quarantine.lock().unrecorded.clone();
+    if changes.is_empty() {
         return;
     }
-    let quarantine = gateway.quarantine.lock();
-    let trials = query::trials(&quarantine.register, part).unwrap_or_default();
-    let sent = quarantine
-        .records
-        .try_send((Held { part, trials }, is_held));
-    drop(quarantine);
-    if let Err(error) = sent {
-        log::warn!(part:% = Hex(part), error:% = error; "a held prompt part is not recorded in the store");
+    let own = changes
+        .keys()
+        .filter(|part| rank(gateway, **part) < RECORDERS);
+    let own: Vec<u64> = own.copied().collect();
+    let now_ms = gateway.now_ms();
+    let mut quarantine = gateway.quarantine.lock();
+    for part in own {
+        let Some(change) = quarantine.unrecorded.get(&part).copied() else {
+            continue;
+        };
+        let trials = query::trials(&quarantine.register, part).unwrap_or_default();
+        let record = (Held { part, trials }, change.is_held);
+        // While the channel is full, the change stays for the next round.
+        if quarantine.records.try_send(record).is_ok() {
+            quarantine.unrecorded.shift_remove(&part);
+        }
     }
+    let is_awaited = |change: &Unrecorded| now_ms < change.end_ms;
+    quarantine.unrecorded.retain(|_, it| is_awaited(it));
 }
 
 /// Has all held parts recorded again, which a store that came back from an older copy may lack.
@@ -339,8 +388,9 @@
     groups
 }
 
-/// Returns the notices of a round of reports.
+/// Returns the notices of a round of reports, and records what has come to fall to this gateway.
 pub fn next_round(gateway: &Gateway, round: u64) -> Vec<Vec<u8>> {
+    record_due(gateway);
     let peers = gateway.members.lock().names().count();
     let now_ms = evidence_ms(gateway);
     let mut quarantine = gateway.quarantine.lock();
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -12,6 +12,8 @@
 mod fleet;
 #[path = "support/harness.rs"]
 mod harness;
+#[path = "support/peer.rs"]
+mod peer;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -19,9 +21,14 @@
 use engines::{Engines, FATAL_BODY, FATAL_PART};
 use fleet::{catalog_of, Store};
 use harness::{exchange, looks_complete, wait_until_serving};
+use peer::Peer;
 use rstest::rstest;
+use sardinemux_core::collection::Role;
+use sardinemux_core::hash;
+use sardinemux_core::quarantine::{Notice, Suspicion};
 use sardinemux_gateway::settings::Settings;
 use sardinemux_gateway::source::Topic;
+use sardinemux_gateway::supplement::Supplement;
 use tokio::time;
 
 /// The number of crashes after which the users' bound applies.
@@ -174,6 +181,63 @@
     assert!(looks_complete(&answer), "{answer}");
 }
 
+async fn wait_for_count(store: &Store, count: usize) {
+    let until = time::Instant::now() + Duration::from_secs(20);
+    while store.count(Topic::Quarantine) != count {
+        assert!(time::Instant::now() < until);
+        time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// The two gateways that record changes of a part are lost, and count as live for a moment.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn verify_hold_and_release_are_recorded_where_the_recorders_were_just_lost() {
+    let store = Store::default();
+    let _engines = Engines::start(&store, 1).await;
+    store.put(
+        Topic::Operators,
+        "config",
+        Some(catalog_of(harness::definition())),
+    );
+    let settings = Settings {
+        name: "g0".into(),
+        ..harness::settings()
+    };
+    let address = settings.peer_address;
+    harness::spawn(settings.clone(), store.source(&settings.name));
+    wait_until_serving(settings.caller_address, settings.ready_address).await;
+    let peers = [
+        Peer::join_as("p1", Some(Role::Member), address).await,
+        Peer::join_as("p2", Some(Role::Member), address).await,
+    ];
+    let score = |name: &str, part: u64| hash::digest(&[name.as_bytes(), &part.to_le_bytes()]);
+    let is_theirs = |part: &u64| {
+        let own = score("g0", *part);
+        ["p1", "p2"].iter().all(|name| score(name, *part) > own)
+    };
+    let part = (1..).find(is_theirs).unwrap();
+    let accusations = (1..=4).map(|crash| (crash, crash as u32 * 1_000, Suspicion::Begun));
+    let held = Notice {
+        part,
+        depth: 0,
+        accusations: accusations.collect(),
+        cleared_age_ms: None,
+        hold: None,
+    };
+    let released = Notice {
+        accusations: Vec::new(),
+        cleared_age_ms: Some(0),
+        ..held.clone()
+    };
+    for (notice, count) in [(held, 1), (released, 0)] {
+        for peer in &peers {
+            peer.report().await;
+        }
+        peers[0].send(&Supplement::Quarantine(vec![notice])).await;
+        wait_for_count(&store, count).await;
+    }
+}
+
 /// The engine that last processed a prefix crashes, and the list still contains it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn verify_prefix_is_not_fetched_from_a_crashed_engine() {
