Split datagrams by their encoded size

With versions named by 28 characters, 4 of 44 streams of a killed gateway went on at the other one.

Cause: the number of items in a datagram was fixed, from the size that one usually has. 40 long records exceed the 1,400 bytes that a receiver reads, and were dropped as a whole; so were other lists, and a report of 64 targets with long names was never sent.

Change: datagram has the one limit and splits lists by what they take. Reports carry the busiest targets that fit. Receivers read datagrams of any size, as gateways of the former build send longer ones.

Measured: two of the tests in datagrams failed before.

--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -30,6 +30,7 @@
 use crate::attempt::{self, statement, AttemptOutcome, InFlight, Peer, Ready, Terms};
 use crate::catching_up;
 use crate::connections::{self, Connection, IDLE_CONNECTIONS_MAX};
+use crate::datagram;
 use crate::prelude::*;
 use crate::reply::{self, Body};
 use crate::request::{self, Hop, Inbound, Rejection};
@@ -197,11 +198,14 @@
     if pools.is_empty() {
         return Vec::new();
     }
-    let supplement = Supplement::Lost {
-        gateway: gateway.settings.name.clone(),
-        pools,
+    let encode = |pools: &[SmolStr]| {
+        supplement::encode(&Supplement::Lost {
+            gateway: gateway.settings.name.clone(),
+            pools: pools.to_vec(),
+        })
     };
-    supplement::encode(&supplement).into_iter().collect()
+    let fitting = datagram::fit(&pools, &encode);
+    fitting.into_iter().map(|(_, bytes)| bytes).collect()
 }
 
 /// Records the pools to which another gateway has lost its paths.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod client;
 pub mod compression;
 pub mod connections;
+pub mod datagram;
 pub mod dialect;
 pub mod drain;
 pub mod errors;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{watch, Mutex as AsyncMutex, Notify};
 use tokio::time::{self, Instant};
 
+use crate::datagram;
 use crate::prelude::*;
 use crate::replication::{self, with_view};
 use crate::request::Inbound;
@@ -508,7 +509,7 @@
     let changed_ms = *gateway.origins.changed_ms.lock();
     let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < NEWS_MS;
     let era = gateway.era.borrow().era;
-    let epochs = {
+    let epochs: Vec<(SmolStr, Stored)> = {
         let register = gateway.origins.register.lock();
         let restart_ms = query::restart_ms(&register);
         if !changed_ms.is_some_and(is_recent) && !is_recent(restart_ms) {
@@ -520,13 +521,18 @@
             .map(|(pool, stored)| (pool.clone(), stored.clone()))
             .collect()
     };
-    let supplement = Supplement::Builds {
-        uptime_ms: now_ms,
-        epochs,
+    let encode = |epochs: &[(SmolStr, Stored)]| {
+        let supplement = Supplement::Builds {
+            uptime_ms: now_ms,
+            epochs: epochs.to_vec(),
+        };
+        supplement::encode_in_era(&supplement, era)
     };
-    supplement::encode_in_era(&supplement, era)
-        .into_iter()
-        .collect()
+    // Without an epoch, the others still learn of the start.
+    match epochs.is_empty() {
+        true => encode(&epochs).into_iter().collect(),
+        false => datagram::split(&epochs, &encode),
+    }
 }
 
 /// Applies what another gateway tells of its start and of epochs, whose positions are of an era.
--- a/crates/gateway/src/origins/record.rs
+++ b/crates/gateway/src/origins/record.rs
@@ -35,9 +35,6 @@
 /// The largest number of removals in one write.
 const REMOVALS_MAX: usize = 25;
 
-/// The largest number of records in a datagram. One takes about 30 bytes.
-const DATAGRAM_RECORDS_MAX: usize = 40;
-
 /// The largest number of writes that have not been answered. One whose answer is lost holds up no other.
 const WRITES_MAX: usize = 16;
 
@@ -48,7 +45,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Records {
     outbox: Mutex<Outbox>,
-    outgoing: Mutex<Vec<(SocketAddr, Supplement)>>,
+    outgoing: Mutex<Vec<(SocketAddr, Vec<u8>)>>,
     /// Wakes the task that sends datagrams.
     pub(super) alarm: Notify,
     /// Wakes the task that passes records on or writes them.
@@ -57,24 +54,27 @@
 
 /// Takes the datagrams that are to be sent to other gateways.
 pub fn take_datagrams(gateway: &Gateway) -> Vec<(SocketAddr, Vec<u8>)> {
-    let outgoing = std::mem::take(&mut *gateway.origins.records.outgoing.lock());
-    let datagrams = outgoing
-        .into_iter()
-        .filter_map(|(address, supplement)| Some((address, supplement::encode(&supplement)?)));
-    datagrams.collect()
+    std::mem::take(&mut *gateway.origins.records.outgoing.lock())
 }
 
-fn send(gateway: &Gateway, address: SocketAddr, supplement: Supplement) {
+fn send<T: Clone>(
+    gateway: &Gateway,
+    address: SocketAddr,
+    items: &[T],
+    supplement: impl Fn(Vec<T>) -> Supplement,
+) {
+    let datagrams = supplement::split(items, supplement).into_iter();
     let records = &gateway.origins.records;
-    records.outgoing.lock().push((address, supplement));
+    let addressed = datagrams.map(|bytes| (address, bytes));
+    records.outgoing.lock().extend(addressed);
     records.alarm.notify_one();
 }
 
 /// Queues the records of another gateway for the store.
 pub fn receive(gateway: &Gateway, origins: Vec<Origin>, sender: Sender) {
     if let Sender::Confirmed(address) = sender {
-        let streams = origins.iter().map(|origin| origin.stream).collect();
-        send(gateway, address, Supplement::Held(streams));
+        let streams: Vec<u64> = origins.iter().map(|origin| origin.stream).collect();
+        send(gateway, address, &streams, Supplement::Held);
     }
     let ttl_ms = query::record_ttl_ms(&gateway.origins.register.lock());
     let now_ms = gateway.now_ms();
@@ -157,13 +157,9 @@
     // One that is not known any more does not confirm them.
     let Some(address) = address else { return };
     count(gateway, "sent", records.len());
-    for records in records.chunks(DATAGRAM_RECORDS_MAX) {
-        let records = records.to_vec();
-        let supplement = match confirms {
-            true => Supplement::Records(records),
-            false => Supplement::Origins(records),
-        };
-        send(gateway, address, supplement);
+    match confirms {
+        true => send(gateway, address, records, Supplement::Records),
+        false => send(gateway, address, records, Supplement::Origins),
     }
 }
 
@@ -260,7 +256,7 @@
                 .extend(streams.iter().map(|stream| (now, *stream)));
             let senders = gateway.origins.records.outbox.lock().confirm(&streams);
             for (sender, streams) in senders {
-                send(&gateway, sender, Supplement::Written(streams));
+                send(&gateway, sender, &streams, Supplement::Written);
             }
         }
         Err(error) => {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -410,9 +410,9 @@
 }
 
 fn encode(messages: Vec<Vec<Notice>>) -> Vec<Vec<u8>> {
-    let supplements = messages.into_iter().map(Supplement::Quarantine);
-    supplements
-        .filter_map(|supplement| supplement::encode(&supplement))
+    let messages = messages.into_iter();
+    messages
+        .flat_map(|notices| supplement::split(&notices, Supplement::Quarantine))
         .collect()
 }
 
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -19,6 +19,7 @@
 
 use crate::appendix;
 use crate::attempt::statement;
+use crate::datagram;
 use crate::drain::Phase;
 use crate::errors::ListenSnafu;
 use crate::hop;
@@ -34,10 +35,7 @@
 use crate::supplement::{self, Supplement};
 use crate::suspension;
 
-/// The largest datagram that is sent or received, in bytes. Loopback and the instances' links carry it unfragmented.
-const DATAGRAM_MAX_BYTES: usize = 1_400;
-
-/// The largest number of targets in a report. With names of up to 16 bytes they fit into a datagram.
+/// The largest number of targets in a report.
 const TARGETS_MAX: usize = 64;
 
 /// The number of first rounds that go to every gateway, so that the others know a new one before it acts.
@@ -154,12 +152,7 @@
 }
 
 fn build_report(gateway: &Gateway) -> Report {
-    let running = {
-        let mut roster = gateway.roster.lock();
-        let running = query::running(&roster, TARGETS_MAX);
-        command::note_own_report(&mut roster, &running);
-        running
-    };
+    let running = query::running(&gateway.roster.lock(), TARGETS_MAX);
     let catalog = gateway.catalog.read().version();
     let role = role(gateway);
     let takes_permits = permits::is_on(gateway);
@@ -209,7 +202,7 @@
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut speed_ticks = time::interval(Duration::from_millis(collection::PERIOD_MS));
     speed_ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    let mut buffer = vec![0; datagram::RECEIVED_MAX_BYTES];
     let mut round: u64 = 0;
     let mut suspensions = *gateway.suspensions.borrow();
     let mut schedule = Schedule::default();
@@ -370,21 +363,32 @@
     log::info!(dropped = dropped; "dropped the datagrams that waited while the process stood still");
 }
 
+/// Returns a report with as many of its busiest targets as fit into a datagram, and the datagram.
+pub fn encode_fitting(mut report: Report) -> Option<(Report, Vec<u8>)> {
+    let targets: Vec<(SmolStr, u32)> = std::mem::take(&mut report.running).into_iter().collect();
+    let with = |targets: &[(SmolStr, u32)]| Report {
+        running: targets.iter().cloned().collect(),
+        ..report.clone()
+    };
+    let encode = |targets: &[(SmolStr, u32)]| match encode(&with(targets)) {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            log::warn!(error:% = error; "failed to encode the report; not sent in this round");
+            None
+        }
+    };
+    let (count, bytes) = datagram::fit(&targets, &encode)?;
+    Some((with(&targets[..count]), bytes))
+}
+
 fn send_reports(gateway: &Gateway, socket: &UdpSocket, addresses: &[SocketAddr]) {
     if addresses.is_empty() {
         return;
     }
-    let bytes = match encode(&build_report(gateway)) {
-        Ok(bytes) if bytes.len() <= DATAGRAM_MAX_BYTES => bytes,
-        Ok(bytes) => {
-            log::warn!(bytes = bytes.len(); "the report is too large for a datagram; not sent in this round");
-            return;
-        }
-        Err(error) => {
-            log::warn!(error:% = error; "failed to encode the report; not sent in this round");
-            return;
-        }
+    let Some((report, bytes)) = encode_fitting(build_report(gateway)) else {
+        return;
     };
+    command::note_own_report(&mut gateway.roster.lock(), &report.running);
     send_datagram(socket, &bytes, addresses);
 }
 
@@ -395,6 +399,10 @@
 }
 
 fn send_datagram(socket: &UdpSocket, bytes: &[u8], addresses: &[SocketAddr]) {
+    if bytes.len() > datagram::SENT_MAX_BYTES {
+        log::error!(bytes = bytes.len(), max = datagram::SENT_MAX_BYTES; "a datagram is too large; not sent");
+        return;
+    }
     for address in addresses {
         if let Err(error) = socket.try_send_to(bytes, *address) {
             log::debug!(address:% = address, error:% = error; "failed to send a datagram; it is not repeated");
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -556,12 +556,7 @@
     });
     let news: Vec<News> = news.collect();
     drop(known);
-    match news.is_empty() {
-        true => Vec::new(),
-        false => supplement::encode(&Supplement::Rollouts(news))
-            .into_iter()
-            .collect(),
-    }
+    supplement::split(&news, Supplement::Rollouts)
 }
 
 /// Applies what another gateway tells of rollouts. A rollout whose order is not known here yet is ignored: the next message comes soon.
--- a/crates/gateway/src/rollouts/decider.rs
+++ b/crates/gateway/src/rollouts/decider.rs
@@ -19,14 +19,12 @@
 use super::{
     apply_directive, listed_builds, observations, receive_observation, Observation, Rollout,
 };
+use crate::datagram;
 use crate::prelude::*;
 use crate::replication;
 use crate::source::{Source, StatusProposal, StoredStatus, Topic};
 use crate::supplement::{self, Supplement};
 
-/// The largest size of a datagram between gateways, in bytes.
-const DATAGRAM_MAX_BYTES: usize = 1_400;
-
 /// The interval at which rollouts are decided.
 const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -187,7 +185,7 @@
             continue;
         };
         let count = whole.tally.counts.len();
-        if bytes.len() <= DATAGRAM_MAX_BYTES || count < 2 {
+        if bytes.len() <= datagram::SENT_MAX_BYTES || count < 2 {
             parts.push(bytes);
             continue;
         }
--- a/crates/gateway/src/supplement.rs
+++ b/crates/gateway/src/supplement.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::appendix;
+use crate::datagram;
 use crate::permits;
 use crate::prelude::*;
 use crate::rollouts::{News, Observation};
@@ -19,9 +20,6 @@
 /// The first byte of a supplement. MessagePack, in which reports are encoded, never begins with it.
 const MARKER: u8 = 0xc1;
 
-/// The largest number of limits in one supplement, or of targets that leave. One takes about 30 bytes.
-pub const LIMITS_MAX: usize = 40;
-
 /// A datagram beside the reports.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Supplement {
@@ -104,6 +102,11 @@
     }
 }
 
+/// Returns the datagrams of supplements with a part of the items each.
+pub fn split<T: Clone>(items: &[T], supplement: impl Fn(Vec<T>) -> Supplement) -> Vec<Vec<u8>> {
+    datagram::split(items, &|items: &[T]| encode(&supplement(items.to_vec())))
+}
+
 /// Returns the datagram of a supplement whose positions are of an era. One that cannot be encoded is logged and left out.
 pub fn encode_in_era(supplement: &Supplement, era: Era) -> Option<Vec<u8>> {
     let mut bytes = encode(supplement)?;
@@ -156,13 +159,8 @@
             query::leaving_notices(&roster, now_ms),
         )
     };
-    let limits = limits.chunks(LIMITS_MAX);
-    let limits = limits.map(|notices| Supplement::Limits(notices.to_vec()));
-    let brittle = (!brittle.is_empty()).then_some(Supplement::Brittle(brittle));
-    let leaving = leaving.chunks(LIMITS_MAX);
-    let leaving = leaving.map(|notices| Supplement::Leaving(notices.to_vec()));
-    let supplements = limits.chain(brittle).chain(leaving);
-    supplements
-        .filter_map(|supplement| encode(&supplement))
-        .collect()
+    let mut datagrams = split(&limits, Supplement::Limits);
+    datagrams.extend(split(&brittle, Supplement::Brittle));
+    datagrams.extend(split(&leaving, Supplement::Leaving));
+    datagrams
 }
