--- a/crates/core/src/origin/command.rs
+++ b/crates/core/src/origin/command.rs
@@ -216,8 +216,8 @@
         (None, [build]) => Some(build),
         _ => None,
     };
-    date(&mut state.sole, sole, now_ms);
-    date(&mut state.former_base, epoch.former_base.as_ref(), now_ms);
+    set_since(&mut state.sole, sole, now_ms);
+    set_since(&mut state.former_base, epoch.former_base.as_ref(), now_ms);
     let later = epoch.builds.iter().skip(1);
     state
         .joined
@@ -228,7 +228,7 @@
 }
 
 /// Replaces a build, and notes the time if it is another one.
-fn date(known: &mut Option<Since>, build: Option<&SmolStr>, now_ms: u64) {
+fn set_since(known: &mut Option<Since>, build: Option<&SmolStr>, now_ms: u64) {
     if known.as_ref().map(|it| &it.build) == build {
         return;
     }
--- a/crates/core/src/origin/outbox.rs
+++ b/crates/core/src/origin/outbox.rs
@@ -78,8 +78,8 @@
     due_ms: u64,
     /// The writers that got it, the latest last.
     writers: Vec<Writer>,
-    /// Whether this gateway writes it.
-    is_own: bool,
+    /// Whether this gateway writes it, as it was sent here or no writer has confirmed it.
+    is_written_here: bool,
     /// The number of its writes that have failed.
     failures: u32,
 }
@@ -157,7 +157,7 @@
             if let Some(known) = known.filter(|known| known.origin == origin) {
                 if sender != Sender::Own {
                     known.sender = sender;
-                    known.is_own = true;
+                    known.is_written_here = true;
                 }
                 continue;
             }
@@ -166,7 +166,7 @@
                 end_ms: now_ms + ttl_ms,
                 due_ms: now_ms,
                 writers: Vec::new(),
-                is_own: sender != Sender::Own,
+                is_written_here: sender != Sender::Own,
                 failures: 0,
                 origin,
             };
@@ -181,7 +181,7 @@
     pub fn note_held(&mut self, streams: &[u64], now_ms: u64) {
         for stream in streams {
             let record = self.records.get_mut(stream);
-            if let Some(record) = record.filter(|record| !record.is_own) {
+            if let Some(record) = record.filter(|record| !record.is_written_here) {
                 record.due_ms = now_ms + self.settings.written_ms;
             }
         }
@@ -243,7 +243,7 @@
                 None if due.written.len() < writes_max => {
                     due.written.push(record.origin.clone());
                     record.writers.clear();
-                    record.is_own = true;
+                    record.is_written_here = true;
                     record.due_ms = now_ms + settings.write_ms;
                 }
                 None => {}
@@ -270,7 +270,7 @@
     writers: &'a [Writer],
     settings: &Settings,
 ) -> Option<&'a Writer> {
-    if record.is_own || record.writers.len() >= settings.writers_max {
+    if record.is_written_here || record.writers.len() >= settings.writers_max {
         return None;
     }
     let is_new = |writer: &&Writer| record.writers.iter().all(|it| it.name != writer.name);
--- a/crates/core/src/origin/query.rs
+++ b/crates/core/src/origin/query.rs
@@ -313,19 +313,7 @@
             (stored.epoch.clone(), stored.position)
         }
         Knowledge::Stored(stored) => {
-            let joining = joining(register, pool, &stored.epoch, &listed, now_ms);
-            let is_unchanged = joining.is_empty();
-            let settled = || settle(register, pool, &stored.epoch, now_ms);
-            let mut epoch = match joining.is_empty() {
-                false => command::join(&stored.epoch, joining),
-                true => settled().unwrap_or_else(|| stored.epoch.clone()),
-            };
-            let former_base = epoch.former_base.take();
-            epoch.former_base = former_base
-                .filter(|build| keeps_former_base(register, pool, &listed, build, now_ms));
-            if is_unchanged && epoch == stored.epoch {
-                return None;
-            }
+            let epoch = next_epoch(register, pool, &stored.epoch, &listed, now_ms)?;
             (epoch, stored.position)
         }
     };
@@ -336,6 +324,27 @@
     })
 }
 
+/// Returns the epoch that follows once builds join or have been absent for long, or the former base ends. `None` if nothing is due. An
+/// epoch that has all builds which join is written anew as it is.
+fn next_epoch(
+    register: &Register,
+    pool: &Pool,
+    epoch: &Epoch,
+    listed: &[Listed<'_>],
+    now_ms: u64,
+) -> Option<Epoch> {
+    let joining = joining(register, pool, epoch, listed, now_ms);
+    let is_joined = !joining.is_empty();
+    let mut next = match is_joined {
+        true => command::join(epoch, joining),
+        false => settle(register, pool, epoch, now_ms).unwrap_or_else(|| epoch.clone()),
+    };
+    let former_base = next.former_base.take();
+    next.former_base =
+        former_base.filter(|build| keeps_former_base(register, pool, listed, build, now_ms));
+    (is_joined || next != *epoch).then_some(next)
+}
+
 /// Returns whether an epoch keeps its former base, or gets it from a join: streams from before the join may still be taken up, and its
 /// targets have room for most of the streams that begin.
 fn keeps_former_base(
